--- /dev/null
+++ b/walnutwing/base/id.h
@@ -0,0 +1,102 @@
+#ifndef WALNUTWING_BASE_ID_H_
+#define WALNUTWING_BASE_ID_H_
+
+// Names and numbers that must not be mixed up, each a type of its own.
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace walnutwing {
+
+// A text identifier. Tag keeps, say, an engine's id from standing in for a
+// daemon's. Compares and hashes as its text does.
+template<typename Tag>
+class TextId
+{
+public:
+  TextId() = default;
+  explicit TextId(std::string aValue)
+    : m_value(std::move(aValue))
+  {
+  }
+
+  const std::string& Value() const { return m_value; }
+  bool Empty() const { return m_value.empty(); }
+
+  auto operator<=>(const TextId&) const = default;
+
+  friend std::ostream& operator<<(std::ostream& aStream, const TextId& aId)
+  {
+    return aStream << aId.m_value;
+  }
+
+private:
+  std::string m_value;
+};
+
+// A number that identifies something, with no arithmetic.
+template<typename Tag>
+class NumberId
+{
+public:
+  constexpr NumberId() = default;
+  constexpr explicit NumberId(std::uint64_t aValue)
+    : m_value(aValue)
+  {
+  }
+
+  constexpr std::uint64_t Value() const { return m_value; }
+
+  auto operator<=>(const NumberId&) const = default;
+
+  friend std::ostream& operator<<(std::ostream& aStream, const NumberId& aId)
+  {
+    return aStream << aId.m_value;
+  }
+
+private:
+  std::uint64_t m_value = 0;
+};
+
+using DaemonId = TextId<struct DaemonIdTag>;
+using UpstreamId =
+  TextId<struct UpstreamIdTag>;          // an engine or a plain service's VM
+using ZoneId = TextId<struct ZoneIdTag>; // an availability zone
+using RegionId = TextId<struct RegionIdTag>;
+using CustomerId = TextId<struct CustomerIdTag>;
+using ServiceId = TextId<struct ServiceIdTag>;
+using PresetId = TextId<struct PresetIdTag>;
+using ChatId = TextId<struct ChatIdTag>;
+using OrderKey = TextId<struct OrderKeyTag>;
+
+using RequestId =
+  NumberId<struct RequestIdTag>; // unique within one daemon's life
+using LogOffset =
+  NumberId<struct LogOffsetTag>; // position in a stream of the platform's log
+
+} // namespace walnutwing
+
+template<typename Tag>
+struct std::hash<walnutwing::TextId<Tag>>
+{
+  std::size_t operator()(const walnutwing::TextId<Tag>& aId) const noexcept
+  {
+    return std::hash<std::string>()(aId.Value());
+  }
+};
+
+template<typename Tag>
+struct std::hash<walnutwing::NumberId<Tag>>
+{
+  std::size_t operator()(const walnutwing::NumberId<Tag>& aId) const noexcept
+  {
+    return std::hash<std::uint64_t>()(aId.Value());
+  }
+};
+
+#endif // WALNUTWING_BASE_ID_H_
