Network layer: h2o server and client, ZeroMQ peers, one loop

A call says how far it got, so that a refused connection is a certain 'not run'. Pausing a call holds the server back: 64 MiB written into a paused stream, at most 1 MiB read.

--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <vector>
 
 #include "walnutwing/base/clock.h"
 
@@ -16,14 +15,23 @@
 
 namespace walnutwing::net {
 
+// Watches a descriptor for as long as it lives. Must not outlive its loop, nor
+// be destroyed from within its own callback.
+class ReadableWatch
+{
+public:
+  virtual ~ReadableWatch() = default;
+};
+
 // Names a timer; zero names none.
 using TimerId = std::uint64_t;
 
 class EventLoop
 {
 public:
+  // Ignores SIGPIPE for the process: h2o writes to sockets whose peer has gone.
   EventLoop();
-  ~EventLoop();
+  ~EventLoop() = default;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
@@ -41,9 +49,10 @@
   void Cancel(TimerId aTimer);
 
   // Calls aReadable whenever the descriptor becomes readable, without reading
-  // from it. The descriptor stays the caller's. Watches last as long as the
-  // loop.
-  void WatchReadable(int aDescriptor, std::function<void()> aReadable);
+  // from it, until the returned watch is destroyed. The descriptor stays the
+  // caller's. Throws std::system_error when no descriptor is left.
+  std::unique_ptr<ReadableWatch> WatchReadable(int aDescriptor,
+                                               std::function<void()> aReadable);
 
   // Turns the loop until Stop is called.
   void Run();
@@ -62,8 +71,6 @@
     Duration m_period; // zero: fires once
     std::function<void()> m_callback;
   };
-  struct Watch;
-
   TimerId Add(Time aDue, Duration aPeriod, std::function<void()> aCallback);
   void FireDueTimers();
 
@@ -73,7 +80,6 @@
   TimerId m_lastTimer = 0;
   std::map<TimerId, Timer> m_timers;
   std::multimap<Time, TimerId> m_schedule;
-  std::vector<std::unique_ptr<Watch>> m_watches;
 };
 
 } // namespace walnutwing::net
--- /dev/null
+++ b/net/http_client.cc
@@ -0,0 +1,450 @@
+// h2o's HTTP/1.1 client calls back at four points: connected, head, body piece,
+// error. A CallState is shared by the handle that the user holds and by h2o, so
+// that either may let go first; once the user has let go, the callbacks return
+// what makes h2o close the connection.
+
+#include "net/http_client.h"
+
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <limits>
+#include <stdexcept>
+#include <utility>
+
+#include <arpa/inet.h>
+
+#include "net/h2o.h"
+
+namespace walnutwing::net {
+namespace {
+
+// Deadlines are the caller's; this only bounds connections that were forgotten.
+constexpr std::uint64_t kIoTimeoutMs = 600'000;
+constexpr std::uint64_t kPoolIdleMs = 5'000;
+constexpr std::size_t kPoolCapacity = 4096;
+constexpr std::string_view kAnswerWithoutLength = "the answer gave no length";
+
+constexpr std::array<std::string_view, 4> kStageNames = { "not sent",
+                                                          "sent",
+                                                          "head seen",
+                                                          "complete" };
+
+std::string
+LowerCase(std::string_view aText)
+{
+  std::string text(aText);
+  for (char& c : text) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return text;
+}
+
+std::string
+WireForm(const CallRequest& aRequest)
+{
+  std::string wire =
+    aRequest.m_method + " " + aRequest.m_target + " HTTP/1.1\r\n";
+  wire += "host: " + aRequest.m_endpoint.ToString() + "\r\n";
+  for (const Header& header : aRequest.m_headers.All()) {
+    wire += header.m_name + ": " + header.m_value + "\r\n";
+  }
+  if (aRequest.m_freshConnection) {
+    wire += "connection: close\r\n";
+  }
+  if (!aRequest.m_body.empty() || aRequest.m_method == "POST") {
+    wire +=
+      "content-length: " + std::to_string(aRequest.m_body.size()) + "\r\n";
+  }
+  wire += "\r\n";
+  wire += aRequest.m_body;
+  return wire;
+}
+
+class CallState
+{
+public:
+  CallState(CallRequest aRequest, CallCallbacks aCallbacks)
+    : m_request(std::move(aRequest))
+    , m_callbacks(std::move(aCallbacks))
+    , m_wire(WireForm(m_request))
+  {
+  }
+
+  const CallRequest& Request() const { return m_request; }
+
+  // Connects. h2o keeps a reference to this state until the call is over.
+  void Connect(std::shared_ptr<CallState> aSelf,
+               h2o_http1client_ctx_t* aContext,
+               h2o_socketpool_t* aPool)
+  {
+    m_self = std::move(aSelf);
+    if (aPool != nullptr) {
+      h2o_http1client_connect_with_pool(
+        &m_client, this, aContext, aPool, OnConnect);
+      return;
+    }
+    const h2o_iovec_t host = h2o_iovec_init(m_request.m_endpoint.m_ip.data(),
+                                            m_request.m_endpoint.m_ip.size());
+    h2o_http1client_connect(&m_client,
+                            this,
+                            aContext,
+                            host,
+                            m_request.m_endpoint.m_port,
+                            0,
+                            OnConnect);
+  }
+
+  void Cancel()
+  {
+    m_cancelled = true;
+    if (m_insideCallback || m_client == nullptr) {
+      return;
+    }
+    h2o_http1client_cancel(std::exchange(m_client, nullptr));
+    m_self.reset();
+  }
+
+  bool Cancelled() const { return m_cancelled; }
+
+  void Pause()
+  {
+    m_paused = true;
+    if (m_client == nullptr || m_client->sock == nullptr ||
+        !h2o_socket_is_reading(m_client->sock)) {
+      return;
+    }
+    m_readCallback = m_client->sock->_cb.read;
+    h2o_socket_read_stop(m_client->sock);
+  }
+
+  void Resume()
+  {
+    m_paused = false;
+    if (m_client == nullptr || m_readCallback == nullptr) {
+      return;
+    }
+    h2o_socket_read_start(m_client->sock,
+                          std::exchange(m_readCallback, nullptr));
+  }
+
+private:
+  static CallState& StateOf(h2o_http1client_t* aClient)
+  {
+    return *static_cast<CallState*>(aClient->data);
+  }
+
+  // Keeps the state alive and defers a cancel while a user callback runs.
+  template<typename Function>
+  void InCallback(Function aFunction)
+  {
+    m_insideCallback = true;
+    aFunction();
+    m_insideCallback = false;
+  }
+
+  // The last callback; h2o frees the client when its own callback returns.
+  void EndCall(CallStage aStage, std::string aError)
+  {
+    const std::shared_ptr<CallState> self = std::move(m_self);
+    m_client = nullptr;
+    if (m_cancelled) {
+      return;
+    }
+    InCallback([&] { m_callbacks.m_onEnd({ aStage, std::move(aError) }); });
+  }
+
+  // For callbacks that make h2o close the connection after a cancel.
+  void LetGo()
+  {
+    m_client = nullptr;
+    m_self.reset();
+  }
+
+  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* aClient,
+                                           const char* aError,
+                                           h2o_iovec_t** aBuffers,
+                                           std::size_t* aCount,
+                                           int* aMethodIsHead)
+  {
+    CallState& state = StateOf(aClient);
+    if (aError != nullptr) {
+      state.EndCall(CallStage::NotSent, aError);
+      return nullptr;
+    }
+    state.m_buffer = h2o_iovec_init(state.m_wire.data(), state.m_wire.size());
+    *aBuffers = &state.m_buffer;
+    *aCount = 1;
+    *aMethodIsHead = state.m_request.m_method == "HEAD" ? 1 : 0;
+    return OnHead;
+  }
+
+  static h2o_http1client_body_cb OnHead(h2o_http1client_t* aClient,
+                                        const char* aError,
+                                        int,
+                                        int aStatus,
+                                        h2o_iovec_t,
+                                        h2o_header_t* aHeaders,
+                                        std::size_t aCount,
+                                        int)
+  {
+    CallState& state = StateOf(aClient);
+    const bool ended = aError == h2o_http1client_error_is_eos;
+    if (aError != nullptr && !ended) {
+      state.EndCall(CallStage::Sent, aError);
+      return nullptr;
+    }
+    const Headers headers = state.ReadHead(aHeaders, aCount);
+    state.InCallback([&] { state.m_callbacks.m_onHead(aStatus, headers); });
+    if (state.m_cancelled) {
+      state.LetGo();
+      return nullptr;
+    }
+    if (ended) {
+      state.EndCall(CallStage::Complete, "");
+      return nullptr;
+    }
+    return OnBody;
+  }
+
+  static int OnBody(h2o_http1client_t* aClient, const char* aError)
+  {
+    CallState& state = StateOf(aClient);
+    h2o_buffer_t* input = aClient->sock->input;
+    const bool ended = aError == h2o_http1client_error_is_eos;
+    if ((aError == nullptr || ended) && input->size != 0) {
+      const std::string_view piece(input->bytes, input->size);
+      state.InCallback([&] { state.m_callbacks.m_onBody(piece); });
+      h2o_buffer_consume(&aClient->sock->input, piece.size());
+    }
+    if (state.m_cancelled) {
+      state.LetGo();
+      return -1;
+    }
+    if (ended && state.m_hasLength) {
+      state.EndCall(CallStage::Complete, "");
+    } else if (ended) {
+      state.EndCall(CallStage::HeadSeen, std::string(kAnswerWithoutLength));
+    } else if (aError != nullptr) {
+      state.EndCall(CallStage::HeadSeen, aError);
+    } else if (state.m_paused) {
+      state.Pause(); // h2o starts to read only after the head's callback
+    }
+    return 0;
+  }
+
+  Headers ReadHead(const h2o_header_t* aHeaders, std::size_t aCount)
+  {
+    Headers headers;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      const h2o_iovec_t& name = *aHeaders[i].name;
+      const h2o_iovec_t& value = aHeaders[i].value;
+      headers.Add(LowerCase({ name.base, name.len }),
+                  std::string(value.base, value.len));
+    }
+    m_hasLength =
+      headers.Find("content-length") || headers.Find("transfer-encoding");
+    return headers;
+  }
+
+  CallRequest m_request;
+  CallCallbacks m_callbacks;
+  std::string m_wire;
+  h2o_iovec_t m_buffer{};
+  h2o_http1client_t* m_client = nullptr;
+  h2o_socket_cb m_readCallback = nullptr;
+  std::shared_ptr<CallState> m_self; // h2o's reference
+  bool m_insideCallback = false;
+  bool m_cancelled = false;
+  bool m_paused = false;
+  bool m_hasLength = false;
+};
+
+class CallHandle : public Call
+{
+public:
+  explicit CallHandle(std::shared_ptr<CallState> aState)
+    : m_state(std::move(aState))
+  {
+  }
+  ~CallHandle() override { m_state->Cancel(); }
+  CallHandle(const CallHandle&) = delete;
+  CallHandle& operator=(const CallHandle&) = delete;
+
+  void Pause() override { m_state->Pause(); }
+  void Resume() override { m_state->Resume(); }
+
+private:
+  std::shared_ptr<CallState> m_state;
+};
+
+} // namespace
+
+std::string_view
+NameOf(CallStage aStage)
+{
+  return kStageNames.at(static_cast<std::size_t>(aStage));
+}
+
+class HttpClient::Impl
+{
+public:
+  explicit Impl(EventLoop& aLoop)
+    : m_loop(aLoop)
+  {
+    h2o_timeout_init(m_loop.Raw(), &m_ioTimeout, kIoTimeoutMs);
+    m_context.loop = m_loop.Raw();
+    m_context.io_timeout = &m_ioTimeout;
+  }
+
+  std::unique_ptr<Call> Start(CallRequest aRequest, CallCallbacks aCallbacks)
+  {
+    auto state =
+      std::make_shared<CallState>(std::move(aRequest), std::move(aCallbacks));
+    m_loop.After(Duration::zero(), [this, state] {
+      if (state->Cancelled()) {
+        return;
+      }
+      const CallRequest& request = state->Request();
+      state->Connect(state,
+                     &m_context,
+                     request.m_freshConnection ? nullptr
+                                               : PoolOf(request.m_endpoint));
+    });
+    return std::make_unique<CallHandle>(std::move(state));
+  }
+
+private:
+  h2o_socketpool_t* PoolOf(const Endpoint& aEndpoint)
+  {
+    std::unique_ptr<h2o_socketpool_t>& pool = m_pools[aEndpoint];
+    if (pool == nullptr) {
+      pool = std::make_unique<h2o_socketpool_t>();
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      address.sin_port = htons(aEndpoint.m_port);
+      inet_pton(AF_INET, aEndpoint.m_ip.c_str(), &address.sin_addr);
+      h2o_socketpool_init_by_address(pool.get(),
+                                     reinterpret_cast<sockaddr*>(&address),
+                                     sizeof(address),
+                                     0,
+                                     kPoolCapacity);
+      h2o_socketpool_set_timeout(pool.get(), m_loop.Raw(), kPoolIdleMs);
+    }
+    return pool.get();
+  }
+
+  EventLoop& m_loop;
+  h2o_timeout_t m_ioTimeout{};
+  h2o_http1client_ctx_t m_context{};
+  std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> m_pools;
+};
+
+HttpClient::HttpClient(EventLoop& aLoop)
+  : m_impl(std::make_unique<Impl>(aLoop))
+{
+}
+
+// Pools and timeouts are linked into h2o's loop, which lasts as long as the
+// process; so do they.
+HttpClient::~HttpClient()
+{
+  static_cast<void>(m_impl.release());
+}
+
+std::unique_ptr<Call>
+HttpClient::Start(CallRequest aRequest, CallCallbacks aCallbacks)
+{
+  return m_impl->Start(std::move(aRequest), std::move(aCallbacks));
+}
+
+namespace {
+
+// Collects one answer; ends early on a timeout or when the body is too large.
+class WholeCall : public Call
+{
+public:
+  WholeCall(HttpClient& aClient,
+            EventLoop& aLoop,
+            CallRequest aRequest,
+            Duration aTimeout,
+            std::size_t aMaxBytes,
+            std::function<void(WholeAnswer)> aDone)
+    : m_loop(aLoop)
+    , m_maxBytes(aMaxBytes)
+    , m_done(std::move(aDone))
+  {
+    m_timer = m_loop.After(aTimeout, [this] { EndEarly("timeout"); });
+    m_call =
+      aClient.Start(std::move(aRequest),
+                    { [this](int aStatus, const Headers& aHeaders) {
+                       m_answer.m_status = aStatus;
+                       m_answer.m_headers = aHeaders;
+                       m_answer.m_end.m_stage = CallStage::HeadSeen;
+                     },
+                      [this](std::string_view aPiece) { OnBody(aPiece); },
+                      [this](const CallEnd& aEnd) {
+                        m_answer.m_end = aEnd;
+                        Report();
+                      } });
+  }
+
+  ~WholeCall() override { m_loop.Cancel(m_timer); }
+  WholeCall(const WholeCall&) = delete;
+  WholeCall& operator=(const WholeCall&) = delete;
+
+  void Pause() override { m_call->Pause(); }
+  void Resume() override { m_call->Resume(); }
+
+private:
+  void OnBody(std::string_view aPiece)
+  {
+    if (m_answer.m_body.size() + aPiece.size() > m_maxBytes) {
+      EndEarly("answer too large");
+      return;
+    }
+    m_answer.m_body.append(aPiece);
+  }
+
+  // Whether a byte had left is not known here, so the stage says at least Sent.
+  void EndEarly(const char* aError)
+  {
+    m_call.reset();
+    m_answer.m_end.m_error = aError;
+    if (m_answer.m_end.m_stage == CallStage::NotSent) {
+      m_answer.m_end.m_stage = CallStage::Sent;
+    }
+    Report();
+  }
+
+  // The callback may destroy this object.
+  void Report()
+  {
+    m_loop.Cancel(m_timer);
+    const std::function<void(WholeAnswer)> done = std::move(m_done);
+    done(std::move(m_answer));
+  }
+
+  EventLoop& m_loop;
+  std::size_t m_maxBytes;
+  std::function<void(WholeAnswer)> m_done;
+  WholeAnswer m_answer;
+  TimerId m_timer = 0;
+  std::unique_ptr<Call> m_call;
+};
+
+} // namespace
+
+std::unique_ptr<Call>
+FetchWhole(HttpClient& aClient,
+           EventLoop& aLoop,
+           CallRequest aRequest,
+           Duration aTimeout,
+           std::size_t aMaxBytes,
+           std::function<void(WholeAnswer)> aDone)
+{
+  return std::make_unique<WholeCall>(
+    aClient, aLoop, std::move(aRequest), aTimeout, aMaxBytes, std::move(aDone));
+}
+
+} // namespace walnutwing::net
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -62,7 +62,8 @@
 {
 public:
   virtual ~Call() = default;
-  // Stops reading from the connection until Resume.
+  // Stops reading from the connection until Resume. A piece that has been read
+  // already may still be reported.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
 };
--- /dev/null
+++ b/net/http_test.cc
@@ -0,0 +1,270 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::net {
+namespace {
+
+constexpr int kTurnsAtMost = 20'000;
+
+// Turns the loop until the condition holds or the turns run out.
+bool
+TurnUntil(EventLoop& aLoop, const std::function<bool()>& aCondition)
+{
+  for (int i = 0; i < kTurnsAtMost && !aCondition(); ++i) {
+    aLoop.RunOnce(std::chrono::milliseconds(1));
+  }
+  return aCondition();
+}
+
+Endpoint
+Loopback(std::uint16_t aPort)
+{
+  return { "127.0.0.1", aPort };
+}
+
+struct Pair
+{
+  explicit Pair(RequestHandler aHandler)
+    : m_server(m_loop, Loopback(0), {}, std::move(aHandler))
+    , m_client(m_loop)
+  {
+  }
+
+  CallRequest RequestTo(std::string aTarget)
+  {
+    CallRequest request;
+    request.m_endpoint = Loopback(m_server.Port());
+    request.m_target = std::move(aTarget);
+    return request;
+  }
+
+  WholeAnswer Fetch(CallRequest aRequest)
+  {
+    WholeAnswer answer;
+    bool done = false;
+    const std::unique_ptr<Call> call = FetchWhole(m_client,
+                                                  m_loop,
+                                                  std::move(aRequest),
+                                                  std::chrono::seconds(20),
+                                                  1U << 26U,
+                                                  [&](WholeAnswer aAnswer) {
+                                                    answer = std::move(aAnswer);
+                                                    done = true;
+                                                  });
+    EXPECT_TRUE(TurnUntil(m_loop, [&] { return done; }));
+    return answer;
+  }
+
+  EventLoop m_loop;
+  HttpServer m_server;
+  HttpClient m_client;
+};
+
+TEST(Endpoint, Parse)
+{
+  const struct
+  {
+    std::string_view m_text;
+    bool m_valid;
+  } cases[] = {
+    { "127.0.0.1:80", true }, { "127.0.0.1", false },
+    { "host:80", false },     { "127.0.0.1:", false },
+    { "127.0.0.1:x", false }, { "127.0.0.1:70000", false },
+  };
+  for (const auto& test : cases) {
+    const std::optional<Endpoint> endpoint = Endpoint::Parse(test.m_text);
+    EXPECT_EQ(test.m_valid, endpoint.has_value()) << test.m_text;
+    if (endpoint) {
+      EXPECT_EQ(test.m_text, endpoint->ToString());
+    }
+  }
+}
+
+TEST(QueryValue, FindsTheNamedValue)
+{
+  EXPECT_EQ("2", QueryValue("a=1&b=2", "b"));
+  EXPECT_EQ("", QueryValue("a=&b", "b"));
+  EXPECT_EQ(std::nullopt, QueryValue("a=1", "b"));
+  EXPECT_EQ(std::nullopt, QueryValue("", "b"));
+}
+
+TEST(Http, WholeAnswerWithBodyAndHeaders)
+{
+  Pair pair([](const std::shared_ptr<Exchange>& aExchange) {
+    const HttpRequest& request = aExchange->Request();
+    aExchange->Respond(
+      201,
+      { { "x-echo", std::string(request.m_headers.Get("x-ask")) } },
+      request.m_method + request.m_path + "?" + request.m_query +
+        request.m_body);
+  });
+  CallRequest request = pair.RequestTo("/p?q=1");
+  request.m_method = "POST";
+  request.m_headers.Add("x-ask", "v");
+  request.m_body = "body";
+  const WholeAnswer answer = pair.Fetch(request);
+  EXPECT_EQ(CallStage::Complete, answer.m_end.m_stage) << answer.m_end.m_error;
+  EXPECT_EQ(201, answer.m_status);
+  EXPECT_EQ("v", answer.m_headers.Get("x-echo"));
+  EXPECT_EQ("POST/p?q=1body", answer.m_body);
+}
+
+TEST(Http, ConnectionsAreUsedAgainUnlessFresh)
+{
+  Pair pair([](const std::shared_ptr<Exchange>& aExchange) {
+    aExchange->Respond(200, {}, "x");
+  });
+  EXPECT_EQ(CallStage::Complete, pair.Fetch(pair.RequestTo("/")).m_end.m_stage);
+  EXPECT_EQ(CallStage::Complete, pair.Fetch(pair.RequestTo("/")).m_end.m_stage);
+  EXPECT_EQ(1U, pair.m_server.OpenConnections());
+  CallRequest fresh = pair.RequestTo("/");
+  fresh.m_freshConnection = true;
+  EXPECT_EQ(CallStage::Complete, pair.Fetch(fresh).m_end.m_stage);
+  EXPECT_TRUE(TurnUntil(pair.m_loop,
+                        [&] { return pair.m_server.OpenConnections() == 1; }));
+}
+
+TEST(Http, RefusedConnectionIsNotSent)
+{
+  std::uint16_t port = 0;
+  EventLoop loop;
+  {
+    HttpServer gone(
+      loop, Loopback(0), {}, [](const std::shared_ptr<Exchange>&) {});
+    port = gone.Port();
+  }
+  Pair pair([](const std::shared_ptr<Exchange>&) {});
+  for (const bool fresh : { false, true }) {
+    CallRequest request;
+    request.m_endpoint = Loopback(port);
+    request.m_freshConnection = fresh;
+    EXPECT_EQ(CallStage::NotSent, pair.Fetch(request).m_end.m_stage) << fresh;
+  }
+}
+
+TEST(Http, AddressInUseThrows)
+{
+  Pair pair([](const std::shared_ptr<Exchange>&) {});
+  EXPECT_THROW(HttpServer(pair.m_loop,
+                          Loopback(pair.m_server.Port()),
+                          {},
+                          [](const std::shared_ptr<Exchange>&) {}),
+               std::system_error);
+}
+
+TEST(Http, StreamArrivesWholeAndInOrder)
+{
+  std::string expected;
+  Pair pair([&](const std::shared_ptr<Exchange>& aExchange) {
+    aExchange->Start(200, { { "content-type", "text/event-stream" } });
+    for (int i = 0; i < 5000; ++i) {
+      const std::string piece = "data: " + std::to_string(i) + "\n\n";
+      expected += piece;
+      aExchange->Write(piece);
+    }
+    aExchange->End();
+  });
+  const WholeAnswer answer = pair.Fetch(pair.RequestTo("/"));
+  EXPECT_EQ(CallStage::Complete, answer.m_end.m_stage) << answer.m_end.m_error;
+  EXPECT_EQ(expected, answer.m_body);
+}
+
+TEST(Http, AbortedStreamIsNotComplete)
+{
+  Pair pair([](const std::shared_ptr<Exchange>& aExchange) {
+    aExchange->Start(200, {});
+    aExchange->Write("part");
+    aExchange->Abort();
+  });
+  const WholeAnswer answer = pair.Fetch(pair.RequestTo("/"));
+  EXPECT_NE(CallStage::Complete, answer.m_end.m_stage);
+  EXPECT_FALSE(answer.m_end.m_error.empty());
+}
+
+TEST(Http, CancelledCallIsSeenByTheServer)
+{
+  std::shared_ptr<Exchange> exchange;
+  bool gone = false;
+  Pair pair([&](const std::shared_ptr<Exchange>& aExchange) {
+    exchange = aExchange;
+    aExchange->OnCallerGone([&] { gone = true; });
+    aExchange->Start(200, {});
+    aExchange->Write("first");
+  });
+  std::unique_ptr<Call> call;
+  bool ended = false;
+  call = pair.m_client.Start(pair.RequestTo("/"),
+                             { [](int, const Headers&) {},
+                               [&](std::string_view) { call.reset(); },
+                               [&](const CallEnd&) { ended = true; } });
+  EXPECT_TRUE(TurnUntil(pair.m_loop, [&] { return call == nullptr; }));
+  EXPECT_TRUE(TurnUntil(pair.m_loop, [&] { return exchange->CallerClosed(); }));
+  EXPECT_TRUE(TurnUntil(pair.m_loop, [&] {
+    exchange->Write("more");
+    return gone;
+  }));
+  EXPECT_FALSE(ended);
+}
+
+TEST(Http, PausedCallHoldsTheServerBack)
+{
+  constexpr std::size_t kPieceBytes = 64U << 10U;
+  constexpr std::size_t kEnoughToBlock = 64U << 20U;
+  constexpr std::size_t kReadAheadAtMost = 1U << 20U;
+  std::shared_ptr<Exchange> exchange;
+  Pair pair([&](const std::shared_ptr<Exchange>& aExchange) {
+    exchange = aExchange;
+    aExchange->Start(200, {});
+  });
+  std::size_t received = 0;
+  bool ended = false;
+  std::unique_ptr<Call> call = pair.m_client.Start(
+    pair.RequestTo("/"),
+    { [&](int, const Headers&) { call->Pause(); },
+      [&](std::string_view aPiece) { received += aPiece.size(); },
+      [&](const CallEnd&) { ended = true; } });
+  EXPECT_TRUE(TurnUntil(pair.m_loop, [&] { return exchange != nullptr; }));
+  std::size_t written = 0;
+  for (; written < kEnoughToBlock; written += kPieceBytes) {
+    exchange->Write(std::string(kPieceBytes, 'x'));
+    pair.m_loop.RunOnce(Duration::zero());
+  }
+  EXPECT_GT(exchange->PendingBytes(), 0U);
+  EXPECT_LE(received, kReadAheadAtMost);
+  call->Resume();
+  exchange->End();
+  EXPECT_TRUE(TurnUntil(pair.m_loop, [&] { return ended; }));
+  EXPECT_EQ(written, received);
+}
+
+TEST(EventLoop, CancelledTimersDoNotFire)
+{
+  EventLoop loop;
+  std::vector<int> fired;
+  loop.After(Duration::zero(), [&] { fired.push_back(1); });
+  const TimerId cancelled =
+    loop.After(Duration::zero(), [&] { fired.push_back(2); });
+  TimerId repeating = 0;
+  int repeats = 0;
+  repeating = loop.Every(Duration(1), [&] {
+    if (++repeats == 3) {
+      loop.Cancel(repeating);
+    }
+  });
+  loop.Cancel(cancelled);
+  EXPECT_TRUE(TurnUntil(loop, [&] { return repeats == 3; }));
+  loop.RunOnce(Duration(5));
+  EXPECT_EQ(std::vector<int>{ 1 }, fired);
+  EXPECT_EQ(3, repeats);
+}
+
+} // namespace
+} // namespace walnutwing::net
--- /dev/null
+++ b/net/peer_bus.cc
@@ -0,0 +1,229 @@
+// One PULL socket receives from everybody, one PUSH socket for each peer sends.
+// ZeroMQ's descriptor tells only that something may have changed, so each
+// wake-up reads until nothing is left. With keys, a handler for ZeroMQ's
+// authentication protocol (ZAP, RFC 27) admits only peers that hold the fleet's
+// key pair. libzmq moves bytes on a thread of its own, which runs none of our
+// code.
+
+#include "net/peer_bus.h"
+
+#include <array>
+#include <map>
+#include <stdexcept>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include <zmq.hpp>
+
+namespace walnutwing::net {
+namespace {
+
+constexpr int kReconnectMs = 100;
+constexpr int kReconnectMaxMs = 1000;
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 3000;
+constexpr std::size_t kZ85KeyLength = 40;
+constexpr std::size_t kBinaryKeyLength = 32;
+constexpr int kMessagesPerTurn = 1000;
+
+std::string
+DecodeZ85(const std::string& aText)
+{
+  std::array<std::uint8_t, kBinaryKeyLength> key{};
+  if (aText.size() != kZ85KeyLength ||
+      zmq_z85_decode(key.data(), aText.c_str()) == nullptr) {
+    throw std::invalid_argument("not a Z85 key of 40 characters");
+  }
+  return { reinterpret_cast<const char*>(key.data()), key.size() };
+}
+
+} // namespace
+
+class PeerBus::Impl
+{
+public:
+  Impl(EventLoop& aLoop, const PeerBusOptions& aOptions, Receiver aReceiver)
+    : m_loop(aLoop)
+    , m_options(aOptions)
+    , m_receiver(std::move(aReceiver))
+    , m_context(1)
+    , m_receive(m_context, zmq::socket_type::pull)
+  {
+    if (m_options.m_keys) {
+      StartAuthentication();
+    }
+    m_receive.set(zmq::sockopt::linger, 0);
+    m_receive.set(zmq::sockopt::rcvhwm, m_options.m_queueLimit);
+    m_receive.set(zmq::sockopt::maxmsgsize,
+                  static_cast<std::int64_t>(m_options.m_maxMessageBytes));
+    try {
+      m_receive.bind("tcp://" + m_options.m_listen.ToString());
+    } catch (const zmq::error_t& error) {
+      throw std::system_error(
+        error.num(), std::generic_category(), m_options.m_listen.ToString());
+    }
+    m_receiveWatch = m_loop.WatchReadable(m_receive.get(zmq::sockopt::fd),
+                                          [this] { ReceiveAll(); });
+  }
+
+  ~Impl() { m_loop.Cancel(m_more); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Connect(const Endpoint& aPeer) { SocketOf(aPeer); }
+  void Disconnect(const Endpoint& aPeer) { m_peers.erase(aPeer); }
+
+  bool Send(const Endpoint& aPeer, std::string_view aMessage)
+  {
+    const auto sent =
+      SocketOf(aPeer).send(zmq::buffer(aMessage), zmq::send_flags::dontwait);
+    if (!sent) {
+      ++m_counters.m_dropped;
+      return false;
+    }
+    ++m_counters.m_sent;
+    m_counters.m_sentBytes += aMessage.size();
+    return true;
+  }
+
+  const PeerBusCounters& Counters() const { return m_counters; }
+
+private:
+  zmq::socket_t& SocketOf(const Endpoint& aPeer)
+  {
+    const auto found = m_peers.find(aPeer);
+    if (found != m_peers.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket(m_context, zmq::socket_type::push);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, m_options.m_queueLimit);
+    // Queue only for a connection that stands: an old message is worse than
+    // none.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+    socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+    socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    if (m_options.m_keys) {
+      socket.set(zmq::sockopt::curve_serverkey, m_options.m_keys->m_publicKey);
+      socket.set(zmq::sockopt::curve_publickey, m_options.m_keys->m_publicKey);
+      socket.set(zmq::sockopt::curve_secretkey, m_options.m_keys->m_secretKey);
+    }
+    socket.connect("tcp://" + aPeer.ToString());
+    return m_peers.emplace(aPeer, std::move(socket)).first->second;
+  }
+
+  // Reads what has come; the rest of a flood waits for the next turn.
+  void ReceiveAll()
+  {
+    for (int i = 0; i < kMessagesPerTurn; ++i) {
+      zmq::message_t message;
+      if (!m_receive.recv(message, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      ++m_counters.m_received;
+      m_counters.m_receivedBytes += message.size();
+      m_receiver({ static_cast<const char*>(message.data()), message.size() });
+    }
+    m_more = m_loop.After(Duration::zero(), [this] { ReceiveAll(); });
+  }
+
+  void StartAuthentication()
+  {
+    m_allowedKey = DecodeZ85(m_options.m_keys->m_publicKey);
+    DecodeZ85(m_options.m_keys->m_secretKey);
+    m_authentication = zmq::socket_t(m_context, zmq::socket_type::rep);
+    m_authentication.set(zmq::sockopt::linger, 0);
+    m_authentication.bind("inproc://zeromq.zap.01");
+    m_authenticationWatch = m_loop.WatchReadable(
+      m_authentication.get(zmq::sockopt::fd), [this] { Authenticate(); });
+    m_receive.set(zmq::sockopt::curve_server, true);
+    m_receive.set(zmq::sockopt::curve_secretkey, m_options.m_keys->m_secretKey);
+    m_receive.set(zmq::sockopt::zap_domain, "walnutwing");
+  }
+
+  // Answers ZAP requests: version, request id, domain, address, identity,
+  // mechanism, and for CURVE the client's public key.
+  void Authenticate()
+  {
+    constexpr std::size_t kRequestIdFrame = 1;
+    constexpr std::size_t kMechanismFrame = 5;
+    constexpr std::size_t kKeyFrame = 6;
+    for (;;) {
+      std::vector<std::string> frames;
+      do {
+        zmq::message_t frame;
+        if (!m_authentication.recv(frame, zmq::recv_flags::dontwait)) {
+          return;
+        }
+        frames.push_back(frame.to_string());
+      } while (m_authentication.get(zmq::sockopt::rcvmore));
+      const bool allowed = frames.size() > kKeyFrame &&
+                           frames[kMechanismFrame] == "CURVE" &&
+                           frames[kKeyFrame] == m_allowedKey;
+      const std::array<std::string, 6> reply = { "1.0",
+                                                 frames.size() > kRequestIdFrame
+                                                   ? frames[kRequestIdFrame]
+                                                   : "",
+                                                 allowed ? "200" : "400",
+                                                 allowed ? "OK" : "unknown key",
+                                                 "",
+                                                 "" };
+      for (std::size_t i = 0; i < reply.size(); ++i) {
+        m_authentication.send(zmq::buffer(reply[i]),
+                              i + 1 < reply.size() ? zmq::send_flags::sndmore
+                                                   : zmq::send_flags::none);
+      }
+    }
+  }
+
+  EventLoop& m_loop;
+  PeerBusOptions m_options;
+  Receiver m_receiver;
+  zmq::context_t m_context;
+  zmq::socket_t m_authentication;
+  zmq::socket_t m_receive;
+  std::map<Endpoint, zmq::socket_t> m_peers;
+  std::string m_allowedKey;
+  TimerId m_more = 0;
+  std::unique_ptr<ReadableWatch> m_authenticationWatch;
+  std::unique_ptr<ReadableWatch> m_receiveWatch;
+  PeerBusCounters m_counters;
+};
+
+PeerBus::PeerBus(EventLoop& aLoop,
+                 const PeerBusOptions& aOptions,
+                 Receiver aReceiver)
+  : m_impl(std::make_unique<Impl>(aLoop, aOptions, std::move(aReceiver)))
+{
+}
+
+PeerBus::~PeerBus() = default;
+
+void
+PeerBus::Connect(const Endpoint& aPeer)
+{
+  m_impl->Connect(aPeer);
+}
+
+void
+PeerBus::Disconnect(const Endpoint& aPeer)
+{
+  m_impl->Disconnect(aPeer);
+}
+
+bool
+PeerBus::Send(const Endpoint& aPeer, std::string_view aMessage)
+{
+  return m_impl->Send(aPeer, aMessage);
+}
+
+const PeerBusCounters&
+PeerBus::Counters() const
+{
+  return m_impl->Counters();
+}
+
+} // namespace walnutwing::net
