Settings of a daemon from one table, read by libinih

Its reader callback is called for one line at a time, so counting there gives the line of every entry. The reader also refuses lines and keeps section names that libinih would cut silently.

--- /dev/null
+++ b/walnutwing/config/ini.cc
@@ -0,0 +1,183 @@
+// libinih hands out section, key and value but not the line. It asks for its
+// lines through a reader, though, and calls the handler for a line before it
+// asks for the next: so the reader counts the lines, and whatever the handler
+// is told belongs to the last line read. The reader also keeps the section's
+// whole name, which libinih cuts at 49 bytes, and refuses lines that would not
+// fit its buffer.
+
+#include "walnutwing/config/ini.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <ini.h>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::string_view kWhiteSpace = " \t\r\n";
+
+class Reader
+{
+public:
+  Reader(std::string_view aText, IniFile& aFile)
+    : m_rest(aText)
+    , m_file(aFile)
+  {
+  }
+
+  // The signature that libinih asks for, like fgets.
+  static char* NextLine(char* aBuffer, int aSize, void* aReader)
+  {
+    return static_cast<Reader*>(aReader)->Next(aBuffer, aSize);
+  }
+
+  static int HandleEntry(void* aReader,
+                         const char* /*aSection*/,
+                         const char* aKey,
+                         const char* aValue)
+  {
+    static_cast<Reader*>(aReader)->Handle(aKey, aValue);
+    return 1;
+  }
+
+  void AddProblem(int aLine, std::string aText)
+  {
+    m_file.m_problems.push_back(
+      { .m_file = m_file.m_name, .m_line = aLine, .m_text = std::move(aText) });
+  }
+
+private:
+  char* Next(char* aBuffer, int aSize)
+  {
+    if (m_rest.empty()) {
+      return nullptr;
+    }
+    const std::size_t end = std::min(m_rest.find('\n'), m_rest.size());
+    std::string_view line = m_rest.substr(0, end);
+    m_rest.remove_prefix(std::min(end + 1, m_rest.size()));
+    ++m_line;
+    m_indented = !line.empty() && kWhiteSpace.find(line[0]) < 2;
+    if (line.size() > kMaxIniLineBytes ||
+        line.size() + 2 > static_cast<std::size_t>(aSize)) {
+      AddProblem(m_line,
+                 "the line is longer than " + std::to_string(kMaxIniLineBytes) +
+                   " bytes");
+      line = "";
+    }
+    if (line.find('\0') != std::string_view::npos) {
+      AddProblem(m_line, "the line holds a zero byte");
+      line = "";
+    }
+    StartSection(line);
+    std::memcpy(aBuffer, line.data(), line.size());
+    aBuffer[line.size()] = '\n';
+    aBuffer[line.size() + 1] = '\0';
+    return aBuffer;
+  }
+
+  void StartSection(std::string_view aLine)
+  {
+    const std::string_view line = Trim(aLine);
+    const std::size_t end = line.find(']');
+    if (line.empty() || line[0] != '[' || end == std::string_view::npos) {
+      return;
+    }
+    // An indented line continues the value above it, also when it starts
+    // with a bracket.
+    if (m_indented && !m_file.m_sections.empty() &&
+        !m_file.m_sections.back().m_entries.empty()) {
+      return;
+    }
+    m_file.m_sections.push_back(
+      { std::string(Trim(line.substr(1, end - 1))), m_line, {} });
+  }
+
+  void Handle(const char* aKey, const char* aValue)
+  {
+    if (m_file.m_sections.empty()) {
+      m_file.m_sections.emplace_back();
+    }
+    std::vector<IniEntry>& entries = m_file.m_sections.back().m_entries;
+    if (m_indented && !entries.empty()) {
+      entries.back().m_value += std::string(" ") + aValue;
+      return;
+    }
+    entries.push_back({ aKey, aValue, m_line });
+  }
+
+  std::string_view m_rest;
+  IniFile& m_file;
+  int m_line = 0;
+  bool m_indented = false;
+};
+
+} // namespace
+
+std::string
+IniProblem::ToString() const
+{
+  std::string text = m_file;
+  if (m_line > 0) {
+    text += ":" + std::to_string(m_line);
+  }
+  text += ": ";
+  if (!m_section.empty()) {
+    text += "[" + m_section + "] ";
+  }
+  if (!m_key.empty()) {
+    text += m_key + ": ";
+  }
+  text += m_text;
+  if (!m_allowed.empty()) {
+    text += "; allowed: " + m_allowed;
+  }
+  const ResultCodeRow& row = RowOf(m_code);
+  text += " (" + std::to_string(static_cast<int>(row.m_code)) + " ";
+  text += std::string(row.m_name) + ")";
+  return text;
+}
+
+IniFile
+ReadIni(std::string_view aText, std::string aName)
+{
+  IniFile file;
+  file.m_name = std::move(aName);
+  Reader reader(aText, file);
+  const int badLine =
+    ini_parse_stream(&Reader::NextLine, &reader, &Reader::HandleEntry, &reader);
+  if (badLine > 0) {
+    reader.AddProblem(badLine,
+                      "the line is no section, \"key = value\" or comment");
+  }
+  return file;
+}
+
+std::string_view
+Trim(std::string_view aText)
+{
+  const std::size_t begin = aText.find_first_not_of(kWhiteSpace);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(kWhiteSpace) - begin + 1);
+}
+
+std::vector<std::string>
+SplitList(std::string_view aValue)
+{
+  std::vector<std::string> items;
+  while (!aValue.empty()) {
+    const std::size_t end = std::min(aValue.find(','), aValue.size());
+    const std::string_view item = Trim(aValue.substr(0, end));
+    aValue.remove_prefix(std::min(end + 1, aValue.size()));
+    if (item.empty()) {
+      continue;
+    }
+    items.emplace_back(item);
+  }
+  return items;
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/config/settings.cc
@@ -0,0 +1,673 @@
+// One table declares every key: where it stands, its unit, range and default,
+// and how its text becomes a member of DaemonSettings. Parsing, the error
+// messages and docs/SETTINGS.md all come from that table.
+
+#include "walnutwing/config/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include <arpa/inet.h>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::size_t kMaxIdBytes = 64;
+constexpr std::size_t kZ85KeyBytes = 40;
+constexpr std::size_t kOperatorKeyBytes = 32;
+constexpr std::string_view kFreeKey = "NAME";
+
+constexpr auto kLogLevelNames =
+  std::to_array<std::pair<LogLevel, std::string_view>>({
+    { LogLevel::Debug, "debug" },
+    { LogLevel::Info, "info" },
+    { LogLevel::Warning, "warning" },
+    { LogLevel::Error, "error" },
+  });
+
+// Stores aValue under aKey; false if it is not allowed.
+using Store = std::function<bool(DaemonSettings& aSettings,
+                                 const std::string& aKey,
+                                 std::string_view aValue)>;
+
+struct Setting
+{
+  SettingDescription m_description;
+  Store m_store;
+};
+
+std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, number);
+  if (error != std::errc() || rest != end || aText.empty()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<std::uint64_t>
+ParseNumberBetween(std::string_view aText,
+                   std::uint64_t aLeast,
+                   std::uint64_t aMost)
+{
+  const std::optional<std::uint64_t> number = ParseNumber(aText);
+  if (!number || *number < aLeast || *number > aMost) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string
+RangeText(std::uint64_t aLeast, std::uint64_t aMost)
+{
+  return std::to_string(aLeast) + " to " + std::to_string(aMost);
+}
+
+bool
+IsId(std::string_view aText)
+{
+  const auto allowed = [](unsigned char aByte) {
+    return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
+           aByte == '.';
+  };
+  return !aText.empty() && aText.size() <= kMaxIdBytes &&
+         std::all_of(aText.begin(), aText.end(), allowed);
+}
+
+template<typename Id>
+Setting
+IdSetting(const char* aKey, Id DaemonSettings::*aMember, const char* aDoc)
+{
+  return {
+    { "daemon", aKey, "", "1 to 64 of A-Z a-z 0-9 . _ -", std::nullopt, aDoc },
+    [aMember](
+      DaemonSettings& aSettings, const std::string&, std::string_view aValue) {
+      aSettings.*aMember = Id(std::string(aValue));
+      return IsId(aValue);
+    }
+  };
+}
+
+Setting
+AddressSetting(const char* aSection,
+               const char* aKey,
+               std::string DaemonSettings::*aMember,
+               const char* aDoc)
+{
+  return { { aSection,
+             aKey,
+             "IP:port",
+             "IP:port, port 1 to 65535",
+             std::nullopt,
+             aDoc },
+           [aMember](DaemonSettings& aSettings,
+                     const std::string&,
+                     std::string_view aValue) {
+             aSettings.*aMember = std::string(aValue);
+             return IsAddress(aValue);
+           } };
+}
+
+Setting
+NumberSetting(const char* aSection,
+              const char* aKey,
+              const char* aUnit,
+              std::uint64_t aLeast,
+              std::uint64_t aMost,
+              std::uint64_t aDefault,
+              std::uint64_t DaemonSettings::*aMember,
+              const char* aDoc)
+{
+  return { { aSection,
+             aKey,
+             aUnit,
+             RangeText(aLeast, aMost),
+             std::to_string(aDefault),
+             aDoc },
+           [=](DaemonSettings& aSettings,
+               const std::string&,
+               std::string_view aValue) {
+             const auto number = ParseNumberBetween(aValue, aLeast, aMost);
+             aSettings.*aMember = number.value_or(0);
+             return number.has_value();
+           } };
+}
+
+// aUnitLength is one unit of the key, say a second.
+Setting
+DurationSetting(const char* aSection,
+                const char* aKey,
+                const char* aUnit,
+                Duration aUnitLength,
+                std::uint64_t aLeast,
+                std::uint64_t aMost,
+                std::uint64_t aDefault,
+                Duration DaemonSettings::*aMember,
+                const char* aDoc)
+{
+  return { { aSection,
+             aKey,
+             aUnit,
+             RangeText(aLeast, aMost),
+             std::to_string(aDefault),
+             aDoc },
+           [=](DaemonSettings& aSettings,
+               const std::string&,
+               std::string_view aValue) {
+             const auto number = ParseNumberBetween(aValue, aLeast, aMost);
+             aSettings.*aMember =
+               aUnitLength * static_cast<Duration::rep>(number.value_or(0));
+             return number.has_value();
+           } };
+}
+
+Setting
+PathSetting(const char* aSection,
+            const char* aKey,
+            std::string DaemonSettings::*aMember,
+            const char* aDoc)
+{
+  return { { aSection, aKey, "path", "a path, or nothing", "", aDoc },
+           [aMember](DaemonSettings& aSettings,
+                     const std::string&,
+                     std::string_view aValue) {
+             aSettings.*aMember = std::string(aValue);
+             return true;
+           } };
+}
+
+bool
+StoreSeeds(DaemonSettings& aSettings,
+           const std::string&,
+           std::string_view aValue)
+{
+  aSettings.m_peerSeeds = SplitList(aValue);
+  return std::all_of(aSettings.m_peerSeeds.begin(),
+                     aSettings.m_peerSeeds.end(),
+                     [](const std::string& aSeed) { return IsAddress(aSeed); });
+}
+
+bool
+StoreCurvePublicKey(DaemonSettings& aSettings,
+                    const std::string&,
+                    std::string_view aValue)
+{
+  aSettings.m_curvePublicKey = std::string(aValue);
+  return aValue.empty() || aValue.size() == kZ85KeyBytes;
+}
+
+bool
+StoreOperatorKey(DaemonSettings& aSettings,
+                 const std::string& aKey,
+                 std::string_view aValue)
+{
+  const std::optional<std::string> key = FromHex(aValue);
+  if (!key || key->size() != kOperatorKeyBytes || !IsId(aKey)) {
+    return false;
+  }
+  aSettings.m_operatorKeys[aKey] = *key;
+  return true;
+}
+
+bool
+StoreLogLevel(DaemonSettings& aSettings,
+              const std::string&,
+              std::string_view aValue)
+{
+  for (const auto& [level, name] : kLogLevelNames) {
+    if (name != aValue) {
+      continue;
+    }
+    aSettings.m_logLevel = level;
+    return true;
+  }
+  return false;
+}
+
+const std::vector<Setting>&
+SettingTable()
+{
+  using namespace std::chrono_literals;
+  static const std::vector<Setting> kTable = {
+    IdSetting("id",
+              &DaemonSettings::m_id,
+              "name of this daemon, unique in the fleet; the platform's VM id"),
+    IdSetting("zone",
+              &DaemonSettings::m_zone,
+              "availability zone that this VM stands in"),
+    IdSetting("region", &DaemonSettings::m_region, "region of that zone"),
+    AddressSetting(
+      "daemon", "listen", &DaemonSettings::m_listen, "where callers connect"),
+    AddressSetting("daemon",
+                   "admin_listen",
+                   &DaemonSettings::m_adminListen,
+                   "where operators, metrics and health checks connect"),
+    AddressSetting("daemon",
+                   "peer_listen",
+                   &DaemonSettings::m_peerListen,
+                   "where other daemons connect"),
+    DurationSetting(
+      "daemon",
+      "stop_limit_s",
+      "s",
+      1s,
+      1,
+      3600,
+      120,
+      &DaemonSettings::m_stopLimit,
+      "longest planned stop; requests still in progress then are cut"),
+    NumberSetting("daemon",
+                  "max_body_bytes",
+                  "bytes",
+                  1024,
+                  256U << 20U,
+                  8U << 20U,
+                  &DaemonSettings::m_maxBodyBytes,
+                  "largest request body"),
+    NumberSetting("daemon",
+                  "max_requests",
+                  "requests",
+                  1,
+                  1'000'000,
+                  20'000,
+                  &DaemonSettings::m_maxRequests,
+                  "requests in progress at once; further ones are refused"),
+    DurationSetting("daemon",
+                    "request_timeout_s",
+                    "s",
+                    1s,
+                    1,
+                    600,
+                    10,
+                    &DaemonSettings::m_requestTimeout,
+                    "longest time for a whole request to arrive"),
+    AddressSetting("platform",
+                   "address",
+                   &DaemonSettings::m_platformAddress,
+                   "the platform's log, VM list and store"),
+    DurationSetting("platform",
+                    "poll_interval_ms",
+                    "ms",
+                    1ms,
+                    50,
+                    60'000,
+                    500,
+                    &DaemonSettings::m_platformPollInterval,
+                    "between two reads of the log by the zone's reader"),
+    DurationSetting("platform",
+                    "timeout_ms",
+                    "ms",
+                    1ms,
+                    50,
+                    60'000,
+                    2'000,
+                    &DaemonSettings::m_platformTimeout,
+                    "longest call to the platform"),
+    DurationSetting("platform",
+                    "log_retention_h",
+                    "h",
+                    1h,
+                    1,
+                    8784,
+                    168,
+                    &DaemonSettings::m_logRetention,
+                    "how long the platform keeps log records; snapshots are "
+                    "renewed at half of it"),
+    { { "peers",
+        "seeds",
+        "list of IP:port",
+        "IP:port, comma separated",
+        "",
+        "some other daemons, to find the fleet by before the platform "
+        "answers" },
+      StoreSeeds },
+    NumberSetting("peers",
+                  "control_bytes_per_s",
+                  "bytes/s",
+                  256,
+                  1U << 20U,
+                  4096,
+                  &DaemonSettings::m_controlBytesPerSecond,
+                  "most control traffic that this daemon sends"),
+    { { "peers",
+        "curve_public_key",
+        "Z85",
+        "40 characters of Z85, or nothing",
+        "",
+        "the fleet's public key; with curve_secret_key_file, peers are "
+        "encrypted" },
+      StoreCurvePublicKey },
+    PathSetting(
+      "peers",
+      "curve_secret_key_file",
+      &DaemonSettings::m_curveSecretKeyFile,
+      "file that holds the fleet's secret key (40 characters of Z85)"),
+    { { "operators",
+        std::string(kFreeKey),
+        "hex",
+        "64 hexadecimal digits",
+        "",
+        "the operator NAME's key (32 bytes); changes by others are not "
+        "accepted" },
+      StoreOperatorKey },
+    { { "log",
+        "level",
+        "",
+        "debug, info, warning, error",
+        "info",
+        "least severe line that is logged" },
+      StoreLogLevel },
+    PathSetting("log",
+                "trace_file",
+                &DaemonSettings::m_traceFile,
+                "file that spans are appended to; none without it"),
+  };
+  return kTable;
+}
+
+bool
+HasSection(std::string_view aSection)
+{
+  const std::vector<Setting>& table = SettingTable();
+  return std::any_of(table.begin(), table.end(), [&](const Setting& aSetting) {
+    return aSetting.m_description.m_section == aSection;
+  });
+}
+
+const Setting*
+FindSetting(std::string_view aSection, std::string_view aKey)
+{
+  for (const Setting& setting : SettingTable()) {
+    const SettingDescription& row = setting.m_description;
+    if (row.m_section == aSection &&
+        (row.m_key == aKey || row.m_key == kFreeKey)) {
+      return &setting;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+KeysOf(std::string_view aSection)
+{
+  std::string keys;
+  for (const Setting& setting : SettingTable()) {
+    if (setting.m_description.m_section != aSection) {
+      continue;
+    }
+    keys += (keys.empty() ? "" : ", ") + setting.m_description.m_key;
+  }
+  return keys;
+}
+
+// Reads one file into settings, collecting problems.
+class SettingsReader
+{
+public:
+  SettingsReader(std::string_view aText, const std::string& aFile)
+    : m_file(ReadIni(aText, aFile))
+    , m_problems(m_file.m_problems)
+  {
+  }
+
+  DaemonSettings Read()
+  {
+    StoreDefaults();
+    for (const IniSection& section : m_file.m_sections) {
+      ReadSection(section);
+    }
+    CheckRequired();
+    CheckCurve();
+    if (!m_problems.empty()) {
+      throw SettingsError(std::move(m_problems));
+    }
+    return std::move(m_settings);
+  }
+
+private:
+  void StoreDefaults()
+  {
+    for (const Setting& setting : SettingTable()) {
+      const SettingDescription& row = setting.m_description;
+      if (!row.m_default || row.m_key == kFreeKey) {
+        continue;
+      }
+      if (!setting.m_store(m_settings, row.m_key, *row.m_default)) {
+        throw std::logic_error("default of " + row.m_key + " is not allowed");
+      }
+    }
+  }
+
+  void ReadSection(const IniSection& aSection)
+  {
+    if (!HasSection(aSection.m_name)) {
+      AddProblem(ResultCode::SettingsUnknownKey,
+                 aSection.m_line,
+                 aSection.m_name,
+                 "",
+                 "no such section",
+                 "daemon, platform, peers, operators, log");
+      return;
+    }
+    for (const IniEntry& entry : aSection.m_entries) {
+      ReadEntry(aSection.m_name, entry);
+    }
+  }
+
+  void ReadEntry(const std::string& aSection, const IniEntry& aEntry)
+  {
+    const Setting* setting = FindSetting(aSection, aEntry.m_key);
+    if (setting == nullptr) {
+      AddProblem(ResultCode::SettingsUnknownKey,
+                 aEntry.m_line,
+                 aSection,
+                 aEntry.m_key,
+                 "no such key",
+                 KeysOf(aSection));
+      return;
+    }
+    if (!m_seen.insert({ aSection, aEntry.m_key }).second) {
+      AddProblem(ResultCode::SettingsBadValue,
+                 aEntry.m_line,
+                 aSection,
+                 aEntry.m_key,
+                 "the key is given twice",
+                 "once");
+      return;
+    }
+    if (!setting->m_store(m_settings, aEntry.m_key, aEntry.m_value)) {
+      // The value may be a key's secret, so it is not repeated for those.
+      const bool secret = aSection == "operators";
+      AddProblem(ResultCode::SettingsBadValue,
+                 aEntry.m_line,
+                 aSection,
+                 aEntry.m_key,
+                 secret ? "bad value" : "bad value \"" + aEntry.m_value + "\"",
+                 setting->m_description.m_allowed);
+    }
+  }
+
+  void CheckRequired()
+  {
+    for (const Setting& setting : SettingTable()) {
+      const SettingDescription& row = setting.m_description;
+      if (row.m_default || m_seen.contains({ row.m_section, row.m_key })) {
+        continue;
+      }
+      AddProblem(ResultCode::SettingsKeyMissing,
+                 0,
+                 row.m_section,
+                 row.m_key,
+                 "the key is missing",
+                 row.m_allowed);
+    }
+  }
+
+  void CheckCurve()
+  {
+    if (m_settings.m_curvePublicKey.empty() ==
+        m_settings.m_curveSecretKeyFile.empty()) {
+      return;
+    }
+    AddProblem(ResultCode::SettingsKeyMissing,
+               0,
+               "peers",
+               m_settings.m_curvePublicKey.empty() ? "curve_public_key"
+                                                   : "curve_secret_key_file",
+               "the key is missing",
+               "both CURVE keys or neither");
+  }
+
+  void AddProblem(ResultCode aCode,
+                  int aLine,
+                  std::string aSection,
+                  std::string aKey,
+                  std::string aText,
+                  std::string aAllowed)
+  {
+    m_problems.push_back({ aCode,
+                           m_file.m_name,
+                           aLine,
+                           std::move(aSection),
+                           std::move(aKey),
+                           std::move(aText),
+                           std::move(aAllowed) });
+  }
+
+  IniFile m_file;
+  std::vector<IniProblem> m_problems;
+  DaemonSettings m_settings;
+  std::set<std::pair<std::string, std::string>> m_seen;
+};
+
+std::string
+JoinProblems(const std::vector<IniProblem>& aProblems)
+{
+  std::string text;
+  for (const IniProblem& problem : aProblems) {
+    text += (text.empty() ? "" : "\n") + problem.ToString();
+  }
+  return text;
+}
+
+} // namespace
+
+std::string_view
+NameOf(LogLevel aLevel)
+{
+  for (const auto& [level, name] : kLogLevelNames) {
+    if (level == aLevel) {
+      return name;
+    }
+  }
+  throw std::out_of_range("no such LogLevel");
+}
+
+std::vector<SettingDescription>
+DescribeSettings()
+{
+  std::vector<SettingDescription> rows;
+  for (const Setting& setting : SettingTable()) {
+    rows.push_back(setting.m_description);
+  }
+  return rows;
+}
+
+SettingsError::SettingsError(std::vector<IniProblem> aProblems)
+  : std::runtime_error(JoinProblems(aProblems))
+  , m_problems(std::move(aProblems))
+{
+}
+
+DaemonSettings
+ParseDaemonSettings(std::string_view aText, const std::string& aFile)
+{
+  return SettingsReader(aText, aFile).Read();
+}
+
+DaemonSettings
+LoadDaemonSettings(const std::string& aPath)
+{
+  return ParseDaemonSettings(ReadTextFile(aPath), aPath);
+}
+
+std::string
+ReadTextFile(const std::string& aPath)
+{
+  errno = 0;
+  std::ifstream stream(aPath, std::ios::binary);
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) {
+    throw SettingsError(
+      { { .m_code = ResultCode::SettingsFileMissing,
+          .m_file = aPath,
+          .m_text = std::string("cannot be read: ") +
+                    std::strerror(errno != 0 ? errno : EIO) } });
+  }
+  return std::move(text).str();
+}
+
+bool
+IsAddress(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  constexpr std::uint64_t kMostPort = 65535;
+  if (!ParseNumberBetween(aText.substr(colon + 1), 1, kMostPort)) {
+    return false;
+  }
+  std::string ip(aText.substr(0, colon));
+  std::array<unsigned char, sizeof(in6_addr)> address{};
+  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+    return inet_pton(AF_INET6, ip.c_str(), address.data()) == 1;
+  }
+  return inet_pton(AF_INET, ip.c_str(), address.data()) == 1;
+}
+
+std::optional<std::string>
+FromHex(std::string_view aHex)
+{
+  if (aHex.size() % 2 != 0) {
+    return std::nullopt;
+  }
+  std::string bytes;
+  for (std::size_t i = 0; i < aHex.size(); i += 2) {
+    unsigned value = 0;
+    const char* begin = aHex.data() + i;
+    const auto [rest, error] = std::from_chars(begin, begin + 2, value, 16);
+    if (error != std::errc() || rest != begin + 2) {
+      return std::nullopt;
+    }
+    bytes += static_cast<char>(value);
+  }
+  return bytes;
+}
+
+std::string
+ToHex(std::string_view aBytes)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  for (const unsigned char byte : aBytes) {
+    hex += kDigits[byte >> 4U];
+    hex += kDigits[byte & 0xfU];
+  }
+  return hex;
+}
+
+} // namespace walnutwing
