--- /dev/null
+++ b/walnutwing/admission/retry_budget.cc
@@ -0,0 +1,42 @@
+// A token bucket that first attempts and time fill and retries drain.
+
+#include "walnutwing/admission/retry_budget.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace walnutwing {
+
+RetryBudget::RetryBudget(RetryBudgetOptions aOptions, Time aNow)
+  : m_options(aOptions)
+  , m_available(std::min(1.0, aOptions.m_limit))
+  , m_refilledAt(aNow)
+{
+  if (aOptions.m_ratio < 0 || aOptions.m_perSecond < 0 ||
+      aOptions.m_limit < 0) {
+    throw std::invalid_argument("a retry budget cannot be negative");
+  }
+}
+
+void
+RetryBudget::OnRequest()
+{
+  m_available = std::min(m_available + m_options.m_ratio, m_options.m_limit);
+}
+
+bool
+RetryBudget::TryRetry(Time aNow)
+{
+  const std::chrono::duration<double> passed =
+    std::max(aNow - m_refilledAt, Duration(0));
+  m_available = std::min(m_available + passed.count() * m_options.m_perSecond,
+                         m_options.m_limit);
+  m_refilledAt = std::max(m_refilledAt, aNow);
+  if (m_available < 1.0) {
+    return false;
+  }
+  m_available -= 1.0;
+  return true;
+}
+
+} // namespace walnutwing
