Relay: event parser and AnswerStream, first working version

The daemon needs the interface of the answers early. AnswerStream rebuilds an answer from offsets and the completion id, resumes or retries, and ends in a numbered error where it cannot. Weighed: a reorder buffer for events that come ahead (left out: within one HTTP answer only a faulty engine reorders, and a resumption heals that too); a JSON parser for each chunk (left out for its cost: a scanner reads the id, finish_reason and whether the text is whole).

--- /dev/null
+++ b/walnutwing/relay/answer_stream.cc
@@ -0,0 +1,446 @@
+// The answer is rebuilt from offsets, not from arrival: the next event to pass
+// is the one whose offset is m_nextOffset, in the completion that the first
+// forwarded event named. Everything else is dropped, or ends the attempt; the
+// next attempt resumes behind the last event that passed. An answer that is no
+// stream is held until it is whole, so that a part of it never reaches a
+// caller.
+//
+// A stream is whole only when `[DONE]` arrives at its own offset. `[DONE]`
+// names no completion; where chunks use "finish_reason", one must have been set
+// before, so that the end of another stream cannot end this one.
+
+#include "walnutwing/relay/answer_stream.h"
+
+#include <charconv>
+#include <utility>
+
+#include "walnutwing/relay/chunk_scanner.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr std::string_view kDone = "[DONE]";
+constexpr std::string_view kErrorType = "error";
+constexpr int kFirstServerError = 500;
+constexpr int kTooManyRequests = 429;
+constexpr int kOk = 200;
+
+std::optional<std::uint64_t>
+ParseOffset(std::string_view aText)
+{
+  std::uint64_t offset = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, offset);
+  if (error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return offset;
+}
+
+bool
+IsUpstreamFailure(int aStatus)
+{
+  return aStatus >= kFirstServerError || aStatus == kTooManyRequests;
+}
+
+} // namespace
+
+AnswerStream::AnswerStream(AnswerOptions aOptions)
+  : m_options(aOptions)
+  , m_parser(aOptions.m_parser)
+{
+}
+
+bool
+AnswerStream::IsCurrent(const AttemptId& aAttempt) const
+{
+  return m_currentAlive && aAttempt == m_current;
+}
+
+void
+AnswerStream::OnAttemptStarted(const AttemptId& aAttempt,
+                               AnswerActions& aActions)
+{
+  if (Finished()) {
+    aActions.emplace_back(CancelAttempt{ aAttempt });
+    return;
+  }
+  Cancel(aActions);
+  ++m_attempts;
+  m_current = aAttempt;
+  m_currentAlive = true;
+  m_head = {};
+  m_parser = SseParser(m_options.m_parser);
+  m_plainBody.clear();
+  m_lastChunkOurs = true;
+  m_state = State::AwaitHead;
+  if (!m_headForwarded) {
+    ResetAnswer();
+  }
+}
+
+void
+AnswerStream::ResetAnswer()
+{
+  m_nextOffset = 0;
+  m_completionId.clear();
+  m_heldEvent.clear();
+  m_finishReasonUsed = false;
+  m_finishReasonSet = false;
+}
+
+void
+AnswerStream::OnAttemptRefused(ResultCode aCode, AnswerActions& aActions)
+{
+  if (m_state != State::NoAttempt) {
+    return;
+  }
+  Fail(FinalCode(aCode), aActions);
+}
+
+void
+AnswerStream::OnHead(const AttemptId& aAttempt,
+                     const AnswerHead& aHead,
+                     AnswerActions& aActions)
+{
+  if (Finished() || !IsCurrent(aAttempt) || m_state != State::AwaitHead) {
+    ++m_counters.m_latePieces;
+    return;
+  }
+  m_mayHaveRun = true;
+  if (aHead.m_requestId != aAttempt.Value()) {
+    ++m_counters.m_crossedHeads;
+    GiveUpAttempt(ResultCode::AnswerMismatch, aActions);
+    return;
+  }
+  m_head = aHead;
+  if (aHead.m_status == kOk && aHead.m_eventStream) {
+    m_state = State::Streaming;
+    if (!m_headForwarded) {
+      m_completionId = aHead.m_completionId;
+    }
+    return;
+  }
+  const bool failed =
+    m_options.m_idempotent && IsUpstreamFailure(aHead.m_status);
+  if (m_headForwarded || failed) {
+    GiveUpAttempt(ResultCode::UpstreamFailed, aActions);
+    return;
+  }
+  m_state = State::Plain;
+}
+
+void
+AnswerStream::OnPiece(const AttemptId& aAttempt,
+                      std::string_view aBytes,
+                      AnswerActions& aActions)
+{
+  if (Finished() || !IsCurrent(aAttempt)) {
+    ++m_counters.m_latePieces;
+    return;
+  }
+  if (m_state == State::Streaming) {
+    m_parser.Feed(aBytes);
+    TakeEvents(aActions);
+  } else if (m_state == State::Plain) {
+    TakePlainPiece(aBytes, aActions);
+  } else {
+    ++m_counters.m_malformed;
+    GiveUpAttempt(ResultCode::UpstreamFailed, aActions);
+  }
+}
+
+void
+AnswerStream::TakeEvents(AnswerActions& aActions)
+{
+  std::string passed;
+  bool done = false;
+  Verdict verdict = Verdict::Drop;
+  SseEvent event;
+  while (!done && verdict != Verdict::GiveUp && m_parser.Next(event)) {
+    verdict = Judge(event, done);
+    if (verdict == Verdict::Forward) {
+      PassEvent(event.m_raw, done, passed);
+    }
+  }
+  if (!passed.empty()) {
+    ForwardEvents(std::move(passed), aActions);
+  }
+  if (done) {
+    m_state = State::Finished;
+    aActions.emplace_back(FinishWhole{});
+    return;
+  }
+  if (m_parser.Error() != SseError::None) {
+    ++m_counters.m_malformed;
+    verdict = Verdict::GiveUp;
+  }
+  if (verdict == Verdict::GiveUp) {
+    GiveUpAttempt(ResultCode::AnswerMismatch, aActions);
+  }
+}
+
+// Appends an event to what is forwarded, or holds it back: a first event that
+// names the completion by itself may be of another answer.
+void
+AnswerStream::PassEvent(std::string_view aRaw, bool aDone, std::string& aPassed)
+{
+  const bool hold =
+    m_nextOffset == 0 && m_head.m_completionId.empty() && !aDone;
+  ++m_nextOffset;
+  if (hold) {
+    m_heldEvent = aRaw;
+    return;
+  }
+  if (!m_heldEvent.empty()) {
+    aPassed.append(m_heldEvent);
+    m_heldEvent.clear();
+  }
+  aPassed.append(aRaw);
+}
+
+// Whether an event is the next one of this answer. Sets aDone on its last.
+AnswerStream::Verdict
+AnswerStream::Judge(const SseEvent& aEvent, bool& aDone)
+{
+  const std::optional<std::uint64_t> offset =
+    aEvent.m_hasOwnId ? ParseOffset(aEvent.m_id) : std::nullopt;
+  if (!offset.has_value() || aEvent.m_type == kErrorType) {
+    ++m_counters.m_malformed;
+    return Verdict::GiveUp;
+  }
+  if (aEvent.m_data != kDone) {
+    return JudgeChunk(*offset, aEvent.m_data);
+  }
+  const Verdict verdict = JudgeDone(*offset);
+  aDone = verdict == Verdict::Forward;
+  return verdict;
+}
+
+AnswerStream::Verdict
+AnswerStream::JudgeOffset(std::uint64_t aOffset)
+{
+  if (aOffset < m_nextOffset) {
+    ++m_counters.m_duplicates;
+    return Verdict::Drop;
+  }
+  if (aOffset > m_nextOffset) {
+    ++m_counters.m_gaps;
+    return Verdict::GiveUp;
+  }
+  return Verdict::Forward;
+}
+
+AnswerStream::Verdict
+AnswerStream::JudgeDone(std::uint64_t aOffset)
+{
+  const Verdict verdict = JudgeOffset(aOffset);
+  if (verdict != Verdict::Forward) {
+    return verdict;
+  }
+  const bool unfinished = m_finishReasonUsed && !m_finishReasonSet;
+  if (unfinished || !m_lastChunkOurs || m_nextOffset == 0) {
+    ++m_counters.m_crossedEvents;
+    return Verdict::GiveUp;
+  }
+  return Verdict::Forward;
+}
+
+AnswerStream::Verdict
+AnswerStream::JudgeChunk(std::uint64_t aOffset, std::string_view aData)
+{
+  const ChunkFacts facts = ScanChunk(aData);
+  if (!facts.m_whole || facts.m_id.empty()) {
+    ++m_counters.m_malformed;
+    return Verdict::GiveUp;
+  }
+  m_lastChunkOurs = m_completionId.empty() || facts.m_id == m_completionId;
+  if (!m_lastChunkOurs) {
+    ++m_counters.m_crossedEvents;
+    // Of two first events that disagree, neither is known to be ours.
+    return m_heldEvent.empty() ? Verdict::Drop : Verdict::GiveUp;
+  }
+  const Verdict verdict = JudgeOffset(aOffset);
+  if (verdict != Verdict::Forward) {
+    return verdict;
+  }
+  if (m_completionId.empty()) {
+    m_completionId = facts.m_id;
+  }
+  m_finishReasonUsed |= facts.m_finish != FinishReason::Absent;
+  m_finishReasonSet |= facts.m_finish == FinishReason::Set;
+  return Verdict::Forward;
+}
+
+void
+AnswerStream::ForwardEvents(std::string aBytes, AnswerActions& aActions)
+{
+  if (!m_headForwarded) {
+    m_headForwarded = true;
+    aActions.emplace_back(ForwardHead{ m_current, m_head.m_status, true });
+  }
+  aActions.emplace_back(Forward{ std::move(aBytes) });
+}
+
+void
+AnswerStream::TakePlainPiece(std::string_view aBytes, AnswerActions& aActions)
+{
+  if (m_plainBody.size() + aBytes.size() > m_options.m_maxPlainBytes) {
+    ++m_counters.m_malformed;
+    GiveUpAttempt(ResultCode::UpstreamFailed, aActions);
+    return;
+  }
+  m_plainBody.append(aBytes);
+}
+
+bool
+AnswerStream::PlainIsWhole(AttemptEnd aEnd) const
+{
+  if (aEnd != AttemptEnd::Whole) {
+    return false;
+  }
+  if (m_head.m_contentLength.has_value()) {
+    return *m_head.m_contentLength == m_plainBody.size();
+  }
+  return m_head.m_chunked;
+}
+
+void
+AnswerStream::EndPlain(AttemptEnd aEnd, AnswerActions& aActions)
+{
+  if (!PlainIsWhole(aEnd)) {
+    ++m_counters.m_truncated;
+    NextAttempt(ResultCode::UpstreamFailed, aActions);
+    return;
+  }
+  m_headForwarded = true;
+  m_state = State::Finished;
+  aActions.emplace_back(ForwardHead{ m_current, m_head.m_status, false });
+  aActions.emplace_back(Forward{ std::move(m_plainBody) });
+  aActions.emplace_back(FinishWhole{});
+}
+
+void
+AnswerStream::OnEnd(const AttemptId& aAttempt,
+                    AttemptEnd aEnd,
+                    AnswerActions& aActions)
+{
+  if (Finished() || !IsCurrent(aAttempt)) {
+    return;
+  }
+  m_currentAlive = false;
+  if (aEnd == AttemptEnd::NotSent) {
+    NextAttempt(ResultCode::UpstreamUnreachable, aActions);
+    return;
+  }
+  m_mayHaveRun = true;
+  if (m_state == State::Plain) {
+    EndPlain(aEnd, aActions);
+    return;
+  }
+  ++m_counters.m_truncated;
+  NextAttempt(ResultCode::UpstreamFailed, aActions);
+}
+
+void
+AnswerStream::OnDeadline(AnswerActions& aActions)
+{
+  if (Finished()) {
+    return;
+  }
+  const bool sent = m_mayHaveRun || m_currentAlive;
+  Cancel(aActions);
+  Fail(sent ? ResultCode::DeadlinePassed : ResultCode::DeadlineTooShort,
+       aActions);
+}
+
+void
+AnswerStream::OnCallerGone(AnswerActions& aActions)
+{
+  if (Finished()) {
+    return;
+  }
+  Cancel(aActions);
+  m_state = State::Finished;
+}
+
+void
+AnswerStream::Cancel(AnswerActions& aActions)
+{
+  if (m_currentAlive) {
+    // The request has left, or is about to: it may run.
+    m_mayHaveRun = true;
+    aActions.emplace_back(CancelAttempt{ m_current });
+  }
+  m_currentAlive = false;
+}
+
+void
+AnswerStream::GiveUpAttempt(ResultCode aCode, AnswerActions& aActions)
+{
+  Cancel(aActions);
+  NextAttempt(aCode, aActions);
+}
+
+// Asks for another attempt, or ends with aCode when none may follow.
+void
+AnswerStream::NextAttempt(ResultCode aCode, AnswerActions& aActions)
+{
+  m_state = State::NoAttempt;
+  if (!m_options.m_idempotent || m_attempts >= m_options.m_maxAttempts) {
+    Fail(FinalCode(aCode), aActions);
+    return;
+  }
+  if (!m_headForwarded) {
+    ++m_counters.m_retries;
+    aActions.emplace_back(RetryAttempt{});
+    return;
+  }
+  const bool here = m_resumesHere < m_options.m_sameUpstream;
+  m_resumesHere = here ? m_resumesHere + 1 : 0;
+  ++m_counters.m_resumes;
+  aActions.emplace_back(ResumeAttempt{ m_nextOffset - 1,
+                                       here ? AttemptPlace::SameUpstream
+                                            : AttemptPlace::Elsewhere });
+}
+
+// What the caller is told when the last attempt ended with aCode.
+ResultCode
+AnswerStream::FinalCode(ResultCode aCode) const
+{
+  if (aCode == ResultCode::AnswerMismatch) {
+    return aCode;
+  }
+  if (m_headForwarded) {
+    return ResultCode::StreamBroken;
+  }
+  return m_mayHaveRun ? ResultCode::UpstreamFailed : aCode;
+}
+
+void
+AnswerStream::Fail(ResultCode aCode, AnswerActions& aActions)
+{
+  m_state = State::Finished;
+  aActions.emplace_back(FinishWithError{ aCode, m_headForwarded });
+}
+
+std::string
+ErrorBody(ResultCode aCode)
+{
+  const ResultCodeRow& row = RowOf(aCode);
+  std::string body = R"({"error":{"code":)";
+  body += std::to_string(static_cast<int>(aCode));
+  body += R"(,"name":")" + std::string(row.m_name);
+  body += R"(","ran":")" + std::string(NameOf(row.m_ran));
+  body += R"(","repeat":")" + std::string(NameOf(row.m_repeat));
+  body += R"(","message":")" + std::string(row.m_text) + R"("}})";
+  return body;
+}
+
+std::string
+ErrorEvent(ResultCode aCode)
+{
+  return "event: error\ndata: " + ErrorBody(aCode) + "\n\n";
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/relay/chunk_scanner.cc
@@ -0,0 +1,135 @@
+// A scanner over the bytes that keeps a stack of open brackets. A string that a
+// colon follows is a key, so that text inside a completion is never taken for
+// one. Full parsing of every chunk would cost microseconds; the caller needs
+// two values and whether the text was cut short.
+
+#include "walnutwing/relay/chunk_scanner.h"
+
+#include <array>
+#include <cstddef>
+#include <cstring>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::size_t kMaxDepth = 64;
+constexpr std::string_view kSpace = " \t\r\n";
+
+bool
+IsSpace(char aByte)
+{
+  return kSpace.find(aByte) != std::string_view::npos;
+}
+
+class Scanner
+{
+public:
+  explicit Scanner(std::string_view aText)
+    : m_text(aText)
+  {
+  }
+
+  ChunkFacts Run()
+  {
+    SkipSpace();
+    if (At() != '{') {
+      return m_facts;
+    }
+    while (m_position < m_text.size()) {
+      if (!Step()) {
+        return m_facts;
+      }
+      if (m_depth == 0) {
+        SkipSpace();
+        m_facts.m_whole = m_position == m_text.size();
+        return m_facts;
+      }
+    }
+    return m_facts;
+  }
+
+private:
+  char At() const
+  {
+    return m_position < m_text.size() ? m_text[m_position] : '\0';
+  }
+
+  void SkipSpace()
+  {
+    while (m_position < m_text.size() && IsSpace(m_text[m_position])) {
+      ++m_position;
+    }
+  }
+
+  // Takes one string, bracket or other byte. False when the text is not JSON.
+  bool Step()
+  {
+    const char byte = m_text[m_position];
+    if (byte == '"') {
+      return TakeString();
+    }
+    ++m_position;
+    if (byte == '{' || byte == '[') {
+      if (m_depth == kMaxDepth) {
+        return false;
+      }
+      m_open[m_depth++] = byte;
+    } else if (byte == '}' || byte == ']') {
+      return m_open[--m_depth] == (byte == '}' ? '{' : '[');
+    }
+    return true;
+  }
+
+  // Reads the string at the position into aValue. False when it is not closed.
+  bool ReadString(std::string_view& aValue)
+  {
+    const std::size_t start = ++m_position;
+    while (m_position < m_text.size()) {
+      const char byte = m_text[m_position];
+      if (byte == '"') {
+        aValue = m_text.substr(start, m_position - start);
+        ++m_position;
+        return true;
+      }
+      m_position += byte == '\\' ? 2 : 1;
+    }
+    return false;
+  }
+
+  bool TakeString()
+  {
+    std::string_view key;
+    if (!ReadString(key)) {
+      return false;
+    }
+    SkipSpace();
+    if (At() != ':') {
+      return true;
+    }
+    ++m_position;
+    SkipSpace();
+    if (m_depth == 1 && key == "id" && At() == '"') {
+      return ReadString(m_facts.m_id);
+    }
+    if (key == "finish_reason" && m_facts.m_finish != FinishReason::Set) {
+      m_facts.m_finish = At() == '"' ? FinishReason::Set : FinishReason::Null;
+    }
+    return true;
+  }
+
+  std::string_view m_text;
+  std::size_t m_position = 0;
+  std::size_t m_depth = 0;
+  std::array<char, kMaxDepth> m_open{};
+  ChunkFacts m_facts;
+};
+
+} // namespace
+
+ChunkFacts
+ScanChunk(std::string_view aJson)
+{
+  return Scanner(aJson).Run();
+}
+
+} // namespace walnutwing
