Stand-ins: decisions of platform, engine, record and caller's check

Weighed: one fake for each test against one program with a pure core.

An engine's text is a function of the request body alone, so that a caller can check an answer as whole and its own, and any engine can resume it.

--- /dev/null
+++ b/standin/answer_check.cc
@@ -0,0 +1,140 @@
+// Each content chunk must be exactly the next token, so that a chunk twice, one
+// left out, one of another answer or one after the end is seen at once. An
+// error event must carry a number; a connection that just ends leaves
+// Unfinished.
+
+#include "standin/answer_check.h"
+
+#include <nlohmann/json.hpp>
+
+namespace walnutwing::standin {
+
+namespace {
+
+// The value of a line "NAME: VALUE" of an event.
+bool
+FieldOf(std::string_view aLine, std::string_view aName, std::string& aValue)
+{
+  if (!aLine.starts_with(aName) || aLine.size() <= aName.size() ||
+      aLine[aName.size()] != ':') {
+    return false;
+  }
+  aLine.remove_prefix(aName.size() + 1);
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  aValue = aLine;
+  return true;
+}
+
+} // namespace
+
+bool
+SseReader::Next(Event& aEvent)
+{
+  const std::size_t end = m_buffer.find("\n\n", m_read);
+  if (end == std::string::npos) {
+    m_buffer.erase(0, m_read);
+    m_read = 0;
+    return false;
+  }
+  aEvent = {};
+  std::string_view block(m_buffer.data() + m_read, end - m_read);
+  m_read = end + 2;
+  while (!block.empty()) {
+    const std::string_view line = block.substr(0, block.find('\n'));
+    block.remove_prefix(std::min(block.size(), line.size() + 1));
+    std::string data;
+    if (FieldOf(line, "event", aEvent.m_event) ||
+        FieldOf(line, "id", aEvent.m_id) || !FieldOf(line, "data", data)) {
+      continue;
+    }
+    aEvent.m_data += (aEvent.m_data.empty() ? "" : "\n") + data;
+  }
+  return true;
+}
+
+void
+StreamCheck::Feed(std::string_view aPiece)
+{
+  m_reader.Feed(aPiece);
+  SseReader::Event event;
+  while (m_verdict != Verdict::Wrong && m_reader.Next(event)) {
+    Take(event);
+  }
+}
+
+void
+StreamCheck::Take(const SseReader::Event& aEvent)
+{
+  if (aEvent.m_data.empty()) {
+    return; // a comment
+  }
+  if (m_verdict != Verdict::Unfinished) {
+    Fail("an event after the end: " + aEvent.m_data);
+    return;
+  }
+  if (aEvent.m_event == "error") {
+    m_errorCode = ErrorCodeIn(aEvent.m_data);
+    m_verdict = Verdict::NumberedError;
+    if (m_errorCode == 0) {
+      Fail("an error without a number: " + aEvent.m_data);
+    }
+    return;
+  }
+  if (aEvent.m_data == "[DONE]") {
+    m_verdict = Verdict::Whole;
+    if (m_tokens != m_expected.Length()) {
+      Fail("[DONE] after " + std::to_string(m_tokens) + " of " +
+           std::to_string(m_expected.Length()) + " tokens");
+    }
+    return;
+  }
+  const nlohmann::json chunk =
+    nlohmann::json::parse(aEvent.m_data, nullptr, false);
+  const nlohmann::json::json_pointer content("/choices/0/delta/content");
+  if (!chunk.is_object() || !chunk.contains(content) ||
+      !chunk[content].is_string()) {
+    Fail("not a chunk: " + aEvent.m_data);
+    return;
+  }
+  TakeText(chunk[content].get<std::string>());
+}
+
+void
+StreamCheck::TakeText(const std::string& aText)
+{
+  if (m_tokens >= m_expected.Length() || aText != m_expected.Token(m_tokens)) {
+    Fail("token " + std::to_string(m_tokens) + " is \"" + aText + "\"");
+    return;
+  }
+  ++m_tokens;
+}
+
+void
+StreamCheck::Fail(std::string aReason)
+{
+  m_verdict = Verdict::Wrong;
+  m_reason = std::move(aReason);
+}
+
+int
+ErrorCodeIn(std::string_view aJson)
+{
+  const nlohmann::json json = nlohmann::json::parse(aJson, nullptr, false);
+  const nlohmann::json::json_pointer code("/error/code");
+  const bool numbered =
+    json.is_object() && json.contains(code) && json[code].is_number_integer();
+  return numbered ? json[code].get<int>() : 0;
+}
+
+bool
+IsWholeAnswer(std::string_view aBody, std::string_view aAnswer)
+{
+  const nlohmann::json json = nlohmann::json::parse(aAnswer, nullptr, false);
+  const nlohmann::json::json_pointer content("/choices/0/message/content");
+  return json.is_object() && json.contains(content) &&
+         json[content] == AnswerText(aBody).Whole();
+}
+
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/answer_check_test.cc
@@ -0,0 +1,134 @@
+// What a caller accepts as the whole answer to its own request, and what an
+// engine's and a service's record says about runs.
+
+#include "standin/answer_check.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "standin/call_faults.h"
+#include "standin/call_record.h"
+
+namespace walnutwing::standin {
+namespace {
+
+const std::string kBody = R"({"max_tokens":3,"stream":true,"messages":[]})";
+
+std::string
+Chunk(const std::string& aText)
+{
+  const nlohmann::json chunk = {
+    { "choices", { { { "index", 0 }, { "delta", { { "content", aText } } } } } }
+  };
+  return "id: 1\ndata: " + chunk.dump() + "\n\n";
+}
+
+TEST(StreamCheck, AcceptsOnlyTheWholeOwnAnswer)
+{
+  const AnswerText own(kBody);
+  const AnswerText other(R"({"max_tokens":3})");
+  const std::string a = Chunk(own.Token(0));
+  const std::string b = Chunk(own.Token(1));
+  const std::string c = Chunk(own.Token(2));
+  const std::string done = "data: [DONE]\n\n";
+  const std::string error =
+    "event: error\ndata: {\"error\":{\"code\":3005}}\n\n";
+  struct Case
+  {
+    const char* m_what;
+    std::string m_stream;
+    Verdict m_verdict;
+  };
+  const Case kCases[] = {
+    { "whole", a + b + c + done, Verdict::Whole },
+    { "with comments",
+      ": ping\n\n" + a + b + ":\n\n" + c + done,
+      Verdict::Whole },
+    { "cut", a + b, Verdict::Unfinished },
+    { "cut within an event", a + b + "data: [DO", Verdict::Unfinished },
+    { "no [DONE]", a + b + c, Verdict::Unfinished },
+    { "short", a + b + done, Verdict::Wrong },
+    { "left out", a + c + done, Verdict::Wrong },
+    { "twice", a + a + b + c + done, Verdict::Wrong },
+    { "swapped", b + a + c + done, Verdict::Wrong },
+    { "too long", a + b + c + c + done, Verdict::Wrong },
+    { "another's", a + Chunk(other.Token(1)) + c + done, Verdict::Wrong },
+    { "numbered error", a + error, Verdict::NumberedError },
+    { "after the error", a + error + b, Verdict::Wrong },
+    { "after the end", a + b + c + done + c, Verdict::Wrong },
+    { "error without a number",
+      "event: error\ndata: {\"error\":{}}\n\n",
+      Verdict::Wrong },
+    { "not a chunk", "data: hello\n\n", Verdict::Wrong },
+  };
+  for (const Case& test : kCases) {
+    StreamCheck whole(kBody);
+    whole.Feed(test.m_stream);
+    EXPECT_EQ(whole.Result(), test.m_verdict) << test.m_what;
+    StreamCheck bytewise(kBody);
+    for (const char byte : test.m_stream) {
+      bytewise.Feed({ &byte, 1 });
+    }
+    EXPECT_EQ(bytewise.Result(), test.m_verdict) << test.m_what;
+  }
+}
+
+TEST(AnswerText, DependsOnTheBody)
+{
+  EXPECT_EQ(AnswerText(kBody).Whole(), AnswerText(kBody).Whole());
+  EXPECT_EQ(AnswerText(kBody).Length(), 3U);
+  EXPECT_NE(AnswerText(kBody).Token(0), AnswerText(kBody + " ").Token(0));
+  EXPECT_FALSE(ParseChatRequest("[]").m_valid);
+  EXPECT_FALSE(ParseChatRequest("{").m_valid);
+  const ChatRequest request =
+    ParseChatRequest(R"({"user":"u","priority":-2,"model":7,"stream":1})");
+  EXPECT_EQ(request.m_user, "u");
+  EXPECT_EQ(request.m_priority, -2);
+  EXPECT_EQ(request.m_model, "");
+  EXPECT_FALSE(request.m_stream);
+}
+
+TEST(CallRecord, CountsRunsOfAKeyOnceForEachCall)
+{
+  CallRecord record(2);
+  SeenCall call;
+  call.m_orderKey = "k";
+  const std::uint64_t refused = record.Enter(call);
+  record.SetState(refused, CallState::Refused);
+  EXPECT_EQ(record.Runs("k"), 0U);
+  const std::uint64_t ran = record.Enter(call);
+  record.SetState(ran, CallState::Running);
+  record.SetState(ran, CallState::Completed);
+  EXPECT_EQ(record.Runs("k"), 1U);
+  record.SetState(record.Enter(call), CallState::Broken);
+  record.SetState(refused, CallState::Running); // has dropped out
+  const nlohmann::json json = nlohmann::json::parse(record.ToJson());
+  EXPECT_EQ(json["seen"], 3);
+  EXPECT_EQ(json["ran"], 2);
+  EXPECT_EQ(json["refused"], 1);
+  EXPECT_EQ(json["completed"], 1);
+  EXPECT_EQ(json["broken"], 1);
+  EXPECT_EQ(json["most_runs_of_a_key"], 2);
+  EXPECT_EQ(json["runs"]["k"], 2);
+  ASSERT_EQ(json["calls"].size(), 2U);
+  EXPECT_EQ(json["calls"][1]["state"], "broken");
+  EXPECT_EQ(json["calls"][1]["ran"], true);
+}
+
+TEST(CallFaults, LastForTheirCount)
+{
+  CallFaults<ServiceFault> faults;
+  EXPECT_EQ(faults.Take(), ServiceFault::None);
+  faults.Set(ServiceFault::Refuse, 2);
+  EXPECT_EQ(faults.Take(), ServiceFault::Refuse);
+  EXPECT_EQ(faults.Take(), ServiceFault::Refuse);
+  EXPECT_EQ(faults.Take(), ServiceFault::None);
+  faults.Set(ServiceFault::Silent, 0);
+  EXPECT_EQ(faults.Take(), ServiceFault::Silent);
+  EXPECT_EQ(faults.Take(), ServiceFault::Silent);
+  EXPECT_EQ(ParseEngineFault("wrong_id"), EngineFault::WrongId);
+  EXPECT_FALSE(ParseServiceFault("wrong_id"));
+}
+
+} // namespace
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/call_record.cc
@@ -0,0 +1,111 @@
+// Calls stand in a deque by number; counts are kept beside it, so that they
+// still hold when old calls have dropped out.
+
+#include "standin/call_record.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+#include "standin/enum_names.h"
+
+namespace walnutwing::standin {
+
+namespace {
+
+constexpr std::array<EnumName<CallState>, 5> kStateNames{ {
+  { CallState::Refused, "refused" },
+  { CallState::Running, "running" },
+  { CallState::Completed, "completed" },
+  { CallState::Cancelled, "cancelled" },
+  { CallState::Broken, "broken" },
+} };
+
+nlohmann::json
+ToJsonObject(const SeenCall& aCall)
+{
+  return { { "number", aCall.m_number },
+           { "request_id", aCall.m_requestId },
+           { "order_key", aCall.m_orderKey },
+           { "chat", aCall.m_chat },
+           { "resumed_after", aCall.m_resumedAfter },
+           { "body_hash", aCall.m_bodyHash },
+           { "cached", aCall.m_cached },
+           { "ran", aCall.m_state != CallState::Refused },
+           { "state", NameIn<CallState>(kStateNames, aCall.m_state) } };
+}
+
+} // namespace
+
+std::uint64_t
+CallRecord::Enter(SeenCall aCall)
+{
+  aCall.m_number = ++m_last;
+  aCall.m_state = CallState::Refused;
+  ++m_states[CallState::Refused];
+  m_calls.push_back(std::move(aCall));
+  if (m_calls.size() > m_kept) {
+    m_calls.pop_front();
+  }
+  return m_last;
+}
+
+void
+CallRecord::SetState(std::uint64_t aNumber, CallState aState)
+{
+  SeenCall* call = Find(aNumber);
+  if (call == nullptr || call->m_state == aState) {
+    return;
+  }
+  if (call->m_state == CallState::Refused) {
+    ++m_ran;
+    if (!call->m_orderKey.empty()) {
+      ++m_runs[call->m_orderKey];
+    }
+  }
+  --m_states[call->m_state];
+  ++m_states[aState];
+  call->m_state = aState;
+}
+
+std::uint64_t
+CallRecord::Runs(const std::string& aOrderKey) const
+{
+  const auto found = m_runs.find(aOrderKey);
+  return found == m_runs.end() ? 0 : found->second;
+}
+
+std::string
+CallRecord::ToJson() const
+{
+  std::uint64_t mostRuns = 0;
+  for (const auto& [key, runs] : m_runs) {
+    mostRuns = std::max(mostRuns, runs);
+  }
+  nlohmann::json json = { { "seen", m_last },
+                          { "ran", m_ran },
+                          { "most_runs_of_a_key", mostRuns },
+                          { "runs", m_runs },
+                          { "calls", nlohmann::json::array() } };
+  for (const EnumName<CallState>& row : kStateNames) {
+    const auto found = m_states.find(row.m_value);
+    json[std::string(row.m_name)] = found == m_states.end() ? 0 : found->second;
+  }
+  for (const SeenCall& call : m_calls) {
+    json["calls"].push_back(ToJsonObject(call));
+  }
+  return json.dump();
+}
+
+SeenCall*
+CallRecord::Find(std::uint64_t aNumber)
+{
+  if (m_calls.empty() || aNumber < m_calls.front().m_number ||
+      aNumber > m_last) {
+    return nullptr;
+  }
+  return &m_calls[aNumber - m_calls.front().m_number];
+}
+
+} // namespace walnutwing::standin
