--- /dev/null
+++ b/daemon/platform_client.cc
@@ -0,0 +1,133 @@
+// A status of 4xx or 503 is the log's own word that it did not take an append.
+// Any other failure after the first byte leaves it unknown.
+
+#include "daemon/platform_client.h"
+
+#include <utility>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes = 64U << 20U;
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+
+template<typename Message>
+std::optional<Message>
+ParseAnswer(const net::WholeAnswer& aAnswer)
+{
+  Message message;
+  if (aAnswer.m_end.m_stage != net::CallStage::Complete ||
+      aAnswer.m_status != kHttpOk || !message.ParseFromString(aAnswer.m_body)) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+AppendAnswer
+ReadAppendAnswer(const net::WholeAnswer& aAnswer)
+{
+  if (const auto response = ParseAnswer<proto::AppendResponse>(aAnswer)) {
+    return { AppendVerdict::Taken, LogOffset(response->first_offset()) };
+  }
+  const bool refusedByLog =
+    aAnswer.m_end.m_stage == net::CallStage::Complete &&
+    ((aAnswer.m_status >= 400 && aAnswer.m_status < 500) ||
+     aAnswer.m_status == kHttpUnavailable);
+  if (refusedByLog || aAnswer.m_end.m_stage == net::CallStage::NotSent) {
+    return { AppendVerdict::Refused, {} };
+  }
+  return { AppendVerdict::Unknown, {} };
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(net::EventLoop& aLoop,
+                               net::HttpClient& aClient,
+                               net::Endpoint aPlatform,
+                               ZoneId aZone,
+                               Duration aTimeout)
+  : m_loop(aLoop)
+  , m_client(aClient)
+  , m_platform(std::move(aPlatform))
+  , m_zone(std::move(aZone))
+  , m_timeout(aTimeout)
+{
+}
+
+net::CallRequest
+PlatformClient::Request(std::string aMethod,
+                        std::string aTarget,
+                        std::string aBody) const
+{
+  net::CallRequest request;
+  request.m_endpoint = m_platform;
+  request.m_method = std::move(aMethod);
+  request.m_target = std::move(aTarget);
+  request.m_body = std::move(aBody);
+  request.m_headers.Add("walnutwing-zone", m_zone.Value());
+  return request;
+}
+
+PlatformClient::CallHandle
+PlatformClient::Append(const std::string& aStream,
+                       std::vector<std::string> aBodies,
+                       std::function<void(AppendAnswer)> aDone)
+{
+  proto::AppendRequest body;
+  for (std::string& record : aBodies) {
+    body.add_bodies(std::move(record));
+  }
+  net::CallRequest request =
+    Request("POST", "/log/" + aStream, body.SerializeAsString());
+  request.m_headers.Add("content-type", "application/x-protobuf");
+  // A pooled connection that died unseen would turn a sure refusal into
+  // "unknown".
+  request.m_freshConnection = true;
+  return net::FetchWhole(
+    m_client,
+    m_loop,
+    std::move(request),
+    m_timeout,
+    kMaxAnswerBytes,
+    [done = std::move(aDone)](const net::WholeAnswer& aAnswer) {
+      done(ReadAppendAnswer(aAnswer));
+    });
+}
+
+PlatformClient::CallHandle
+PlatformClient::Read(
+  const std::string& aStream,
+  LogOffset aFrom,
+  std::uint32_t aLimit,
+  std::function<void(std::optional<proto::ReadResponse>)> aDone)
+{
+  const std::string target = "/log/" + aStream +
+                             "?from=" + std::to_string(aFrom.Value()) +
+                             "&limit=" + std::to_string(aLimit);
+  return net::FetchWhole(
+    m_client,
+    m_loop,
+    Request("GET", target, ""),
+    m_timeout,
+    kMaxAnswerBytes,
+    [done = std::move(aDone)](const net::WholeAnswer& aAnswer) {
+      done(ParseAnswer<proto::ReadResponse>(aAnswer));
+    });
+}
+
+PlatformClient::CallHandle
+PlatformClient::ListVms(std::function<void(std::optional<proto::VmList>)> aDone)
+{
+  return net::FetchWhole(
+    m_client,
+    m_loop,
+    Request("GET", "/vms", ""),
+    m_timeout,
+    kMaxAnswerBytes,
+    [done = std::move(aDone)](const net::WholeAnswer& aAnswer) {
+      done(ParseAnswer<proto::VmList>(aAnswer));
+    });
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/daemon/platform_client.h
@@ -0,0 +1,75 @@
+#ifndef WALNUTWING_DAEMON_PLATFORM_CLIENT_H_
+#define WALNUTWING_DAEMON_PLATFORM_CLIENT_H_
+
+// The platform's HTTP interface (proto/platform.proto) for one process: its
+// append-only log and its list of VMs. Calls that belong to a component that is
+// gone end with it: each returns a handle that cancels when destroyed.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "platform.pb.h"
+#include "walnutwing/base/id.h"
+
+namespace walnutwing {
+
+// What is known about an append after its call has ended.
+enum class AppendVerdict
+{
+  Taken,   // the records have offsets
+  Refused, // certainly not taken: no byte was sent, or the log said so
+  Unknown, // the answer was lost; the records may be in the log, now or later
+};
+
+struct AppendAnswer
+{
+  AppendVerdict m_verdict = AppendVerdict::Unknown;
+  LogOffset m_firstOffset; // only when Taken
+};
+
+class PlatformClient
+{
+public:
+  PlatformClient(net::EventLoop& aLoop,
+                 net::HttpClient& aClient,
+                 net::Endpoint aPlatform,
+                 ZoneId aZone,
+                 Duration aTimeout);
+
+  using CallHandle = std::unique_ptr<net::Call>;
+
+  // Appends the bodies as records in that order, all or none.
+  CallHandle Append(const std::string& aStream,
+                    std::vector<std::string> aBodies,
+                    std::function<void(AppendAnswer)> aDone);
+
+  // Records from aFrom on, aLimit at most; nothing when the log did not answer.
+  CallHandle Read(
+    const std::string& aStream,
+    LogOffset aFrom,
+    std::uint32_t aLimit,
+    std::function<void(std::optional<proto::ReadResponse>)> aDone);
+
+  // The platform's list of VMs, which lags; nothing when it did not answer.
+  CallHandle ListVms(std::function<void(std::optional<proto::VmList>)> aDone);
+
+private:
+  net::CallRequest Request(std::string aMethod,
+                           std::string aTarget,
+                           std::string aBody) const;
+
+  net::EventLoop& m_loop;
+  net::HttpClient& m_client;
+  net::Endpoint m_platform;
+  ZoneId m_zone;
+  Duration m_timeout;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_DAEMON_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/daemon/supervisor.h
@@ -0,0 +1,180 @@
+#ifndef WALNUTWING_DAEMON_SUPERVISOR_H_
+#define WALNUTWING_DAEMON_SUPERVISOR_H_
+
+// A tree of components that fail and restart by themselves. A component is made
+// by a factory and is reached only through its Child; an exception that leaves
+// a call marks it failed, and its supervisor makes a new one after a delay. The
+// new one starts without memory, which the protocols between daemons allow for.
+// A child that fails too often makes its supervisor give up, which its parent
+// sees as a failure of that supervisor; a root that gives up ends the process.
+
+#include <cstdint>
+#include <deque>
+#include <exception>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing {
+
+struct RestartLimits
+{
+  std::uint32_t m_maxFailures = 5; // within m_window
+  Duration m_window = std::chrono::seconds(60);
+  Duration m_firstDelay = std::chrono::milliseconds(100);
+  Duration m_longestDelay = std::chrono::seconds(5); // doubles up to this
+};
+
+// What a supervisor needs of its surroundings. Tests pass fakes.
+struct SupervisorHooks
+{
+  std::function<Time()> m_now;
+  std::function<void(Duration, std::function<void()>)> m_after;
+  // A child failed (why), or was started again ("").
+  std::function<void(const std::string& aChild, const std::string& aWhy)>
+    m_onChange;
+};
+
+// A place in the tree, without the type of what stands in it.
+class SupervisedNode
+{
+public:
+  explicit SupervisedNode(std::string aName)
+    : m_name(std::move(aName))
+  {
+  }
+  virtual ~SupervisedNode() = default;
+  SupervisedNode(const SupervisedNode&) = delete;
+  SupervisedNode& operator=(const SupervisedNode&) = delete;
+
+  const std::string& Name() const { return m_name; }
+  virtual bool Running() const = 0;
+  virtual void Start() = 0; // may throw
+  virtual void Stop() = 0;
+
+private:
+  std::string m_name;
+};
+
+class Supervisor;
+
+// Holds one component. Calls while it is down are dropped.
+template<typename T>
+class Child : public SupervisedNode
+{
+public:
+  using Factory = std::function<std::unique_ptr<T>()>;
+
+  Child(std::string aName, Supervisor& aSupervisor, Factory aFactory)
+    : SupervisedNode(std::move(aName))
+    , m_supervisor(aSupervisor)
+    , m_factory(std::move(aFactory))
+  {
+  }
+
+  // Runs aFunction on the component. Returns false when it is down or fails.
+  template<typename Function>
+  bool Call(Function aFunction);
+
+  // For reading only; null while the component is down.
+  const T* Peek() const { return Running() ? m_component.get() : nullptr; }
+
+  bool Running() const override { return m_component != nullptr && !m_failed; }
+  void Start() override
+  {
+    m_component.reset();
+    m_failed = false;
+    m_component = m_factory();
+  }
+  void Stop() override { m_component.reset(); }
+
+private:
+  Supervisor& m_supervisor;
+  Factory m_factory;
+  std::unique_ptr<T> m_component;
+  bool m_failed =
+    false; // destroyed only at the restart, since a call may be on the stack
+};
+
+class Supervisor : public SupervisedNode
+{
+public:
+  // aParent is null for the root. aOnGiveUp is called when the root gives up.
+  Supervisor(std::string aName,
+             RestartLimits aLimits,
+             SupervisorHooks aHooks,
+             Supervisor* aParent,
+             std::function<void()> aOnGiveUp = {});
+
+  // Adds a component; it starts with Start. The result lives as long as this.
+  template<typename T>
+  Child<T>& Add(std::string aName, typename Child<T>::Factory aFactory)
+  {
+    auto child =
+      std::make_unique<Child<T>>(std::move(aName), *this, std::move(aFactory));
+    Child<T>& result = *child;
+    m_children.push_back(std::move(child));
+    return result;
+  }
+
+  // Adds a supervisor below this one.
+  Supervisor& AddSupervisor(std::string aName, RestartLimits aLimits);
+
+  // Starts all children in the order in which they were added. An exception of
+  // the first start passes through: it means that the process cannot run.
+  void Start() override;
+  // Stops all children in reverse order.
+  void Stop() override;
+  bool Running() const override { return m_running; }
+
+  // A child failed; for Child and Supervisor only.
+  void OnFailure(SupervisedNode& aChild, const std::string& aWhy);
+
+  std::uint64_t FailureCount() const { return m_failureCount; }
+
+  // Names of the children that are down, of the whole tree below.
+  std::vector<std::string> Down() const;
+
+private:
+  void Restart(SupervisedNode& aChild);
+  bool TooManyFailures();
+  Duration NextDelay() const;
+
+  RestartLimits m_limits;
+  SupervisorHooks m_hooks;
+  Supervisor* m_parent;
+  std::function<void()> m_onGiveUp;
+  std::vector<std::unique_ptr<SupervisedNode>> m_children;
+  std::deque<Time> m_failures; // within the window
+  std::uint64_t m_failureCount = 0;
+  std::uint64_t m_generation =
+    0; // of Start; a delayed restart of an old one is void
+  bool m_running = false;
+};
+
+template<typename T>
+template<typename Function>
+bool
+Child<T>::Call(Function aFunction)
+{
+  if (!Running()) {
+    return false;
+  }
+  try {
+    aFunction(*m_component);
+    return true;
+  } catch (const std::exception& error) {
+    m_failed = true;
+    m_supervisor.OnFailure(*this, error.what());
+    return false;
+  }
+}
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_DAEMON_SUPERVISOR_H_
