--- /dev/null
+++ b/daemon/fleet_view.h
@@ -0,0 +1,73 @@
+#ifndef WALNUTWING_DAEMON_FLEET_VIEW_H_
+#define WALNUTWING_DAEMON_FLEET_VIEW_H_
+
+// What this daemon knows of the fleet: the other daemons, by gossip
+// (walnutwing/membership), and the upstreams, by the platform's lagging list.
+// While the platform is away the last list stays.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/context.h"
+#include "net/owned_timer.h"
+#include "platform.pb.h"
+#include "walnutwing/membership/membership.h"
+
+namespace walnutwing {
+
+class FleetView
+{
+public:
+  explicit FleetView(Context& aContext);
+
+  void OnPeerMessage(const DaemonId& aFrom, const proto::PeerMessage& aMessage);
+
+  // A graceful shutdown begins.
+  void OnStop();
+
+  void SetConfigVersion(std::uint64_t aVersion) { m_membership->SetConfigVersion(aVersion); }
+  void SetUpstreamState(const proto::UpstreamState& aState);
+
+  // The peer address of a daemon, or "".
+  std::string AddressOf(const DaemonId& aDaemon) const;
+
+  // Daemons of a zone that may own upstreams, this one included.
+  std::vector<DaemonId> DaemonsOf(const ZoneId& aZone) const;
+
+  // All daemons that are up, without this one.
+  std::vector<DaemonId> PeersUp() const;
+
+  // The daemon that owns an upstream in this view; empty when its zone has none.
+  DaemonId OwnerOfUpstream(const proto::VmEntry& aUpstream) const;
+
+  // Engines and plain services of the platform's list.
+  const std::map<UpstreamId, proto::VmEntry>& Upstreams() const { return m_upstreams; }
+
+  std::vector<MemberView> Members() const { return m_membership->View(); }
+  const proto::UpstreamState* StateOf(const UpstreamId& aUpstream) const;
+  std::uint64_t Incarnation() const { return m_membership->Incarnation(); }
+  bool HasVmList() const { return m_hasVmList; }
+
+private:
+  void PollVmList();
+  void OnVmList(const proto::VmList& aList);
+  void CarryOut(const MembershipActions& aActions);
+  void RefreshMembers();
+  void TellOthers();
+
+  Context& m_context;
+  std::unique_ptr<Membership> m_membership;
+  std::map<UpstreamId, proto::VmEntry> m_upstreams;
+  std::map<DaemonId, std::string> m_addresses;
+  std::map<ZoneId, std::vector<DaemonId>> m_daemonsUp;
+  bool m_hasVmList = false;
+  PlatformClient::CallHandle m_call;
+  net::OwnedTimer m_tick;
+  net::OwnedTimer m_poll;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_DAEMON_FLEET_VIEW_H_
--- /dev/null
+++ b/daemon/permit_desk.cc
@@ -0,0 +1,295 @@
+// The order of upstreams comes from ChatPlacement, the asking from PermitClient;
+// this adapter feeds both with the view and the configuration.
+
+#include "daemon/permit_desk.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "daemon/config_feed.h"
+#include "daemon/fleet_view.h"
+#include "daemon/peer_link.h"
+#include "walnutwing/config/fleet_config.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(25);
+constexpr Duration kReportInterval = std::chrono::seconds(10);
+constexpr Duration kNoUpstreamRetryAfter = std::chrono::seconds(2);
+
+} // namespace
+
+PermitDesk::PermitDesk(Context& aContext)
+  : m_context(aContext)
+  , m_retries(RetryBudgetOptions(), aContext.m_loop.Now())
+  , m_tick(aContext.m_loop)
+  , m_report(aContext.m_loop)
+{
+  m_tick.Every(kTickInterval, [this] {
+    m_context.m_permits->Call([](PermitDesk& aSelf) {
+      PermitClientActions actions;
+      aSelf.m_client.OnTick(aSelf.m_context.m_loop.Now(), actions);
+      aSelf.CarryOut(actions);
+    });
+  });
+  m_report.Every(kReportInterval, [this] {
+    m_context.m_permits->Call([](PermitDesk& aSelf) {
+      PermitClientActions actions;
+      aSelf.m_client.ReportHeld(actions);
+      aSelf.CarryOut(actions);
+    });
+  });
+  RebuildPlacements();
+}
+
+RequestId
+PermitDesk::Search(const PermitSearch& aSearch, Done aDone)
+{
+  const RequestId id(++m_lastSearch);
+  m_retries.OnRequest();
+  m_searches.emplace(id, std::move(aDone));
+  std::vector<PermitTarget> targets = TargetsFor(aSearch);
+  PermitClientActions actions;
+  if (targets.empty()) {
+    actions.emplace_back(PermitRefused{ id, ResultCode::NoUpstream, kNoUpstreamRetryAfter });
+  } else {
+    m_client.OnRequest({ id,
+                         aSearch.m_chat.m_customer,
+                         aSearch.m_chat.m_service,
+                         aSearch.m_priority,
+                         aSearch.m_deadline,
+                         std::move(targets) },
+                       m_context.m_loop.Now(),
+                       actions);
+  }
+  CarryOut(actions);
+  return id;
+}
+
+std::vector<PermitTarget>
+PermitDesk::TargetsFor(const PermitSearch& aSearch) const
+{
+  std::vector<PermitTarget> targets;
+  const FleetView* fleet = m_context.m_fleet->Peek();
+  const auto found = m_placements.find(aSearch.m_chat.m_service);
+  if (fleet == nullptr || found == m_placements.end()) {
+    return targets;
+  }
+  for (const UpstreamId& upstream :
+       found->second.m_placement.Rank(aSearch.m_chat, aSearch.m_hint)) {
+    const auto vm = fleet->Upstreams().find(upstream);
+    if (aSearch.m_avoid.contains(upstream) || vm == fleet->Upstreams().end()) {
+      continue;
+    }
+    targets.push_back({ upstream,
+                        fleet->OwnerOfUpstream(vm->second),
+                        SelfPermitLimit(found->second, upstream) });
+  }
+  return targets;
+}
+
+// The upstream's last known window, shared by the daemons that may also have to
+// do without an owner; one where no window is known.
+std::uint32_t
+PermitDesk::SelfPermitLimit(const ServicePlacement& aService, const UpstreamId& aUpstream) const
+{
+  const proto::UpstreamState* state = aService.m_placement.StateOf(aUpstream);
+  const std::uint32_t window = state == nullptr ? 1 : state->window();
+  const auto daemons =
+    static_cast<std::uint32_t>(m_context.m_fleet->Peek()->PeersUp().size()) + 1;
+  return window == 0 ? 0 : std::max<std::uint32_t>(1, window / daemons);
+}
+
+void
+PermitDesk::GiveUp(RequestId aSearch)
+{
+  if (m_searches.erase(aSearch) == 0) {
+    return;
+  }
+  PermitClientActions actions;
+  m_client.OnCancel(aSearch, m_context.m_loop.Now(), actions);
+  CarryOut(actions);
+}
+
+void
+PermitDesk::Finish(RequestId aSearch, bool aFailed, bool aCold)
+{
+  if (m_searches.erase(aSearch) == 0) {
+    return;
+  }
+  PermitClientActions actions;
+  m_client.OnFinished(aSearch, aFailed, aCold, actions);
+  CarryOut(actions);
+}
+
+void
+PermitDesk::Unreachable(RequestId aSearch)
+{
+  PermitClientActions actions;
+  m_client.OnUnreachable(aSearch, m_context.m_loop.Now(), actions);
+  CarryOut(actions);
+}
+
+bool
+PermitDesk::TryRetry()
+{
+  return m_retries.TryRetry(m_context.m_loop.Now());
+}
+
+void
+PermitDesk::OnPeerMessage(const DaemonId& aFrom, const proto::PeerMessage& aMessage)
+{
+  PermitClientActions actions;
+  const Time now = m_context.m_loop.Now();
+  if (aMessage.has_permit_grant()) {
+    m_client.OnGrant(aFrom, aMessage.permit_grant(), now, actions);
+  } else if (aMessage.has_permit_deny()) {
+    m_client.OnDeny(aFrom, aMessage.permit_deny(), now, actions);
+  }
+  CarryOut(actions);
+}
+
+void
+PermitDesk::OnUpstreamState(const proto::UpstreamState& aState)
+{
+  for (auto& [service, placement] : m_placements) {
+    placement.m_placement.OnUpstreamState(aState);
+  }
+}
+
+void
+PermitDesk::OnConfigChanged()
+{
+  RebuildPlacements();
+}
+
+void
+PermitDesk::OnFleetChanged()
+{
+  RebuildPlacements();
+  ReportOwners();
+}
+
+// Placements of services that stay keep their upstreams' states.
+void
+PermitDesk::RebuildPlacements()
+{
+  const FleetView* fleet = m_context.m_fleet->Peek();
+  const ConfigFeed* feed = m_context.m_config->Peek();
+  if (fleet == nullptr || feed == nullptr || feed->Current() == nullptr) {
+    return;
+  }
+  const proto::FleetConfig& config = *feed->Current();
+  const proto::Preset* preset = ActivePreset(config);
+  std::map<ServiceId, ServicePlacement> placements;
+  for (const proto::PresetService& service : preset->services()) {
+    const ServiceId id(service.service());
+    const auto known = m_placements.find(id);
+    ServicePlacement placement =
+      known != m_placements.end()
+        ? std::move(known->second)
+        : ServicePlacement{ "",
+                            ChatPlacement(m_context.m_settings.m_zone,
+                                          m_context.m_settings.m_region) };
+    placement.m_model = service.model();
+    std::vector<PlacementUpstream> upstreams;
+    for (const auto& [upstreamId, vm] : fleet->Upstreams()) {
+      if (vm.model() != service.model()) {
+        continue;
+      }
+      PlacementUpstream upstream{ upstreamId, ZoneId(vm.zone()), RegionId(vm.region()) };
+      upstream.m_leaving = vm.leaving();
+      upstream.m_zoneOut = IsZoneOut(config, vm.zone());
+      upstreams.push_back(std::move(upstream));
+    }
+    placement.m_placement.SetUpstreams(std::move(upstreams));
+    placements.emplace(id, std::move(placement));
+  }
+  m_placements = std::move(placements);
+}
+
+// Tells the client which upstreams have another owner than before.
+void
+PermitDesk::ReportOwners()
+{
+  const FleetView* fleet = m_context.m_fleet->Peek();
+  if (fleet == nullptr) {
+    return;
+  }
+  PermitClientActions actions;
+  for (const auto& [upstream, vm] : fleet->Upstreams()) {
+    const DaemonId owner = fleet->OwnerOfUpstream(vm);
+    const auto [known, added] = m_owners.emplace(upstream, owner);
+    if (added || known->second == owner) {
+      continue;
+    }
+    known->second = owner;
+    m_client.OnOwnerChanged(upstream, owner, m_context.m_loop.Now(), actions);
+  }
+  CarryOut(actions);
+}
+
+std::optional<double>
+PermitDesk::MeanLoadOf(const std::string& aModel) const
+{
+  for (const auto& [service, placement] : m_placements) {
+    if (placement.m_model == aModel) {
+      return placement.m_placement.MeanLoad();
+    }
+  }
+  return std::nullopt;
+}
+
+void
+PermitDesk::CarryOut(const PermitClientActions& aActions)
+{
+  for (const PermitClientAction& action : aActions) {
+    if (const auto* send = std::get_if<SendToOwner>(&action)) {
+      m_context.m_peers->Call([&](PeerLink& aPeers) {
+        aPeers.Send(send->m_owner, send->m_message, send->m_urgent);
+      });
+    } else if (const auto* ready = std::get_if<PermitReady>(&action)) {
+      HandOver(*ready);
+    } else if (const auto* refused = std::get_if<PermitRefused>(&action)) {
+      Report(refused->m_request, { refused->m_code, refused->m_retryAfter, {}, {} });
+    }
+  }
+}
+
+// Gives the request its upstream's address.
+void
+PermitDesk::HandOver(const PermitReady& aReady)
+{
+  if (aReady.m_selfPermitted) {
+    ++m_context.m_metrics.Counter("permits_without_owner_total");
+  }
+  const FleetView* fleet = m_context.m_fleet->Peek();
+  std::optional<net::Endpoint> endpoint;
+  if (fleet != nullptr && fleet->Upstreams().contains(aReady.m_upstream)) {
+    endpoint = net::Endpoint::Parse(fleet->Upstreams().at(aReady.m_upstream).address());
+  }
+  if (!endpoint) {
+    Unreachable(aReady.m_request);
+    return;
+  }
+  Report(aReady.m_request, { ResultCode::Ok, Duration::zero(), aReady.m_upstream, *endpoint });
+}
+
+// The search stays known after Ok, until Finish.
+void
+PermitDesk::Report(RequestId aSearch, const PermitResult& aResult)
+{
+  const auto found = m_searches.find(aSearch);
+  if (found == m_searches.end()) {
+    return;
+  }
+  const Done done = found->second;
+  if (aResult.m_code != ResultCode::Ok) {
+    m_searches.erase(found);
+  }
+  m_context.m_loop.After(Duration::zero(), [done, aResult] { done(aResult); });
+}
+
+} // namespace walnutwing
