--- /dev/null
+++ b/walnutwing/orders/log_health.h
@@ -0,0 +1,56 @@
+#ifndef WALNUTWING_ORDERS_LOG_HEALTH_H_
+#define WALNUTWING_ORDERS_LOG_HEALTH_H_
+
+// A circuit breaker over the platform's log: after several failures in a row
+// the log counts as down until one call succeeds. While it is down, one call
+// each retry interval tries it again.
+
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing {
+
+class LogHealth
+{
+public:
+  LogHealth(int aFailuresUntilDown, Duration aRetryInterval)
+    : m_failuresUntilDown(aFailuresUntilDown)
+    , m_retryInterval(aRetryInterval)
+  {
+  }
+
+  bool Down() const { return m_failures >= m_failuresUntilDown; }
+
+  // The last call failed, whether or not the log counts as down.
+  bool Failing() const { return m_failures > 0; }
+
+  void OnSuccess() { m_failures = 0; }
+
+  void OnFailure(Time aNow)
+  {
+    if (m_failures < m_failuresUntilDown) {
+      ++m_failures;
+    }
+    m_retryAt = aNow + m_retryInterval;
+  }
+
+  // Whether a call may be made now.
+  bool MayTry(Time aNow) const { return !Down() || aNow >= m_retryAt; }
+
+  // A call is made now.
+  void OnTry(Time aNow)
+  {
+    if (Down()) {
+      m_retryAt = aNow + m_retryInterval;
+    }
+  }
+
+private:
+  int m_failuresUntilDown;
+  Duration m_retryInterval;
+  int m_failures = 0;
+  Time m_retryAt{};
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ORDERS_LOG_HEALTH_H_
--- /dev/null
+++ b/walnutwing/orders/order_book.cc
@@ -0,0 +1,874 @@
+// The life of a request: Queued (its claim waits for a batch), Appended (the
+// claim left and was not read back), Sent (it was read back as the holder).
+// Each step is taken once. A request that leaves before Sent is never sent; if
+// its claim may be in the log, a void follows.
+//
+// Nothing here trusts the answer to an append. Acknowledged or lost, a claim
+// counts only when it is read back, since the log's order alone says which of
+// two claims came first. The answer only tells when to read.
+
+#include "walnutwing/orders/order_book.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+#include "walnutwing/orders/append_queue.h"
+#include "walnutwing/orders/log_health.h"
+#include "walnutwing/orders/order_partition.h"
+
+namespace walnutwing {
+namespace {
+
+enum class Stage
+{
+  Queued,
+  Appended,
+  Sent,
+};
+
+struct Request
+{
+  OrderRequest m_order;
+  ClaimId m_claim;
+  PartitionId m_partition = 0;
+  Stage m_stage = Stage::Queued;
+  Time m_giveUpAt; // if its claim was not read back by then
+  WallTime m_wallDeadline;
+  bool m_abandoned = false;
+};
+
+struct AppendUnderWay
+{
+  PartitionId m_partition = 0;
+  std::vector<RequestId> m_claims;
+};
+
+// FNV-1a: the same number in every build and process.
+std::uint64_t
+StableHash(const std::string& aText, std::uint64_t aSeed)
+{
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  std::uint64_t hash = aSeed;
+  for (const char byte : aText) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return hash;
+}
+
+constexpr std::uint64_t kHashSeed = 14695981039346656037ULL;
+
+proto::OrderRecord
+ClaimRecord(const OrderRequest& aOrder, const ClaimId& aClaim)
+{
+  proto::OrderRecord record;
+  proto::OrderClaim& claim = *record.mutable_claim();
+  claim.set_customer(aOrder.m_customer.Value());
+  claim.set_key(aOrder.m_key.Value());
+  claim.set_body_sha256(aOrder.m_bodySha256);
+  *claim.mutable_claim() = ToProto(aClaim);
+  claim.set_service(aOrder.m_service.Value());
+  return record;
+}
+
+proto::OrderRecord
+VoidRecord(const Request& aRequest)
+{
+  proto::OrderRecord record;
+  proto::OrderVoid& voided = *record.mutable_void_();
+  voided.set_customer(aRequest.m_order.m_customer.Value());
+  voided.set_key(aRequest.m_order.m_key.Value());
+  *voided.mutable_claim() = ToProto(aRequest.m_claim);
+  return record;
+}
+
+proto::OrderRecord
+OutcomeRecord(const Request& aRequest, const OrderResult& aResult)
+{
+  proto::OrderRecord record;
+  proto::OrderOutcome& outcome = *record.mutable_outcome();
+  outcome.set_customer(aRequest.m_order.m_customer.Value());
+  outcome.set_key(aRequest.m_order.m_key.Value());
+  *outcome.mutable_claim() = ToProto(aRequest.m_claim);
+  outcome.set_http_status(static_cast<std::uint32_t>(aResult.m_httpStatus));
+  outcome.set_content_type(aResult.m_contentType);
+  outcome.set_body(aResult.m_body);
+  outcome.set_body_too_large(aResult.m_bodyTooLarge);
+  outcome.set_unknown(aResult.m_unknown);
+  return record;
+}
+
+void
+RequireRan(ResultCode aCode, Ran aRan)
+{
+  if (RowOf(aCode).m_ran != aRan) {
+    throw std::invalid_argument("the code does not say: " +
+                                std::string(NameOf(aRan)));
+  }
+}
+
+} // namespace
+
+class OrderBook::Impl
+{
+public:
+  Impl(const OrderBookOptions& aOptions,
+       DaemonId aDaemon,
+       std::uint64_t aIncarnation)
+    : m_options(aOptions)
+    , m_daemon(std::move(aDaemon))
+    , m_incarnation(aIncarnation)
+    , m_reads(aOptions.m_failuresUntilDown, aOptions.m_retryAfter)
+    , m_appends(aOptions.m_failuresUntilDown, aOptions.m_retryAfter)
+  {
+    if (aOptions.m_partitionCount == 0 || aOptions.m_maxBatchRecords == 0) {
+      throw std::invalid_argument("no partitions, or batches without records");
+    }
+  }
+
+  void OnOrder(const OrderRequest& aOrder);
+  void OnAppendResult(BatchId aBatch, AppendStatus aStatus);
+  void OnRecords(PartitionId aPartition, const proto::ReadResponse& aResponse);
+  void OnReadFailed(PartitionId aPartition);
+  void OnUpstreamAnswer(RequestId aId, const OrderResult& aResult);
+  void OnUpstreamNotSent(RequestId aId, ResultCode aCode, Duration aRetryAfter);
+  void OnUpstreamUnknown(RequestId aId, ResultCode aCode);
+  void OnAbandon(RequestId aId);
+  void OnTick();
+  void OnStop();
+  bool Idle() const;
+  OrderStatus StatusOf(const CustomerId& aCustomer, const OrderKey& aKey);
+  PartitionId PartitionOf(const CustomerId& aCustomer,
+                          const OrderKey& aKey) const;
+  bool LogAvailable() const { return !m_reads.Down() && !m_appends.Down(); }
+  OrderCounters Counters() const;
+  std::size_t MemoryBytes() const;
+
+  // Sets the time of the event that follows and where its actions go.
+  Impl& At(const OrderTime& aTime, OrderActions* aActions)
+  {
+    m_time = aTime;
+    m_actions = aActions;
+    return *this;
+  }
+
+private:
+  // What an answer says, apart from whom it goes to.
+  struct Verdict
+  {
+    ResultCode m_code = ResultCode::Ok;
+    std::shared_ptr<const OrderResult> m_result;
+  };
+
+  OrderPartition& GetOrCreate(PartitionId aId);
+  Request& SentRequest(RequestId aId);
+
+  std::optional<Verdict> VerdictWithoutClaim(const OrderRequest& aOrder,
+                                             const OrderPartition& aPartition);
+  Verdict VerdictOfHolder(const OrderPartition& aPartition,
+                          const HeldClaim& aHolder,
+                          const OrderRequest& aOrder) const;
+  Verdict VerdictOfUnsent(const OrderPartition& aPartition,
+                          const Request& aRequest) const;
+  bool SeemsRunning(const HeldClaim& aHolder) const;
+
+  void Answer(RequestId aId, const Verdict& aVerdict);
+  void Answer(RequestId aId, ResultCode aCode) { Answer(aId, { aCode, {} }); }
+  void Erase(const Request& aRequest);
+
+  void Settle(OrderPartition* aPartition);
+  void SettleHolder(OrderPartition* aPartition, Request* aRequest);
+  void GiveUp(Request* aRequest);
+  void Void(const Request& aRequest);
+  void RecordResult(const Request& aRequest, OrderResult aResult);
+  void RefuseQueued(ResultCode aCode);
+  void ForgetClaims(const std::vector<RequestId>& aClaims);
+  void OnAppendFailed();
+  void Pump(PartitionId aId, OrderPartition* aPartition);
+  void Flush(PartitionId aId, OrderPartition* aPartition);
+
+  const OrderBookOptions m_options;
+  const DaemonId m_daemon;
+  const std::uint64_t m_incarnation;
+  std::uint64_t m_lastSequence = 0;
+  std::uint64_t m_lastBatch = 0;
+  LogHealth m_reads;
+  LogHealth m_appends;
+  std::map<PartitionId, OrderPartition> m_partitions;
+  std::map<RequestId, Request> m_requests;
+  std::map<BatchId, AppendUnderWay> m_batches;
+  OrderCounters m_counters;
+  bool m_stopping = false;
+
+  OrderTime m_time{};
+  OrderActions* m_actions = nullptr;
+};
+
+OrderPartition&
+OrderBook::Impl::GetOrCreate(PartitionId aId)
+{
+  return m_partitions.try_emplace(aId, m_options, m_time.m_now).first->second;
+}
+
+void
+OrderBook::Impl::OnOrder(const OrderRequest& aOrder)
+{
+  if (m_requests.contains(aOrder.m_id)) {
+    throw std::invalid_argument("the request id is in use");
+  }
+  const ResultCode keyCode =
+    CheckOrderKey(aOrder.m_key, m_time.m_wallNow, m_options.m_key);
+  if (keyCode != ResultCode::Ok) {
+    Answer(aOrder.m_id, keyCode);
+    return;
+  }
+  const PartitionId id = PartitionOf(aOrder.m_customer, aOrder.m_key);
+  OrderPartition& partition = GetOrCreate(id);
+  if (const auto verdict = VerdictWithoutClaim(aOrder, partition)) {
+    Answer(aOrder.m_id, *verdict);
+    return;
+  }
+
+  Request request;
+  request.m_order = aOrder;
+  request.m_claim = { m_daemon, m_incarnation, ++m_lastSequence };
+  request.m_partition = id;
+  Request& kept = m_requests.emplace(aOrder.m_id, request).first->second;
+  Time& deadline = kept.m_order.m_deadline;
+  deadline = std::min(deadline, m_time.m_now + m_options.m_maxDeadline);
+  kept.m_giveUpAt = std::min(deadline, m_time.m_now + m_options.m_claimTimeout);
+  kept.m_wallDeadline = m_time.m_wallNow + (deadline - m_time.m_now);
+  partition.AddLive(aOrder, m_time.m_now);
+  partition.Queue().AddClaim(
+    aOrder.m_id, ClaimRecord(aOrder, kept.m_claim), m_time.m_now);
+  Pump(id, &partition);
+}
+
+// The answer to an order that needs no claim of its own, if there is one.
+std::optional<OrderBook::Impl::Verdict>
+OrderBook::Impl::VerdictWithoutClaim(const OrderRequest& aOrder,
+                                     const OrderPartition& aPartition)
+{
+  const auto live = aPartition.LiveRequest(aOrder.m_customer, aOrder.m_key);
+  if (live) {
+    const OrderRequest& other = m_requests.at(*live).m_order;
+    const bool same = other.m_bodySha256 == aOrder.m_bodySha256 &&
+                      other.m_service == aOrder.m_service;
+    return Verdict{ same ? ResultCode::OrderRunning
+                         : ResultCode::OrderKeyReused,
+                    {} };
+  }
+  const HeldClaim* holder =
+    aPartition.Index().Find(aOrder.m_customer, aOrder.m_key);
+  if (holder != nullptr) {
+    return VerdictOfHolder(aPartition, *holder, aOrder);
+  }
+  if (m_stopping) {
+    return Verdict{ ResultCode::Stopping, {} };
+  }
+  if (aOrder.m_deadline <= m_time.m_now) {
+    return Verdict{ ResultCode::DeadlineTooShort, {} };
+  }
+  if (!m_reads.MayTry(m_time.m_now) || !m_appends.MayTry(m_time.m_now)) {
+    return Verdict{ ResultCode::ClaimsUnavailable, {} };
+  }
+  if (m_requests.size() >= m_options.m_maxRequests) {
+    return Verdict{ ResultCode::QueueFull, {} };
+  }
+  return std::nullopt;
+}
+
+OrderBook::Impl::Verdict
+OrderBook::Impl::VerdictOfHolder(const OrderPartition& aPartition,
+                                 const HeldClaim& aHolder,
+                                 const OrderRequest& aOrder) const
+{
+  if (aHolder.m_bodySha256 != aOrder.m_bodySha256 ||
+      aHolder.m_service != aOrder.m_service) {
+    return { ResultCode::OrderKeyReused, {} };
+  }
+  const auto result = aPartition.ResultOf(aOrder.m_customer, aOrder.m_key);
+  if (result && !result->m_unknown) {
+    return { ResultCode::Ok, result };
+  }
+  if (!result && SeemsRunning(aHolder)) {
+    return { ResultCode::OrderRunning, {} };
+  }
+  return { ResultCode::OrderOutcomeUnknown, {} };
+}
+
+// The answer to a request that is given up before it was sent.
+OrderBook::Impl::Verdict
+OrderBook::Impl::VerdictOfUnsent(const OrderPartition& aPartition,
+                                 const Request& aRequest) const
+{
+  const OrderRequest& order = aRequest.m_order;
+  const HeldClaim* holder =
+    aPartition.Index().Find(order.m_customer, order.m_key);
+  if (holder != nullptr && holder->m_claim != aRequest.m_claim) {
+    return VerdictOfHolder(aPartition, *holder, order);
+  }
+  const ResultCode keyCode =
+    CheckOrderKey(order.m_key, aPartition.Index().LogTime(), m_options.m_key);
+  if (keyCode == ResultCode::OrderKeyExpired) {
+    return { keyCode, {} };
+  }
+  const bool failing = m_reads.Failing() || m_appends.Failing();
+  return { failing ? ResultCode::ClaimsUnavailable : ResultCode::OrderVoided,
+           {} };
+}
+
+bool
+OrderBook::Impl::SeemsRunning(const HeldClaim& aHolder) const
+{
+  const bool earlierStart = aHolder.m_claim.m_daemon == m_daemon &&
+                            aHolder.m_claim.m_incarnation != m_incarnation;
+  return !earlierStart &&
+         m_time.m_wallNow <= aHolder.m_claimedAt + m_options.m_runningFor;
+}
+
+void
+OrderBook::Impl::Answer(RequestId aId, const Verdict& aVerdict)
+{
+  const auto found = m_requests.find(aId);
+  if (found != m_requests.end() && found->second.m_abandoned) {
+    return;
+  }
+  const bool comeBack = RowOf(aVerdict.m_code).m_repeat != Repeat::No;
+  m_actions->push_back(
+    AnswerOrder{ aId,
+                 aVerdict.m_code,
+                 aVerdict.m_result,
+                 aVerdict.m_code == ResultCode::Ok,
+                 comeBack ? m_options.m_retryAfter : Duration{} });
+}
+
+void
+OrderBook::Impl::Erase(const Request& aRequest)
+{
+  m_partitions.at(aRequest.m_partition).RemoveLive(aRequest.m_order);
+  m_requests.erase(RequestId(aRequest.m_order.m_id));
+}
+
+void
+OrderBook::Impl::OnAppendResult(BatchId aBatch, AppendStatus aStatus)
+{
+  const auto found = m_batches.find(aBatch);
+  if (found == m_batches.end()) {
+    return;
+  }
+  const AppendUnderWay batch = std::move(found->second);
+  m_batches.erase(found);
+  OrderPartition& partition = m_partitions.at(batch.m_partition);
+  const bool acked = aStatus == AppendStatus::Acked;
+  m_counters.m_recordsAbandoned +=
+    partition.Queue().Finish(acked, m_time.m_now);
+  if (acked) {
+    m_appends.OnSuccess();
+  } else {
+    OnAppendFailed();
+  }
+  if (aStatus == AppendStatus::Refused) {
+    ForgetClaims(batch.m_claims);
+  }
+  if (aStatus != AppendStatus::Refused && !batch.m_claims.empty()) {
+    partition.ReadSoon(m_time.m_now);
+  }
+  Pump(batch.m_partition, &partition);
+}
+
+// Answers the requests whose claims are certainly not in the log.
+void
+OrderBook::Impl::ForgetClaims(const std::vector<RequestId>& aClaims)
+{
+  for (const RequestId id : aClaims) {
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second.m_stage != Stage::Appended) {
+      continue;
+    }
+    const Request& request = found->second;
+    Answer(id, VerdictOfUnsent(m_partitions.at(request.m_partition), request));
+    Erase(request);
+  }
+}
+
+void
+OrderBook::Impl::OnAppendFailed()
+{
+  m_appends.OnFailure(m_time.m_now);
+  if (m_appends.Down()) {
+    RefuseQueued(ResultCode::ClaimsUnavailable);
+  }
+}
+
+void
+OrderBook::Impl::OnRecords(PartitionId aPartition,
+                           const proto::ReadResponse& aResponse)
+{
+  OrderPartition& partition = m_partitions.at(aPartition);
+  if (!partition.OnRecords(aResponse, m_time.m_now)) {
+    OnReadFailed(aPartition);
+    return;
+  }
+  m_reads.OnSuccess();
+  Settle(&partition);
+  Pump(aPartition, &partition);
+}
+
+void
+OrderBook::Impl::OnReadFailed(PartitionId aPartition)
+{
+  m_partitions.at(aPartition).OnReadFailed(m_time.m_now);
+  m_reads.OnFailure(m_time.m_now);
+  if (m_reads.Down()) {
+    RefuseQueued(ResultCode::ClaimsUnavailable);
+  }
+}
+
+// Decides about the requests whose claims were read, and about those that need
+// no claim any more since another one holds their key.
+void
+OrderBook::Impl::Settle(OrderPartition* aPartition)
+{
+  for (const RequestId id : aPartition->LiveRequests()) {
+    const Request& request = m_requests.at(id);
+    const OrderRequest& order = request.m_order;
+    const HeldClaim* holder =
+      aPartition->Index().Find(order.m_customer, order.m_key);
+    if (request.m_stage != Stage::Queued || holder == nullptr) {
+      continue;
+    }
+    aPartition->Queue().RemoveClaim(id);
+    Answer(id, VerdictOfHolder(*aPartition, *holder, order));
+    Erase(request);
+  }
+  const std::set<RequestId> awaiting = aPartition->AwaitingRead();
+  for (const RequestId id : awaiting) {
+    Request& request = m_requests.at(id);
+    switch (aPartition->Index().StateOf(
+      request.m_order.m_customer, request.m_order.m_key, request.m_claim)) {
+      case ClaimState::Unseen:
+        continue;
+      case ClaimState::Dead:
+        Answer(id, VerdictOfUnsent(*aPartition, request));
+        Erase(request);
+        continue;
+      case ClaimState::Holder:
+        SettleHolder(aPartition, &request);
+        continue;
+    }
+  }
+}
+
+// The only place that sends. Both clocks must say that there is time left: the
+// process may have been frozen, or its VM suspended, since the last event.
+void
+OrderBook::Impl::SettleHolder(OrderPartition* aPartition, Request* aRequest)
+{
+  if (aRequest->m_order.m_deadline <= m_time.m_now ||
+      aRequest->m_wallDeadline <= m_time.m_wallNow) {
+    GiveUp(aRequest);
+    return;
+  }
+  aRequest->m_stage = Stage::Sent;
+  aPartition->AwaitingRead().erase(aRequest->m_order.m_id);
+  ++m_counters.m_sent;
+  m_actions->push_back(SendOrder{ aRequest->m_order.m_id });
+}
+
+// Ends a request that was not sent, and never will be.
+void
+OrderBook::Impl::GiveUp(Request* aRequest)
+{
+  OrderPartition& partition = m_partitions.at(aRequest->m_partition);
+  if (aRequest->m_stage == Stage::Queued) {
+    partition.Queue().RemoveClaim(aRequest->m_order.m_id);
+  } else {
+    Void(*aRequest);
+  }
+  Answer(aRequest->m_order.m_id, VerdictOfUnsent(partition, *aRequest));
+  Erase(*aRequest);
+}
+
+void
+OrderBook::Impl::Void(const Request& aRequest)
+{
+  ++m_counters.m_voided;
+  m_partitions.at(aRequest.m_partition)
+    .Queue()
+    .AddRecord(VoidRecord(aRequest), m_time.m_now);
+}
+
+void
+OrderBook::Impl::RefuseQueued(ResultCode aCode)
+{
+  std::vector<RequestId> queued;
+  for (const auto& [id, request] : m_requests) {
+    if (request.m_stage == Stage::Queued) {
+      queued.push_back(id);
+    }
+  }
+  for (const RequestId id : queued) {
+    const Request& request = m_requests.at(id);
+    m_partitions.at(request.m_partition).Queue().RemoveClaim(id);
+    Answer(id, aCode);
+    Erase(request);
+  }
+}
+
+Request&
+OrderBook::Impl::SentRequest(RequestId aId)
+{
+  const auto found = m_requests.find(aId);
+  if (found == m_requests.end() || found->second.m_stage != Stage::Sent) {
+    throw std::invalid_argument("the request was not sent");
+  }
+  return found->second;
+}
+
+void
+OrderBook::Impl::OnUpstreamAnswer(RequestId aId, const OrderResult& aResult)
+{
+  const Request request = SentRequest(aId);
+  if (!request.m_abandoned) {
+    m_actions->push_back(
+      AnswerOrder{ aId,
+                   ResultCode::Ok,
+                   std::make_shared<const OrderResult>(aResult),
+                   false,
+                   Duration{} });
+  }
+  RecordResult(request, aResult);
+}
+
+void
+OrderBook::Impl::OnUpstreamNotSent(RequestId aId,
+                                   ResultCode aCode,
+                                   Duration aRetryAfter)
+{
+  RequireRan(aCode, Ran::NotRun);
+  const Request request = SentRequest(aId);
+  if (!request.m_abandoned) {
+    m_actions->push_back(AnswerOrder{ aId, aCode, {}, false, aRetryAfter });
+  }
+  Void(request);
+  Erase(request);
+  Pump(request.m_partition, &m_partitions.at(request.m_partition));
+}
+
+void
+OrderBook::Impl::OnUpstreamUnknown(RequestId aId, ResultCode aCode)
+{
+  RequireRan(aCode, Ran::Unknown);
+  const Request request = SentRequest(aId);
+  Answer(aId, aCode);
+  OrderResult unknown;
+  unknown.m_unknown = true;
+  RecordResult(request, std::move(unknown));
+}
+
+// Records how a sent order ended, and ends its request.
+void
+OrderBook::Impl::RecordResult(const Request& aRequest, OrderResult aResult)
+{
+  if (aResult.m_body.size() > m_options.m_maxOutcomeBody) {
+    aResult.m_body = std::string();
+    aResult.m_bodyTooLarge = true;
+  }
+  OrderPartition& partition = m_partitions.at(aRequest.m_partition);
+  partition.Queue().AddRecord(OutcomeRecord(aRequest, aResult), m_time.m_now);
+  partition.SetLocalResult(
+    aRequest.m_order, std::make_shared<const OrderResult>(std::move(aResult)));
+  Erase(aRequest);
+  Pump(aRequest.m_partition, &partition);
+}
+
+void
+OrderBook::Impl::OnAbandon(RequestId aId)
+{
+  const auto found = m_requests.find(aId);
+  if (found == m_requests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  request.m_abandoned = true;
+  if (request.m_stage != Stage::Sent) {
+    GiveUp(&request);
+  }
+}
+
+void
+OrderBook::Impl::OnTick()
+{
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : m_requests) {
+    if (request.m_stage != Stage::Sent && request.m_giveUpAt <= m_time.m_now) {
+      late.push_back(id);
+    }
+  }
+  for (const RequestId id : late) {
+    GiveUp(&m_requests.at(id));
+  }
+  std::erase_if(m_partitions, [this](const auto& aEntry) {
+    return aEntry.second.Unused(m_time.m_now);
+  });
+  for (auto& [id, partition] : m_partitions) {
+    Pump(id, &partition);
+  }
+}
+
+void
+OrderBook::Impl::OnStop()
+{
+  m_stopping = true;
+  RefuseQueued(ResultCode::Stopping);
+  OnTick();
+}
+
+bool
+OrderBook::Impl::Idle() const
+{
+  return m_requests.empty() &&
+         std::all_of(
+           m_partitions.begin(), m_partitions.end(), [](const auto& aEntry) {
+             return aEntry.second.Queue().Empty();
+           });
+}
+
+// Starts the append and the read that are due.
+void
+OrderBook::Impl::Pump(PartitionId aId, OrderPartition* aPartition)
+{
+  Flush(aId, aPartition);
+  if (!m_reads.MayTry(m_time.m_now)) {
+    return;
+  }
+  const std::optional<LogOffset> from = aPartition->TakeRead(m_time.m_now);
+  if (!from) {
+    return;
+  }
+  m_reads.OnTry(m_time.m_now);
+  m_actions->push_back(ReadPartition{ aId, *from });
+}
+
+void
+OrderBook::Impl::Flush(PartitionId aId, OrderPartition* aPartition)
+{
+  if (!m_appends.MayTry(m_time.m_now)) {
+    return;
+  }
+  auto batch =
+    aPartition->Queue().TakeBatch(m_time.m_now, aPartition->CaughtUp());
+  if (!batch) {
+    return;
+  }
+  m_appends.OnTry(m_time.m_now);
+  const BatchId id(++m_lastBatch);
+  for (const RequestId request : batch->m_claims) {
+    m_requests.at(request).m_stage = Stage::Appended;
+    aPartition->AwaitingRead().insert(request);
+  }
+  ++m_counters.m_appends;
+  m_counters.m_records += batch->m_records.size();
+  m_batches[id] = { aId, std::move(batch->m_claims) };
+  m_actions->push_back(AppendRecords{ id, aId, std::move(batch->m_records) });
+}
+
+OrderStatus
+OrderBook::Impl::StatusOf(const CustomerId& aCustomer, const OrderKey& aKey)
+{
+  OrderStatus status;
+  OrderPartition& partition = GetOrCreate(PartitionOf(aCustomer, aKey));
+  partition.Touch(m_time.m_now);
+  status.m_current = partition.Current(m_time.m_now);
+  const HeldClaim* holder = partition.Index().Find(aCustomer, aKey);
+  if (holder == nullptr) {
+    const ResultCode keyCode =
+      CheckOrderKey(aKey, m_time.m_wallNow, m_options.m_key);
+    status.m_code = keyCode == ResultCode::Ok ? ResultCode::NotFound : keyCode;
+    return status;
+  }
+  status.m_claim = holder->m_claim;
+  status.m_service = holder->m_service;
+  status.m_claimedAt = holder->m_claimedAt;
+  status.m_result = partition.ResultOf(aCustomer, aKey);
+  if (status.m_result && !status.m_result->m_unknown) {
+    status.m_code = ResultCode::Ok;
+  } else if (!status.m_result && SeemsRunning(*holder)) {
+    status.m_code = ResultCode::OrderRunning;
+  } else {
+    status.m_code = ResultCode::OrderOutcomeUnknown;
+  }
+  return status;
+}
+
+PartitionId
+OrderBook::Impl::PartitionOf(const CustomerId& aCustomer,
+                             const OrderKey& aKey) const
+{
+  const std::uint64_t hash =
+    StableHash(aKey.Value(), StableHash(aCustomer.Value(), kHashSeed));
+  return static_cast<PartitionId>(hash % m_options.m_partitionCount);
+}
+
+OrderCounters
+OrderBook::Impl::Counters() const
+{
+  OrderCounters counters = m_counters;
+  for (const auto& [id, partition] : m_partitions) {
+    counters.m_unreadableRecords += partition.Index().UnreadableRecords();
+  }
+  return counters;
+}
+
+std::size_t
+OrderBook::Impl::MemoryBytes() const
+{
+  std::size_t bytes = sizeof(*this) + m_requests.size() * sizeof(Request);
+  for (const auto& [id, partition] : m_partitions) {
+    bytes += partition.MemoryBytes();
+  }
+  return bytes;
+}
+
+OrderBook::OrderBook(const OrderBookOptions& aOptions,
+                     DaemonId aDaemon,
+                     std::uint64_t aIncarnation)
+  : m_impl(std::make_unique<Impl>(aOptions, std::move(aDaemon), aIncarnation))
+{
+}
+
+OrderBook::~OrderBook() = default;
+
+void
+OrderBook::OnOrder(const OrderRequest& aRequest,
+                   const OrderTime& aTime,
+                   OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnOrder(aRequest);
+}
+
+void
+OrderBook::OnAppendResult(BatchId aBatch,
+                          AppendStatus aStatus,
+                          const OrderTime& aTime,
+                          OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnAppendResult(aBatch, aStatus);
+}
+
+void
+OrderBook::OnRecords(PartitionId aPartition,
+                     const proto::ReadResponse& aResponse,
+                     const OrderTime& aTime,
+                     OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnRecords(aPartition, aResponse);
+}
+
+void
+OrderBook::OnReadFailed(PartitionId aPartition,
+                        const OrderTime& aTime,
+                        OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnReadFailed(aPartition);
+}
+
+void
+OrderBook::OnUpstreamAnswer(RequestId aRequest,
+                            const OrderResult& aResult,
+                            const OrderTime& aTime,
+                            OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnUpstreamAnswer(aRequest, aResult);
+}
+
+void
+OrderBook::OnUpstreamNotSent(RequestId aRequest,
+                             ResultCode aCode,
+                             Duration aRetryAfter,
+                             const OrderTime& aTime,
+                             OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnUpstreamNotSent(aRequest, aCode, aRetryAfter);
+}
+
+void
+OrderBook::OnUpstreamUnknown(RequestId aRequest,
+                             ResultCode aCode,
+                             const OrderTime& aTime,
+                             OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnUpstreamUnknown(aRequest, aCode);
+}
+
+void
+OrderBook::OnAbandon(RequestId aRequest,
+                     const OrderTime& aTime,
+                     OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnAbandon(aRequest);
+}
+
+void
+OrderBook::OnTick(const OrderTime& aTime, OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnTick();
+}
+
+void
+OrderBook::OnStop(const OrderTime& aTime, OrderActions* aActions)
+{
+  m_impl->At(aTime, aActions).OnStop();
+}
+
+bool
+OrderBook::Idle() const
+{
+  return m_impl->Idle();
+}
+
+bool
+OrderBook::LogAvailable() const
+{
+  return m_impl->LogAvailable();
+}
+
+OrderStatus
+OrderBook::StatusOf(const CustomerId& aCustomer,
+                    const OrderKey& aKey,
+                    const OrderTime& aTime)
+{
+  return m_impl->At(aTime, nullptr).StatusOf(aCustomer, aKey);
+}
+
+PartitionId
+OrderBook::PartitionOf(const CustomerId& aCustomer, const OrderKey& aKey) const
+{
+  return m_impl->PartitionOf(aCustomer, aKey);
+}
+
+OrderCounters
+OrderBook::Counters() const
+{
+  return m_impl->Counters();
+}
+
+std::size_t
+OrderBook::MemoryBytes() const
+{
+  return m_impl->MemoryBytes();
+}
+
+std::string
+StreamNameOf(PartitionId aPartition)
+{
+  std::array<char, 32> name{};
+  std::snprintf(name.data(), name.size(), "orders-%02u", aPartition);
+  return name.data();
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/orders/order_partition.cc
@@ -0,0 +1,167 @@
+// Reads follow each other at once while there is more to read, at the read
+// interval while a claim is awaited, and at the tail interval otherwise. An
+// append that was acknowledged during a read asks for another one, since the
+// answer under way may be from before the append.
+
+#include "walnutwing/orders/order_partition.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnutwing {
+
+OrderPartition::OrderPartition(const OrderBookOptions& aOptions, Time aNow)
+  : m_options(aOptions)
+  , m_index(ClaimIndexOptions{ aOptions.m_key,
+                               aOptions.m_maxDeadline,
+                               aOptions.m_maxBodyBytes })
+  , m_queue(AppendQueueOptions{ aOptions.m_batchDelay,
+                                aOptions.m_outcomeDelay,
+                                aOptions.m_recordRetryDelay,
+                                aOptions.m_recordRetryFor,
+                                aOptions.m_maxBatchRecords })
+  , m_nextRead(aNow)
+  , m_lastUsed(aNow)
+{
+}
+
+std::optional<LogOffset>
+OrderPartition::TakeRead(Time aNow)
+{
+  if (m_reading || aNow < m_nextRead) {
+    return std::nullopt;
+  }
+  m_reading = true;
+  m_readAgain = false;
+  return LogOffset(m_nextOffset);
+}
+
+void
+OrderPartition::ReadSoon(Time aNow)
+{
+  m_nextRead = aNow;
+  m_readAgain = m_reading;
+}
+
+bool
+OrderPartition::OnRecords(const proto::ReadResponse& aResponse, Time aNow)
+{
+  if (aResponse.next_offset() < m_nextOffset) {
+    OnReadFailed(aNow);
+    return false;
+  }
+  // Records that expired before they were read are too old for any key that is
+  // still accepted (see order_key.h).
+  m_nextOffset = std::max(m_nextOffset, aResponse.first_offset());
+  for (const proto::LogRecord& record : aResponse.records()) {
+    if (record.offset() < m_nextOffset) {
+      continue;
+    }
+    if (record.offset() > m_nextOffset) {
+      OnReadFailed(aNow);
+      return false;
+    }
+    m_index.Apply(record);
+    ++m_nextOffset;
+  }
+  DropRecordedResults();
+  m_reading = false;
+  const bool more = m_nextOffset < aResponse.next_offset();
+  if (!more) {
+    m_caughtUp = true;
+    m_caughtUpAt = aNow;
+  }
+  if (more || m_readAgain) {
+    m_nextRead = aNow;
+    return true;
+  }
+  const bool awaited = !m_awaitingRead.empty();
+  m_nextRead =
+    aNow + (awaited ? m_options.m_readInterval : m_options.m_tailInterval);
+  return true;
+}
+
+void
+OrderPartition::OnReadFailed(Time aNow)
+{
+  m_reading = false;
+  m_nextRead = aNow + m_options.m_readInterval;
+}
+
+bool
+OrderPartition::Current(Time aNow) const
+{
+  return m_caughtUp && m_caughtUpAt + 2 * m_options.m_tailInterval >= aNow;
+}
+
+std::optional<RequestId>
+OrderPartition::LiveRequest(const CustomerId& aCustomer,
+                            const OrderKey& aKey) const
+{
+  const auto found = m_live.find({ aCustomer, aKey });
+  return found == m_live.end() ? std::nullopt
+                               : std::optional<RequestId>(found->second);
+}
+
+std::vector<RequestId>
+OrderPartition::LiveRequests() const
+{
+  std::vector<RequestId> requests;
+  requests.reserve(m_live.size());
+  for (const auto& [name, request] : m_live) {
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+void
+OrderPartition::AddLive(const OrderRequest& aRequest, Time aNow)
+{
+  m_live.emplace(KeyName(aRequest.m_customer, aRequest.m_key), aRequest.m_id);
+  m_lastUsed = aNow;
+}
+
+void
+OrderPartition::RemoveLive(const OrderRequest& aRequest)
+{
+  m_live.erase({ aRequest.m_customer, aRequest.m_key });
+  m_awaitingRead.erase(aRequest.m_id);
+}
+
+void
+OrderPartition::SetLocalResult(const OrderRequest& aRequest,
+                               std::shared_ptr<const OrderResult> aResult)
+{
+  m_localResults[{ aRequest.m_customer, aRequest.m_key }] = std::move(aResult);
+}
+
+std::shared_ptr<const OrderResult>
+OrderPartition::ResultOf(const CustomerId& aCustomer,
+                         const OrderKey& aKey) const
+{
+  const HeldClaim* holder = m_index.Find(aCustomer, aKey);
+  if (holder != nullptr && holder->m_result) {
+    return holder->m_result;
+  }
+  const auto found = m_localResults.find({ aCustomer, aKey });
+  return found == m_localResults.end() ? nullptr : found->second;
+}
+
+void
+OrderPartition::DropRecordedResults()
+{
+  std::erase_if(m_localResults, [this](const auto& aEntry) {
+    const auto& [customer, key] = aEntry.first;
+    const HeldClaim* holder = m_index.Find(customer, key);
+    return holder == nullptr || holder->m_result != nullptr;
+  });
+}
+
+bool
+OrderPartition::Unused(Time aNow) const
+{
+  return m_lastUsed + m_options.m_partitionIdle < aNow && m_live.empty() &&
+         m_localResults.empty() && m_queue.Empty() && !m_reading;
+}
+
+} // namespace walnutwing
