--- /dev/null
+++ b/walnutwing/config/config_follower.cc
@@ -0,0 +1,370 @@
+// Three ways lead to the newest version: the log (polled), offers from peers
+// that moved forward, and the offer that every daemon makes to one random peer
+// every few seconds. Each alone would get there; together one change costs a
+// few reads a zone and a few hundred bytes a daemon.
+
+#include "walnutwing/config/config_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnutwing {
+namespace {
+
+constexpr unsigned kMaxDoublings = 8;
+constexpr int kJitterPercent = 20; // of an interval, added at most
+constexpr int kRetentionParts = 2; // a snapshot is renewed after a half
+constexpr int kJitterParts = 10;   // and up to a tenth later
+
+std::int64_t
+UnixMs(WallTime aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+bool
+IsDue(Time aNow, const std::optional<Time>& aLast, Duration aInterval)
+{
+  return !aLast || aNow - *aLast >= aInterval;
+}
+
+} // namespace
+
+ConfigFollower::ConfigFollower(ConfigFollowerOptions aOptions,
+                               DaemonId aSelf,
+                               OperatorKeys aKeys,
+                               std::uint64_t aSeed)
+  : m_options(aOptions)
+  , m_self(std::move(aSelf))
+  , m_state(std::move(aKeys))
+  , m_random(aSeed)
+  , m_snapshotJitter(Jittered(m_options.m_retention / kJitterParts))
+{
+}
+
+void
+ConfigFollower::OnTick(Time aNow, WallTime aWallNow, ConfigActions* aActions)
+{
+  if (m_readSince && aNow - *m_readSince >= m_options.m_readTimeout) {
+    OnLogFailed(aNow);
+  }
+  if (!m_readSince &&
+      IsDue(aNow, m_lastRead, PollInterval(aNow) + m_pollJitter)) {
+    Read(aNow, aActions);
+  }
+  RenewSnapshot(aNow, aWallNow, aActions);
+  if (!IsDue(aNow, m_lastOffer, m_options.m_offerInterval)) {
+    return;
+  }
+  m_lastOffer = aNow;
+  for (const DaemonId& peer : PickPeers(1)) {
+    if (m_state.Version() == 0) {
+      Pull(aNow, peer, aActions);
+    } else {
+      Offer(peer, aActions);
+    }
+  }
+}
+
+void
+ConfigFollower::OnLogRead(Time aNow,
+                          const proto::ReadResponse& aResponse,
+                          ConfigActions* aActions)
+{
+  m_readSince.reset();
+  m_lastRead = aNow;
+  m_failedReads = 0;
+  m_pollJitter = Jittered(PollInterval(aNow)) - PollInterval(aNow);
+  const ConfigVersion before = m_state.Version();
+  m_state.OnTruncated(aResponse.first_offset());
+  for (const proto::LogRecord& record : aResponse.records()) {
+    if (record.offset() < m_state.Next()) {
+      continue;
+    }
+    if (record.offset() > m_state.Next()) {
+      break; // an answer to an older question; the next read gets the rest
+    }
+    ApplyRecord(record);
+  }
+  if (m_state.Version() > before) {
+    MovedForward(aActions);
+  }
+  const bool more =
+    aResponse.records_size() > 0 && m_state.Next() < aResponse.next_offset();
+  if (more) {
+    Read(aNow, aActions);
+  }
+}
+
+void
+ConfigFollower::OnLogFailed(Time aNow)
+{
+  m_readSince.reset();
+  m_lastRead = aNow;
+  ++m_failedReads;
+  ++m_counters.m_failedReads;
+  m_pollJitter = Jittered(PollInterval(aNow)) - PollInterval(aNow);
+}
+
+void
+ConfigFollower::OnReaderRole(bool aIsReader)
+{
+  if (aIsReader && !m_isReader) {
+    m_pollJitter = Duration(0);
+  }
+  m_isReader = aIsReader;
+}
+
+void
+ConfigFollower::OnPeers(std::vector<DaemonId> aPeers)
+{
+  m_peers = std::move(aPeers);
+  std::erase(m_peers, m_self);
+}
+
+void
+ConfigFollower::OnPeerOffer(Time aNow,
+                            const DaemonId& aFrom,
+                            ConfigVersion aVersion,
+                            ConfigActions* aActions)
+{
+  m_lastHeard = aNow;
+  if (aVersion > m_state.Version()) {
+    Pull(aNow, aFrom, aActions);
+    return;
+  }
+  if (aVersion < m_state.Version()) {
+    Offer(aFrom, aActions);
+  }
+}
+
+void
+ConfigFollower::OnPeerPull(const DaemonId& aFrom,
+                           const proto::ConfigPull& aPull,
+                           ConfigActions* aActions)
+{
+  if (aPull.have_version() >= m_state.Version()) {
+    return;
+  }
+  SendConfigPush send{ aFrom, {} };
+  send.m_push.set_snapshot_at_ms(m_snapshotAtMs);
+  if (!FillEntries(aPull.have_version(), &send.m_push)) {
+    send.m_push.clear_entries();
+    *send.m_push.mutable_config() = m_state.Config();
+    ++m_counters.m_wholePushesSent;
+  }
+  ++m_counters.m_pushesSent;
+  aActions->emplace_back(std::move(send));
+}
+
+void
+ConfigFollower::OnPeerPush(Time aNow,
+                           const DaemonId& /*aFrom*/,
+                           const proto::ConfigPush& aPush,
+                           ConfigActions* aActions)
+{
+  m_lastHeard = aNow;
+  m_pullSince.reset();
+  NoteSnapshot(aPush.snapshot_at_ms());
+  const ConfigVersion before = m_state.Version();
+  if (aPush.has_config()) {
+    m_state.AdoptFromPeer(aPush.config());
+  }
+  for (const proto::ConfigLogEntry& entry : aPush.entries()) {
+    if (m_state.AdoptFromPeer(entry)) {
+      Keep(entry);
+    }
+  }
+  if (m_state.Version() > before) {
+    MovedForward(aActions);
+    return;
+  }
+  ++m_counters.m_pushesRefused;
+}
+
+void
+ConfigFollower::Read(Time aNow, ConfigActions* aActions)
+{
+  m_readSince = aNow;
+  ++m_counters.m_reads;
+  aActions->emplace_back(ReadLog{ m_state.Next() });
+}
+
+// Only a reader that has seen everything may say what the log amounts to.
+void
+ConfigFollower::RenewSnapshot(Time aNow,
+                              WallTime aWallNow,
+                              ConfigActions* aActions)
+{
+  if (!m_isReader || m_failedReads > 0 || !m_state.Anchored() ||
+      m_state.Version() == 0 ||
+      !IsDue(aNow, m_lastSnapshot, m_options.m_snapshotRetry)) {
+    return;
+  }
+  const Duration age(UnixMs(aWallNow) - m_snapshotAtMs);
+  if (age < m_options.m_retention / kRetentionParts + m_snapshotJitter) {
+    return;
+  }
+  m_lastSnapshot = aNow;
+  ++m_counters.m_snapshots;
+  const std::string id = "snapshot-" + m_self.Value() + "-" +
+                         std::to_string(UnixMs(aWallNow)) + "-" +
+                         std::to_string(++m_snapshotSequence);
+  aActions->emplace_back(
+    AppendSnapshot{ m_state.MakeSnapshot(id, UnixMs(aWallNow)) });
+}
+
+void
+ConfigFollower::Pull(Time aNow, const DaemonId& aFrom, ConfigActions* aActions)
+{
+  if (!IsDue(aNow, m_pullSince, m_options.m_pullTimeout)) {
+    return;
+  }
+  m_pullSince = aNow;
+  ++m_counters.m_pullsSent;
+  SendConfigPull send{ aFrom, {} };
+  send.m_pull.set_have_version(m_state.Version());
+  aActions->emplace_back(std::move(send));
+}
+
+void
+ConfigFollower::Offer(const DaemonId& aTo, ConfigActions* aActions)
+{
+  ++m_counters.m_offersSent;
+  SendConfigOffer send{ aTo, {} };
+  send.m_offer.set_version(m_state.Version());
+  aActions->emplace_back(std::move(send));
+}
+
+void
+ConfigFollower::MovedForward(ConfigActions* aActions)
+{
+  aActions->emplace_back(ConfigInForce{
+    std::make_shared<const proto::FleetConfig>(m_state.Config()) });
+  for (const DaemonId& peer : PickPeers(m_options.m_fanout)) {
+    Offer(peer, aActions);
+  }
+}
+
+void
+ConfigFollower::Keep(proto::ConfigLogEntry aEntry)
+{
+  m_kept.push_back(std::move(aEntry));
+  while (m_kept.size() > m_options.m_keptEntries) {
+    m_kept.pop_front();
+  }
+}
+
+// Adds the accepted changes since aHave; false if they are not all kept or are
+// too large.
+bool
+ConfigFollower::FillEntries(ConfigVersion aHave, proto::ConfigPush* aPush) const
+{
+  ConfigVersion reached = aHave;
+  std::size_t bytes = 0;
+  for (const proto::ConfigLogEntry& entry : m_kept) {
+    if (entry.offset() <= aHave) {
+      continue;
+    }
+    bytes += entry.ByteSizeLong();
+    if (entry.record().base_version() != reached ||
+        bytes > m_options.m_maxPushBytes) {
+      return false;
+    }
+    *aPush->add_entries() = entry;
+    reached = entry.offset();
+  }
+  return reached == m_state.Version();
+}
+
+void
+ConfigFollower::ApplyRecord(const proto::LogRecord& aRecord)
+{
+  proto::ConfigRecord record;
+  if (!record.ParseFromString(aRecord.body())) {
+    record.Clear();
+  }
+  // Nothing has expired before the first record, so it needs no snapshot yet.
+  if (aRecord.offset() == 1) {
+    NoteSnapshot(aRecord.at_ms());
+  }
+  std::vector<ConfigVerdict> verdicts;
+  m_state.Apply(aRecord.offset(), aRecord.at_ms(), record, &verdicts);
+  for (const ConfigVerdict& verdict : verdicts) {
+    switch (verdict.m_kind) {
+      case VerdictKind::Accepted:
+        ++m_counters.m_changesAccepted;
+        break;
+      case VerdictKind::RejectedStaleBase:
+      case VerdictKind::RejectedInvalid:
+      case VerdictKind::RejectedSignature:
+        ++m_counters.m_changesRejected;
+        break;
+      case VerdictKind::SnapshotIgnored:
+      case VerdictKind::SnapshotAdopted:
+        NoteSnapshot(std::min(aRecord.at_ms(), record.at_ms()));
+        break;
+      default:
+        break;
+    }
+  }
+  if (m_state.Version() != aRecord.offset()) {
+    return;
+  }
+  proto::ConfigLogEntry entry;
+  entry.set_offset(aRecord.offset());
+  entry.set_at_ms(aRecord.at_ms());
+  *entry.mutable_record() = std::move(record);
+  Keep(std::move(entry));
+}
+
+void
+ConfigFollower::NoteSnapshot(std::int64_t aAtMs)
+{
+  if (aAtMs <= m_snapshotAtMs) {
+    return;
+  }
+  m_snapshotAtMs = aAtMs;
+  m_snapshotJitter = Jittered(m_options.m_retention / kJitterParts) -
+                     m_options.m_retention / kJitterParts;
+}
+
+std::vector<DaemonId>
+ConfigFollower::PickPeers(std::size_t aCount)
+{
+  std::vector<DaemonId> picked;
+  std::sample(m_peers.begin(),
+              m_peers.end(),
+              std::back_inserter(picked),
+              aCount,
+              m_random);
+  return picked;
+}
+
+Duration
+ConfigFollower::PollInterval(Time aNow) const
+{
+  Duration interval = m_options.m_slowPoll;
+  if (m_isReader) {
+    interval = m_options.m_readerPoll;
+  } else if (IsDue(aNow, m_lastHeard, m_options.m_silence)) {
+    interval = m_options.m_silentPoll;
+  }
+  const unsigned doublings = std::min(m_failedReads, kMaxDoublings);
+  if (doublings == 0) {
+    return interval;
+  }
+  return std::max(
+    interval,
+    std::min(interval * (1 << doublings), m_options.m_failedPollLimit));
+}
+
+Duration
+ConfigFollower::Jittered(Duration aInterval)
+{
+  const Duration::rep most = aInterval.count() * kJitterPercent / 100;
+  return aInterval + Duration(std::uniform_int_distribution<Duration::rep>(
+                       0, std::max<Duration::rep>(most, 0))(m_random));
+}
+
+} // namespace walnutwing
--- a/walnutwing/config/settings.h
+++ b/walnutwing/config/settings.h
@@ -18,6 +18,7 @@
 #include "walnutwing/base/clock.h"
 #include "walnutwing/base/id.h"
 #include "walnutwing/config/ini.h"
+#include "walnutwing/config/text_value.h"
 
 namespace walnutwing {
 
@@ -113,13 +114,6 @@
 bool
 IsAddress(std::string_view aText);
 
-// The bytes that aHex spells, or nothing if it is not hexadecimal.
-std::optional<std::string>
-FromHex(std::string_view aHex);
-
-std::string
-ToHex(std::string_view aBytes);
-
 } // namespace walnutwing
 
 #endif // WALNUTWING_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/walnutwing/config/text_value.h
@@ -0,0 +1,32 @@
+#ifndef WALNUTWING_CONFIG_TEXT_VALUE_H_
+#define WALNUTWING_CONFIG_TEXT_VALUE_H_
+
+// Numbers and bytes as INI values spell them.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace walnutwing {
+
+// The decimal number aText if it lies between aLeast and aMost, or nothing.
+std::optional<std::uint64_t>
+ParseNumberBetween(std::string_view aText,
+                   std::uint64_t aLeast,
+                   std::uint64_t aMost);
+
+// "LEAST to MOST".
+std::string
+RangeText(std::uint64_t aLeast, std::uint64_t aMost);
+
+// The bytes that aHex spells, or nothing if it is not hexadecimal.
+std::optional<std::string>
+FromHex(std::string_view aHex);
+
+std::string
+ToHex(std::string_view aBytes);
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_CONFIG_TEXT_VALUE_H_
