--- a/walnutwing/config/config_log.cc
+++ b/walnutwing/config/config_log.cc
@@ -261,10 +261,16 @@
   }
   aRecord->set_base_version(aBase.version());
   aRecord->set_result_sha256(ContentDigest(*result));
-  aRecord->set_signature(SignatureOf(ProofOf(*aRecord), aOperatorKey));
+  SetSignature(aOperatorKey, aRecord);
   return findings;
 }
 
+void
+SetSignature(std::string_view aOperatorKey, proto::ConfigRecord* aRecord)
+{
+  aRecord->set_signature(SignatureOf(ProofOf(*aRecord), aOperatorKey));
+}
+
 proto::ChangeProof
 ProofOf(const proto::ConfigRecord& aRecord)
 {
--- a/walnutwing/config/config_log.h
+++ b/walnutwing/config/config_log.h
@@ -94,6 +94,10 @@
            std::string_view aOperatorKey,
            proto::ConfigRecord* aRecord);
 
+// Signs aRecord as it stands, sound or not.
+void
+SetSignature(std::string_view aOperatorKey, proto::ConfigRecord* aRecord);
+
 // What of aRecord is signed, with its signature.
 proto::ChangeProof
 ProofOf(const proto::ConfigRecord& aRecord);
