--- a/walnutwing/placement/permit_client.cc
+++ b/walnutwing/placement/permit_client.cc
@@ -103,28 +103,47 @@
     AskTarget(aRequest, *aRequest.m_full, true, aNow, aOut);
     return;
   }
-  if (inTime && !aRequest.m_code && SelfPermit(aRequest, aOut)) {
+  if (inTime && !aRequest.m_full && SelfPermit(aRequest, aNow, aOut)) {
     return;
   }
   PermitRefused refused;
   refused.m_request = aRequest.m_ask.m_request;
-  const bool none = aRequest.m_ask.m_targets.empty();
-  refused.m_code = aRequest.m_code.value_or(none ? ResultCode::NoUpstream
-                                                 : ResultCode::PermitTimeout);
+  refused.m_code = RefusalCode(aRequest, inTime);
   refused.m_retryAfter = aRequest.m_retryAfter.value_or(m_options.m_retryAfter);
   m_requests.erase(refused.m_request);
   aOut.emplace_back(refused);
 }
 
+ResultCode
+PermitClient::RefusalCode(const Request& aRequest, bool aInTime)
+{
+  if (!aInTime) {
+    return ResultCode::DeadlineTooShort;
+  }
+  if (aRequest.m_code) {
+    return *aRequest.m_code;
+  }
+  return aRequest.m_ask.m_targets.empty() ? ResultCode::NoUpstream
+                                          : ResultCode::PermitTimeout;
+}
+
+// Takes a target that has no owner or whose owner does not answer. Each target
+// is considered once, so that an unreachable upstream is not tried again.
 bool
-PermitClient::SelfPermit(Request& aRequest, PermitClientActions& aOut)
+PermitClient::SelfPermit(Request& aRequest,
+                         Time aNow,
+                         PermitClientActions& aOut)
 {
   const auto& targets = aRequest.m_ask.m_targets;
-  for (std::size_t i = 0; i < targets.size(); ++i) {
-    const auto held = m_held.find(targets[i].m_upstream);
+  while (aRequest.m_selfNext < targets.size()) {
+    const std::size_t i = aRequest.m_selfNext++;
+    const PermitTarget& target = targets[i];
+    const auto held = m_held.find(target.m_upstream);
     const std::uint32_t used =
       held == m_held.end() ? 0 : held->second.m_selfPermitted;
-    if (used >= targets[i].m_selfPermitLimit) {
+    const bool answers =
+      !target.m_owner.Empty() && !IsSilent(target.m_owner, aNow);
+    if (answers || used >= target.m_selfPermitLimit) {
       continue;
     }
     Hold(aRequest, i, true, aOut);
@@ -212,12 +231,31 @@
   }
   request->m_retryAfter =
     std::min(retryAfter, request->m_retryAfter.value_or(retryAfter));
-  if (code == ResultCode::QueueFull && !request->m_full) {
+  if (code == ResultCode::NoUpstream) {
+    DropTarget(*request);
+  } else if (code == ResultCode::QueueFull && !request->m_full) {
     request->m_full = request->m_current;
   }
   AskNext(*request, aNow, aOut);
 }
 
+// The current upstream takes no more work: a request that waited for it starts
+// over with the others. Each call takes one target away, so this ends.
+void
+PermitClient::DropTarget(Request& aRequest)
+{
+  PermitTarget& target = aRequest.m_ask.m_targets[aRequest.m_current];
+  target.m_owner = DaemonId();
+  target.m_selfPermitLimit = 0;
+  if (aRequest.m_phase != Phase::Waiting) {
+    return;
+  }
+  aRequest.m_full.reset();
+  aRequest.m_waited = false;
+  aRequest.m_next = 0;
+  aRequest.m_tries = 0;
+}
+
 void
 PermitClient::OnTick(Time aNow, PermitClientActions& aOut)
 {
@@ -225,11 +263,12 @@
     Request& request = m_requests.at(m_timeouts.begin()->second);
     StopTimeout(request);
     Release(request, false, false, aOut);
-    const DaemonId& owner = request.m_ask.m_targets[request.m_current].m_owner;
-    if (request.m_phase == Phase::Asking) {
-      m_silentUntil[owner] = aNow + m_options.m_ownerBackoff;
-    } else {
-      request.m_code = ResultCode::DeadlineTooShort;
+    const PermitAsk& ask = request.m_ask;
+    if (request.m_phase == Phase::Waiting) {
+      request.m_code = ResultCode::PermitTimeout;
+    } else if (aNow < ask.m_deadline) {
+      m_silentUntil[ask.m_targets[request.m_current].m_owner] =
+        aNow + m_options.m_ownerBackoff;
     }
     AskNext(request, aNow, aOut);
   }
--- a/walnutwing/placement/permit_client.h
+++ b/walnutwing/placement/permit_client.h
@@ -149,6 +149,7 @@
     std::size_t m_next = 0;    // the target to ask next
     std::size_t m_current = 0; // the target that is asked or held
     std::size_t m_tries = 0;
+    std::size_t m_selfNext = 0; // the target to consider for a self-permit
     std::optional<std::size_t> m_full; // first target whose owner was full
     bool m_waited = false;
     bool m_selfPermitted = false;
@@ -165,7 +166,9 @@
                  Time aNow,
                  PermitClientActions& aOut);
   void FinishAsking(Request& aRequest, Time aNow, PermitClientActions& aOut);
-  bool SelfPermit(Request& aRequest, PermitClientActions& aOut);
+  bool SelfPermit(Request& aRequest, Time aNow, PermitClientActions& aOut);
+  static ResultCode RefusalCode(const Request& aRequest, bool aInTime);
+  static void DropTarget(Request& aRequest);
   void Hold(Request& aRequest,
             std::size_t aTarget,
             bool aSelfPermitted,
