--- /dev/null
+++ b/walnutwing/membership/byte_budget.cc
@@ -0,0 +1,72 @@
+// A token bucket in thousandths of a byte: bytes a second times milliseconds
+// needs no division. A class may spend only what lies above the reserve of the
+// classes before it, so gossip stops first and probes last.
+
+#include "walnutwing/membership/byte_budget.h"
+
+#include <algorithm>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::uint64_t kMilli = 1000;
+constexpr std::uint64_t kPercent = 100;
+
+} // namespace
+
+ByteBudget::ByteBudget(ByteBudgetOptions aOptions, Time aNow)
+  : m_options(aOptions)
+  , m_refilled(aNow)
+  , m_milliBytes(aOptions.m_burstBytes * kMilli)
+{
+}
+
+void
+ByteBudget::Refill(Time aNow)
+{
+  if (aNow <= m_refilled) {
+    return;
+  }
+  const auto elapsed = static_cast<std::uint64_t>((aNow - m_refilled).count());
+  const std::uint64_t full = m_options.m_burstBytes * kMilli;
+  m_milliBytes =
+    std::min(full, m_milliBytes + elapsed * m_options.m_bytesPerSecond);
+  m_refilled = aNow;
+}
+
+std::uint64_t
+ByteBudget::ReserveOf(Traffic aClass) const
+{
+  const std::uint64_t full = m_options.m_burstBytes * kMilli;
+  switch (aClass) {
+    case Traffic::Probe:
+      return 0;
+    case Traffic::Permit:
+      return full * m_options.m_permitReservePercent / kPercent;
+    case Traffic::Gossip:
+      return full * m_options.m_gossipReservePercent / kPercent;
+  }
+  return full;
+}
+
+std::size_t
+ByteBudget::Available(Traffic aClass, Time aNow)
+{
+  Refill(aNow);
+  const std::uint64_t reserve = ReserveOf(aClass);
+  return m_milliBytes <= reserve ? 0 : (m_milliBytes - reserve) / kMilli;
+}
+
+bool
+ByteBudget::TrySpend(Traffic aClass, std::size_t aBytes, Time aNow)
+{
+  if (Available(aClass, aNow) < aBytes) {
+    ++m_refused;
+    return false;
+  }
+  m_milliBytes -= aBytes * kMilli;
+  m_spent += aBytes;
+  return true;
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/membership/fake_peer_network.h
@@ -0,0 +1,231 @@
+#ifndef WALNUTWING_MEMBERSHIP_FAKE_PEER_NETWORK_H_
+#define WALNUTWING_MEMBERSHIP_FAKE_PEER_NETWORK_H_
+
+// A fake network in virtual time, for the tests and the bench of membership/:
+// daemons that are only a Membership and a budget, and messages in their real
+// encoding that are delayed, lost or cut off as told. Same seed, same run.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "walnutwing/membership/membership.h"
+
+namespace walnutwing {
+
+class FakePeerNetwork
+{
+public:
+  struct Node
+  {
+    MembershipSelf m_self;
+    std::unique_ptr<ByteBudget> m_budget;
+    std::unique_ptr<Membership> m_membership;
+    bool m_running = false;
+    bool m_frozen = false;
+    Time m_nextTick;
+    std::set<DaemonId> m_up;   // by MemberUp, MemberDown, MemberLeaving
+    std::uint64_t m_downs = 0; // MemberDown actions
+    std::uint64_t m_sentBytes = 0;
+    std::uint64_t m_receivedBytes = 0;
+    std::uint64_t m_sentMessages = 0;
+  };
+
+  FakePeerNetwork(MembershipOptions aOptions,
+                  ByteBudgetOptions aBudget,
+                  std::uint64_t aSeed)
+    : m_options(aOptions)
+    , m_budgetOptions(aBudget)
+    , m_random(aSeed)
+  {
+  }
+
+  double m_loss = 0; // share of messages lost
+  Duration m_delay{ 1 };
+  Duration m_jitter{ 4 };
+  // Whether a message between two zones gets through.
+  std::function<bool(const ZoneId&, const ZoneId&)> m_passes;
+  // Called for each action of each node.
+  std::function<void(Node&, const MembershipAction&)> m_onAction;
+
+  // Creates a daemon and starts it. Seeds are the first two daemons.
+  Node& Add(const std::string& aZone, const std::string& aRegion = "r")
+  {
+    const std::string number = std::to_string(m_nodes.size());
+    auto node = std::make_unique<Node>();
+    node->m_self.m_daemon = DaemonId("entry-" + aZone + "-" + number);
+    node->m_self.m_zone = ZoneId(aZone);
+    node->m_self.m_region = RegionId(aRegion);
+    node->m_self.m_peerAddress =
+      "10.0." + std::to_string(m_nodes.size() / 250) + "." + number + ":7402";
+    m_byAddress[node->m_self.m_peerAddress] = node.get();
+    m_nodes.push_back(std::move(node));
+    Start(*m_nodes.back());
+    return *m_nodes.back();
+  }
+
+  // A new process under the same id.
+  void Start(Node& aNode)
+  {
+    aNode.m_self.m_incarnation = kFirstIncarnation + Elapsed().count();
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < m_nodes.size() && i < kSeeds; ++i) {
+      seeds.push_back(m_nodes[i]->m_self.m_peerAddress);
+    }
+    std::erase(seeds, aNode.m_self.m_peerAddress);
+    aNode.m_budget = std::make_unique<ByteBudget>(m_budgetOptions, m_now);
+    aNode.m_membership =
+      std::make_unique<Membership>(m_options,
+                                   aNode.m_self,
+                                   seeds,
+                                   *aNode.m_budget,
+                                   std::mt19937_64(m_random()),
+                                   m_now);
+    aNode.m_running = true;
+    aNode.m_frozen = false;
+    aNode.m_up.clear();
+    aNode.m_nextTick = m_now + Duration(m_random() % kTick.count());
+  }
+
+  static void Kill(Node& aNode) { aNode.m_running = false; }
+
+  // Does nothing until Thaw, which hands it what was sent to it meanwhile.
+  static void Freeze(Node& aNode) { aNode.m_frozen = true; }
+  static void Thaw(Node& aNode) { aNode.m_frozen = false; }
+
+  void Run(Duration aTime)
+  {
+    const Time end = m_now + aTime;
+    while (m_now < end) {
+      m_now += kStep;
+      Deliver();
+      for (const auto& node : m_nodes) {
+        if (!node->m_running || node->m_frozen || m_now < node->m_nextTick) {
+          continue;
+        }
+        node->m_nextTick = m_now + kTick;
+        MembershipActions actions;
+        node->m_membership->OnTick(m_now, actions);
+        Take(*node, actions);
+      }
+    }
+  }
+
+  // Carries out what a call of the test on a node's Membership asked for.
+  void Take(Node& aNode, const MembershipActions& aActions)
+  {
+    for (const MembershipAction& action : aActions) {
+      if (m_onAction) {
+        m_onAction(aNode, action);
+      }
+      if (const auto* send = std::get_if<SendPeer>(&action)) {
+        Transmit(aNode, *send);
+      } else if (const auto* up = std::get_if<MemberUp>(&action)) {
+        aNode.m_up.insert(up->m_member.m_daemon);
+      } else if (const auto* down = std::get_if<MemberDown>(&action)) {
+        aNode.m_up.erase(down->m_daemon);
+        ++aNode.m_downs;
+      } else if (const auto* leaving = std::get_if<MemberLeaving>(&action)) {
+        aNode.m_up.erase(leaving->m_daemon);
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<Node>>& Nodes() { return m_nodes; }
+  Time Now() const { return m_now; }
+  Duration Elapsed() const { return m_now - Time{ std::chrono::hours(1) }; }
+
+private:
+  static constexpr Duration kStep{ 5 };
+  static constexpr Duration kTick{ 100 };
+  static constexpr std::size_t kSeeds = 2;
+  static constexpr std::uint64_t kFirstIncarnation = 1'800'000'000'000;
+
+  struct Packet
+  {
+    Node* m_to = nullptr;
+    ZoneId m_fromZone;
+    std::string m_bytes;
+    std::size_t m_wireBytes = 0;
+  };
+
+  void Transmit(Node& aFrom, const SendPeer& aSend)
+  {
+    proto::PeerEnvelope envelope;
+    envelope.set_from(aFrom.m_self.m_daemon.Value());
+    envelope.set_incarnation(aFrom.m_membership->Incarnation());
+    for (const proto::PeerMessage& message : aSend.m_messages) {
+      *envelope.add_messages() = message;
+    }
+    Packet packet;
+    packet.m_bytes = envelope.SerializeAsString();
+    packet.m_wireBytes = packet.m_bytes.size() + kPacketOverheadBytes;
+    packet.m_fromZone = aFrom.m_self.m_zone;
+    aFrom.m_sentBytes += packet.m_wireBytes;
+    ++aFrom.m_sentMessages;
+    const auto to = m_byAddress.find(aSend.m_address);
+    if (to == m_byAddress.end()) {
+      return;
+    }
+    packet.m_to = to->second;
+    const Duration jitter(m_random() % (m_jitter.count() + 1));
+    m_packets.emplace(m_now + m_delay + jitter, std::move(packet));
+  }
+
+  void Deliver()
+  {
+    std::vector<Packet> kept;
+    while (!m_packets.empty() && m_packets.begin()->first <= m_now) {
+      Packet packet = std::move(m_packets.begin()->second);
+      m_packets.erase(m_packets.begin());
+      if (packet.m_to->m_frozen && packet.m_to->m_running) {
+        kept.push_back(std::move(packet));
+        continue;
+      }
+      Receive(packet);
+    }
+    for (Packet& packet : kept) {
+      m_packets.emplace(m_now + kStep, std::move(packet));
+    }
+  }
+
+  void Receive(const Packet& aPacket)
+  {
+    Node& node = *aPacket.m_to;
+    const double draw =
+      static_cast<double>(m_random() >> 11) / static_cast<double>(1ULL << 53);
+    const bool cut =
+      m_passes && !m_passes(aPacket.m_fromZone, node.m_self.m_zone);
+    if (!node.m_running || cut || draw < m_loss) {
+      return;
+    }
+    node.m_receivedBytes += aPacket.m_wireBytes;
+    proto::PeerEnvelope envelope;
+    if (!envelope.ParseFromString(aPacket.m_bytes)) {
+      throw std::logic_error("a message of ours cannot be read");
+    }
+    MembershipActions actions;
+    for (const proto::PeerMessage& message : envelope.messages()) {
+      node.m_membership->OnMessage(
+        DaemonId(envelope.from()), message, m_now, actions);
+    }
+    Take(node, actions);
+  }
+
+  MembershipOptions m_options;
+  ByteBudgetOptions m_budgetOptions;
+  std::mt19937_64 m_random;
+  Time m_now{ std::chrono::hours(1) };
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  std::map<std::string, Node*> m_byAddress;
+  std::multimap<Time, Packet> m_packets;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_MEMBERSHIP_FAKE_PEER_NETWORK_H_
--- /dev/null
+++ b/walnutwing/membership/flap_damper.h
@@ -0,0 +1,37 @@
+#ifndef WALNUTWING_MEMBERSHIP_FLAP_DAMPER_H_
+#define WALNUTWING_MEMBERSHIP_FLAP_DAMPER_H_
+
+// Route flap damping (RFC 2439) for one member: each loss adds a point, points
+// halve with a half-life, and a member is held down from the limit until the
+// points fall below the release.
+
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing {
+
+struct FlapDamperOptions
+{
+  Duration m_halfLife{ 60000 };
+  double m_limit = 2.5;
+  double m_release = 1.0;
+};
+
+class FlapDamper
+{
+public:
+  void OnLoss(const FlapDamperOptions& aOptions, Time aNow);
+
+  // Whether the member is held down. Ask from time to time: it releases here.
+  bool IsDamped(const FlapDamperOptions& aOptions, Time aNow);
+
+private:
+  void Decay(const FlapDamperOptions& aOptions, Time aNow);
+
+  double m_points = 0;
+  Time m_decayed{};
+  bool m_damped = false;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_MEMBERSHIP_FLAP_DAMPER_H_
--- /dev/null
+++ b/walnutwing/membership/member_table.cc
@@ -0,0 +1,219 @@
+// A word is a fact about one daemon. Words form a total order for each daemon,
+// and merging keeps the largest; so the order in which words arrive, and how
+// often, does not matter. Only the member itself raises its incarnation and
+// refutation, hence it always has the last word while it lives.
+
+#include "walnutwing/membership/member_table.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "walnutwing/membership/stable_hash.h"
+
+namespace walnutwing {
+namespace {
+
+using State = proto::MemberState;
+
+int
+RankOf(State::Status aStatus)
+{
+  switch (aStatus) {
+    case State::ALIVE:
+      return 0;
+    case State::SUSPECT:
+      return 1;
+    case State::LEAVING:
+      return 2;
+    default:
+      return 3;
+  }
+}
+
+auto
+OrderOf(const State& aState)
+{
+  return std::make_tuple(
+    aState.incarnation(), aState.refutation(), RankOf(aState.status()));
+}
+
+bool
+IsRunning(const State& aState)
+{
+  return aState.status() == State::ALIVE || aState.status() == State::SUSPECT;
+}
+
+// A death, or a restart that was not announced by leaving.
+bool
+IsLoss(const State& aBefore, const State& aAfter)
+{
+  if (aBefore.incarnation() == 0 || !IsRunning(aBefore)) {
+    return false;
+  }
+  return aAfter.status() == State::DEAD ||
+         aAfter.incarnation() != aBefore.incarnation();
+}
+
+} // namespace
+
+bool
+Supersedes(const State& aWord, const State& aKnown)
+{
+  return OrderOf(aWord) > OrderOf(aKnown);
+}
+
+MemberTable::MemberTable(FlapDamperOptions aFlap, std::uint32_t aRelaysPerZone)
+  : m_flap(aFlap)
+  , m_relaysPerZone(aRelaysPerZone)
+{
+}
+
+Member*
+MemberTable::Find(const DaemonId& aDaemon)
+{
+  const auto found = m_members.find(aDaemon);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+const Member*
+MemberTable::Find(const DaemonId& aDaemon) const
+{
+  const auto found = m_members.find(aDaemon);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+MergeResult
+MemberTable::Merge(const State& aWord, Time aNow)
+{
+  const Member* known = Find(DaemonId(aWord.daemon()));
+  if (known == nullptr) {
+    if (aWord.zone().empty()) {
+      return MergeResult::Nothing;
+    }
+    Set(aWord, aNow);
+    return MergeResult::Changed;
+  }
+  State merged = known->m_state;
+  const bool newer = Supersedes(aWord, merged);
+  const bool newerVersion = aWord.config_version() > merged.config_version();
+  if (!newer && !newerVersion) {
+    return MergeResult::Nothing;
+  }
+  merged.set_config_version(
+    std::max(aWord.config_version(), merged.config_version()));
+  if (newer) {
+    merged.set_incarnation(aWord.incarnation());
+    merged.set_refutation(aWord.refutation());
+    merged.set_status(aWord.status());
+  }
+  if (newer && !aWord.zone().empty()) {
+    merged.set_zone(aWord.zone());
+    merged.set_region(aWord.region());
+    merged.set_peer_address(aWord.peer_address());
+  }
+  Set(merged, aNow);
+  return newer ? MergeResult::Changed : MergeResult::VersionOnly;
+}
+
+Member&
+MemberTable::Set(const State& aState, Time aNow)
+{
+  Member& member = m_members[DaemonId(aState.daemon())];
+  const bool statusChanged =
+    aState.status() != member.m_state.status() ||
+    aState.incarnation() != member.m_state.incarnation() ||
+    member.m_state.daemon().empty();
+  if (IsLoss(member.m_state, aState)) {
+    member.m_damper.OnLoss(m_flap, aNow);
+  }
+  if (statusChanged) {
+    member.m_changed = aNow;
+  }
+  if (aState.status() != State::SUSPECT) {
+    member.m_suspectUntil.reset();
+    member.m_suspectedHere = false;
+  }
+  member.m_state = aState;
+  UpdateDigest(member);
+  ++m_version;
+  return member;
+}
+
+void
+MemberTable::SetStatus(Member& aMember, State::Status aStatus, Time aNow)
+{
+  State state = aMember.m_state;
+  state.set_status(aStatus);
+  Set(state, aNow);
+}
+
+void
+MemberTable::UpdateDigest(Member& aMember)
+{
+  const std::string& daemon = aMember.m_state.daemon();
+  m_digest.Toggle(daemon, aMember.m_hash);
+  aMember.m_hash = ViewDigest::HashOf(aMember.m_state);
+  m_digest.Toggle(daemon, aMember.m_hash);
+}
+
+void
+MemberTable::Remove(const DaemonId& aDaemon)
+{
+  const auto found = m_members.find(aDaemon);
+  if (found == m_members.end()) {
+    return;
+  }
+  m_digest.Toggle(aDaemon.Value(), found->second.m_hash);
+  m_members.erase(found);
+  ++m_version;
+}
+
+std::vector<ZoneId>
+MemberTable::Zones() const
+{
+  std::set<ZoneId> zones;
+  for (const auto& [daemon, member] : m_members) {
+    if (member.m_state.status() != State::DEAD) {
+      zones.insert(ZoneId(member.m_state.zone()));
+    }
+  }
+  return { zones.begin(), zones.end() };
+}
+
+const std::vector<DaemonId>&
+MemberTable::RelaysOf(const ZoneId& aZone) const
+{
+  if (m_relaysVersion != m_version) {
+    PickRelays();
+    m_relaysVersion = m_version;
+  }
+  static const std::vector<DaemonId> kNone;
+  const auto found = m_relays.find(aZone);
+  return found == m_relays.end() ? kNone : found->second;
+}
+
+void
+MemberTable::PickRelays() const
+{
+  std::map<ZoneId, std::vector<std::pair<std::uint64_t, DaemonId>>> ranked;
+  for (const auto& [daemon, member] : m_members) {
+    if (!IsRunning(member.m_state) || member.m_listedLeaving) {
+      continue;
+    }
+    const std::string& zone = member.m_state.zone();
+    ranked[ZoneId(zone)].emplace_back(
+      StableHash(daemon.Value(), StableHash(zone)), daemon);
+  }
+  m_relays.clear();
+  for (auto& [zone, members] : ranked) {
+    std::sort(members.rbegin(), members.rend());
+    members.resize(std::min<std::size_t>(members.size(), m_relaysPerZone));
+    for (auto& [hash, daemon] : members) {
+      m_relays[zone].push_back(std::move(daemon));
+    }
+  }
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/membership/membership.cc
@@ -0,0 +1,533 @@
+// Events, the platform's list, and what the driver is told. Each event may
+// change the table; Announce then compares what each member is with what the
+// driver was last told, so that no path can forget to tell it.
+
+#include "walnutwing/membership/membership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "walnutwing/membership/membership_impl.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr int kPausePeriods = 2; // a longer gap between ticks is a pause
+
+MemberStatus
+StatusOf(proto::MemberState::Status aStatus)
+{
+  switch (aStatus) {
+    case proto::MemberState::ALIVE:
+      return MemberStatus::Alive;
+    case proto::MemberState::SUSPECT:
+      return MemberStatus::Suspect;
+    case proto::MemberState::LEAVING:
+      return MemberStatus::Leaving;
+    default:
+      return MemberStatus::Dead;
+  }
+}
+
+FlapDamperOptions
+FlapOptionsOf(const MembershipOptions& aOptions)
+{
+  return { aOptions.m_flapHalfLife,
+           aOptions.m_flapLimit,
+           aOptions.m_flapRelease };
+}
+
+} // namespace
+
+std::string_view
+NameOf(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Alive:
+      return "alive";
+    case MemberStatus::Suspect:
+      return "suspect";
+    case MemberStatus::Dead:
+      return "dead";
+    case MemberStatus::Leaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+Membership::Impl::Impl(MembershipOptions aOptions,
+                       MembershipSelf aSelf,
+                       std::vector<std::string> aSeeds,
+                       ByteBudget& aBudget,
+                       std::mt19937_64 aRandom,
+                       Time aNow)
+  : m_options(aOptions)
+  , m_self(std::move(aSelf))
+  , m_seeds(std::move(aSeeds))
+  , m_budget(aBudget)
+  , m_random(aRandom)
+  , m_now(aNow)
+  , m_started(aNow)
+  , m_lastTick(aNow)
+  , m_table(FlapOptionsOf(aOptions), aOptions.m_relaysPerZone)
+  , m_links(aOptions.m_linkLifetime)
+  , m_linkSequence(m_self.m_incarnation)
+  , m_nextContact(aNow)
+  , m_contactDelay(aOptions.m_period)
+  , m_nextGossip(aNow)
+  , m_nextSummary(aNow)
+  , m_nextSync(aNow)
+  , m_nextAnnounce(aNow)
+{
+  State state;
+  state.set_daemon(m_self.m_daemon.Value());
+  state.set_incarnation(m_self.m_incarnation);
+  state.set_zone(m_self.m_zone.Value());
+  state.set_region(m_self.m_region.Value());
+  state.set_peer_address(m_self.m_peerAddress);
+  m_table.Set(state, aNow);
+  QueueMember(state, m_self.m_zone);
+  // Members that start together must not ping together.
+  const auto spread = [this](Duration aPeriod) {
+    return Duration(static_cast<std::int64_t>(
+      m_random() % static_cast<std::uint64_t>(aPeriod.count())));
+  };
+  m_nextProbe = aNow + spread(m_options.m_period);
+  m_nextZoneProbe = aNow + spread(m_options.m_zonePeriod);
+}
+
+// Takes the time of an event. After a pause of this process, answers that came
+// meanwhile are unread, so nobody is to blame for what seems overdue.
+void
+Membership::Impl::Advance(Time aNow)
+{
+  const Duration gap = aNow - m_lastTick;
+  m_now = aNow;
+  if (gap <= kPausePeriods * m_options.m_period) {
+    return;
+  }
+  ++m_counters.m_pauses;
+  m_lastTick = aNow;
+  m_probes.clear();
+  m_links.Prolong(gap);
+  for (auto& [zone, contact] : m_zoneContacts) {
+    contact.m_pending = false;
+  }
+  for (auto& [daemon, member] : m_table.All()) {
+    if (member.m_suspectUntil.has_value()) {
+      *member.m_suspectUntil += gap;
+    }
+  }
+}
+
+void
+Membership::Impl::OnTick(Time aNow, MembershipActions& aActions)
+{
+  Advance(aNow);
+  m_lastTick = aNow;
+  TickProbes(aActions);
+  TickGossip(aActions);
+  if (aNow >= m_nextAnnounce) {
+    m_nextAnnounce = aNow + m_options.m_period;
+    m_announcedVersion = 0; // damping, grace and links change with time
+    ForgetMembers(aNow);
+  }
+  Announce(aActions);
+}
+
+bool
+Membership::Impl::OnMessage(const DaemonId& aFrom,
+                            const proto::PeerMessage& aMessage,
+                            Time aNow,
+                            MembershipActions& aActions)
+{
+  using Kind = proto::PeerMessage::MessageCase;
+  Advance(aNow);
+  switch (aMessage.message_case()) {
+    case Kind::kPing:
+      OnPing(aFrom, aMessage.ping(), aActions);
+      break;
+    case Kind::kAck:
+      OnAck(aFrom, aMessage.ack(), aActions);
+      break;
+    case Kind::kPingRequest:
+      OnPingRequest(aFrom, aMessage.ping_request(), aActions);
+      break;
+    case Kind::kGossip:
+      OnGossip(aFrom, aMessage.gossip(), aActions);
+      break;
+    default:
+      return false;
+  }
+  Announce(aActions);
+  return true;
+}
+
+void
+Membership::Impl::OnVmList(const proto::VmList& aList,
+                           Time aNow,
+                           MembershipActions& aActions)
+{
+  Advance(aNow);
+  UnlistVms(aList);
+  for (const proto::VmEntry& vm : aList.vms()) {
+    if (vm.kind() == proto::VmEntry::ENTRY &&
+        vm.id() != m_self.m_daemon.Value()) {
+      ListVm(vm, aNow);
+    }
+  }
+  m_announcedVersion = 0;
+  Announce(aActions);
+}
+
+void
+Membership::Impl::ListVm(const proto::VmEntry& aVm, Time aNow)
+{
+  Member* member = m_table.Find(DaemonId(aVm.id()));
+  const bool onlyListed =
+    member != nullptr && member->m_state.incarnation() == 0;
+  const bool moved =
+    onlyListed && member->m_state.peer_address() != aVm.peer_address();
+  if (member == nullptr || moved) {
+    State state;
+    state.set_daemon(aVm.id());
+    state.set_zone(aVm.zone());
+    state.set_region(aVm.region());
+    state.set_peer_address(aVm.peer_address());
+    member = &m_table.Set(state, aNow);
+  }
+  member->m_listed = true;
+  member->m_listedLeaving = aVm.leaving();
+}
+
+// A VM that the list has dropped stays a member while its peers hear of it.
+void
+Membership::Impl::UnlistVms(const proto::VmList& aList)
+{
+  std::set<std::string> listed;
+  for (const proto::VmEntry& vm : aList.vms()) {
+    listed.insert(vm.id());
+  }
+  for (auto& [daemon, member] : m_table.All()) {
+    if (listed.contains(daemon.Value())) {
+      continue;
+    }
+    member.m_listed = false;
+    member.m_listedLeaving = false;
+  }
+}
+
+// Drops members that no one needs to remember: never heard of and no longer
+// listed, or dead for long and not listed. While the list names a dead VM, its
+// death is remembered, so that a stale list does not revive it.
+void
+Membership::Impl::ForgetMembers(Time aNow)
+{
+  std::vector<DaemonId> forgotten;
+  for (const auto& [daemon, member] : m_table.All()) {
+    const bool neverHeard = member.m_state.incarnation() == 0;
+    const bool longDead = member.m_state.status() == State::DEAD &&
+                          aNow - member.m_changed > m_options.m_forgetAfter;
+    const bool told = member.m_announced == Announced::Up ||
+                      member.m_announced == Announced::Leaving;
+    if (!member.m_listed && !told && (neverHeard || longDead)) {
+      forgotten.push_back(daemon);
+    }
+  }
+  for (const DaemonId& daemon : forgotten) {
+    m_queue.Remove({ DeltaKind::Member, daemon.Value() });
+    m_queue.Remove({ DeltaKind::MemberVersion, daemon.Value() });
+    m_table.Remove(daemon);
+  }
+}
+
+void
+Membership::Impl::OnStop(Time aNow, MembershipActions& aActions)
+{
+  Advance(aNow);
+  if (Stopping()) {
+    return;
+  }
+  m_table.SetStatus(Self(), State::LEAVING, aNow);
+  QueueMember(Self().m_state, m_self.m_zone);
+  // One message each to a few members here and to a relay of each other zone;
+  // they pass it on.
+  const std::vector<const Member*> members = ZoneMembers(true);
+  for (std::uint32_t i = 0; i < m_options.m_retransmits && !members.empty();
+       ++i) {
+    SendChanges(ZoneId(), aActions);
+  }
+  for (const ZoneId& zone : OtherZones(m_self.m_zone)) {
+    const Member* relay = PickInZone(zone, true);
+    if (relay == nullptr) {
+      continue;
+    }
+    proto::Gossip gossip;
+    *gossip.add_members() = WordOf(Self());
+    Send(DaemonId(relay->m_state.daemon()),
+         relay->m_state.peer_address(),
+         zone,
+         Traffic::Probe,
+         {},
+         std::move(gossip),
+         aActions);
+  }
+}
+
+void
+Membership::Impl::SetConfigVersion(std::uint64_t aVersion)
+{
+  if (aVersion <= Self().m_state.config_version()) {
+    return;
+  }
+  State state = Self().m_state;
+  state.set_config_version(aVersion);
+  m_table.Set(state, m_now);
+  QueueLocal(DeltaKind::MemberVersion,
+             m_self.m_daemon.Value(),
+             DeltaUrgency::Load,
+             m_options.m_loadRetransmits);
+}
+
+bool
+Membership::Impl::IsRelay() const
+{
+  const std::vector<DaemonId>& relays = m_table.RelaysOf(m_self.m_zone);
+  return std::find(relays.begin(), relays.end(), m_self.m_daemon) !=
+         relays.end();
+}
+
+bool
+Membership::Impl::Stopping() const
+{
+  return Self().m_state.status() == State::LEAVING;
+}
+
+bool
+Membership::Impl::ZoneReachable(const ZoneId& aZone) const
+{
+  return aZone == m_self.m_zone ||
+         m_links.Reachable(aZone, m_table.RelaysOf(m_self.m_zone), m_now);
+}
+
+// A word on this daemon that is not what it says itself: it says it again, so
+// that its word supersedes the other.
+void
+Membership::Impl::Refute(const State& aWord)
+{
+  State state = Self().m_state;
+  if (!Supersedes(aWord, state)) {
+    return;
+  }
+  ++m_counters.m_refutations;
+  if (aWord.incarnation() > state.incarnation()) {
+    // An earlier process with this id had a clock ahead of this one's.
+    m_self.m_incarnation = aWord.incarnation() + 1;
+    state.set_incarnation(m_self.m_incarnation);
+    state.set_refutation(0);
+  } else {
+    state.set_refutation(aWord.refutation() + 1);
+  }
+  m_table.Set(state, m_now);
+  QueueMember(state, m_self.m_zone);
+}
+
+bool
+Membership::Impl::ShouldBeUp(Member& aMember, bool aZoneReachable)
+{
+  const State& state = aMember.m_state;
+  const bool running =
+    state.status() == State::ALIVE || state.status() == State::SUSPECT;
+  const bool known =
+    state.incarnation() > 0 || m_now - m_started < m_options.m_listGrace;
+  const bool damped =
+    aMember.m_damper.IsDamped(FlapOptionsOf(m_options), m_now);
+  return running && known && !damped && aZoneReachable &&
+         !aMember.m_listedLeaving;
+}
+
+void
+Membership::Impl::Announce(MembershipActions& aActions)
+{
+  if (m_announcedVersion == m_table.Version()) {
+    return;
+  }
+  m_announcedVersion = m_table.Version();
+  std::map<std::string, bool> reachable;
+  for (auto& [daemon, member] : m_table.All()) {
+    const std::string& zone = member.m_state.zone();
+    auto known = reachable.find(zone);
+    if (known == reachable.end()) {
+      known = reachable.emplace(zone, ZoneReachable(ZoneId(zone))).first;
+    }
+    if (!IsSelf(daemon)) {
+      AnnounceMember(member, known->second, aActions);
+    }
+  }
+}
+
+void
+Membership::Impl::AnnounceMember(Member& aMember,
+                                 bool aZoneReachable,
+                                 MembershipActions& aActions)
+{
+  const State& state = aMember.m_state;
+  const DaemonId daemon(state.daemon());
+  const bool up = ShouldBeUp(aMember, aZoneReachable);
+  const bool told = aMember.m_announced == Announced::Up ||
+                    aMember.m_announced == Announced::Leaving;
+  const bool restarted = told && aMember.m_announcedIncarnation != 0 &&
+                         aMember.m_announcedIncarnation != state.incarnation();
+  const bool leaving =
+    state.status() == State::LEAVING || aMember.m_listedLeaving;
+  const bool gone =
+    !up && !(leaving && aZoneReachable && state.status() != State::DEAD);
+  if (told && (restarted || gone)) {
+    aMember.m_announced = Announced::Down;
+    aActions.emplace_back(MemberDown{ daemon });
+  }
+  aMember.m_announcedIncarnation = state.incarnation();
+  if (up && aMember.m_announced != Announced::Up) {
+    aMember.m_announced = Announced::Up;
+    aActions.emplace_back(MemberUp{ ViewOf(aMember, aZoneReachable) });
+  } else if (!up && !gone && aMember.m_announced == Announced::Up) {
+    aMember.m_announced = Announced::Leaving;
+    aActions.emplace_back(MemberLeaving{ daemon });
+  }
+}
+
+MemberView
+Membership::Impl::ViewOf(const Member& aMember, bool aZoneReachable) const
+{
+  const State& state = aMember.m_state;
+  MemberView view;
+  view.m_daemon = DaemonId(state.daemon());
+  view.m_zone = ZoneId(state.zone());
+  view.m_region = RegionId(state.region());
+  view.m_peerAddress = state.peer_address();
+  view.m_incarnation = state.incarnation();
+  view.m_status = StatusOf(state.status());
+  view.m_reachable = aZoneReachable;
+  FlapDamper damper = aMember.m_damper;
+  view.m_damped = damper.IsDamped(FlapOptionsOf(m_options), m_now);
+  view.m_configVersion = state.config_version();
+  view.m_up =
+    IsSelf(view.m_daemon) ? !Stopping() : aMember.m_announced == Announced::Up;
+  return view;
+}
+
+std::vector<MemberView>
+Membership::Impl::View() const
+{
+  std::vector<MemberView> views;
+  for (const auto& [daemon, member] : m_table.All()) {
+    views.push_back(
+      ViewOf(member, ZoneReachable(ZoneId(member.m_state.zone()))));
+  }
+  return views;
+}
+
+// The public class passes everything on.
+
+Membership::Membership(MembershipOptions aOptions,
+                       MembershipSelf aSelf,
+                       std::vector<std::string> aSeeds,
+                       ByteBudget& aBudget,
+                       std::mt19937_64 aRandom,
+                       Time aNow)
+  : m_impl(std::make_unique<Impl>(aOptions,
+                                  std::move(aSelf),
+                                  std::move(aSeeds),
+                                  aBudget,
+                                  aRandom,
+                                  aNow))
+{
+}
+
+Membership::~Membership() = default;
+
+void
+Membership::OnTick(Time aNow, MembershipActions& aActions)
+{
+  m_impl->OnTick(aNow, aActions);
+}
+
+bool
+Membership::OnMessage(const DaemonId& aFrom,
+                      const proto::PeerMessage& aMessage,
+                      Time aNow,
+                      MembershipActions& aActions)
+{
+  return m_impl->OnMessage(aFrom, aMessage, aNow, aActions);
+}
+
+void
+Membership::OnVmList(const proto::VmList& aList,
+                     Time aNow,
+                     MembershipActions& aActions)
+{
+  m_impl->OnVmList(aList, aNow, aActions);
+}
+
+void
+Membership::OnStop(Time aNow, MembershipActions& aActions)
+{
+  m_impl->OnStop(aNow, aActions);
+}
+
+void
+Membership::SetConfigVersion(std::uint64_t aVersion)
+{
+  m_impl->SetConfigVersion(aVersion);
+}
+
+void
+Membership::SetUpstreamState(proto::UpstreamState aState, Time aNow)
+{
+  m_impl->SetUpstreamState(std::move(aState), aNow);
+}
+
+std::vector<MemberView>
+Membership::View() const
+{
+  return m_impl->View();
+}
+
+std::vector<DaemonId>
+Membership::RelaysOf(const ZoneId& aZone) const
+{
+  return m_impl->RelaysOf(aZone);
+}
+
+bool
+Membership::ZoneReachable(const ZoneId& aZone) const
+{
+  return m_impl->ZoneReachable(aZone);
+}
+
+const std::map<UpstreamId, proto::UpstreamState>&
+Membership::Upstreams() const
+{
+  return m_impl->Upstreams();
+}
+
+const std::map<ZoneId, proto::ZoneSummary>&
+Membership::ZoneSummaries() const
+{
+  return m_impl->ZoneSummaries();
+}
+
+std::uint64_t
+Membership::Incarnation() const
+{
+  return m_impl->Incarnation();
+}
+
+MembershipCounters
+Membership::Counters() const
+{
+  return m_impl->Counters();
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/membership/membership_gossip.cc
@@ -0,0 +1,591 @@
+// Spreading. A change is queued and rides on the next messages, to each zone a
+// limited number of times; while changes wait, extra messages are sent. What
+// the limited sends miss is repaired: pings carry a digest of the sender's
+// view, and where it differs, the two exchange the members of the buckets that
+// do.
+//
+// Figures of load and configuration versions go after all changes, a few times
+// only, and are repeated, so that a loss does not last.
+
+#include <algorithm>
+#include <utility>
+
+#include "walnutwing/membership/membership_impl.h"
+#include "walnutwing/membership/stable_hash.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr std::size_t kFieldBytes = 3; // tag and length of an embedded message
+constexpr char kSubjectSeparator = '\n';
+constexpr std::uint32_t kSmallChange = 8; // one in so many is not worth a word
+constexpr std::size_t kIntroductions = 4; // members named to a new one
+constexpr int kSummaryRefreshes = 3; // summary periods until it is repeated
+
+std::size_t
+EnvelopeBytes(const MembershipSelf& aSelf,
+              const std::vector<proto::PeerMessage>& aMessages)
+{
+  proto::PeerEnvelope envelope;
+  envelope.set_from(aSelf.m_daemon.Value());
+  envelope.set_incarnation(aSelf.m_incarnation);
+  std::size_t bytes = envelope.ByteSizeLong() + kPacketOverheadBytes;
+  for (const proto::PeerMessage& message : aMessages) {
+    bytes += message.ByteSizeLong() + kFieldBytes;
+  }
+  return bytes;
+}
+
+bool
+IsEmpty(const proto::Gossip& aGossip)
+{
+  return aGossip.ByteSizeLong() == 0;
+}
+
+void
+ClearPlace(proto::MemberState& aWord)
+{
+  aWord.clear_zone();
+  aWord.clear_region();
+  aWord.clear_peer_address();
+}
+
+// Whether a figure moved by more than one part in kSmallChange.
+bool
+MovedMuch(std::uint32_t aBefore, std::uint32_t aAfter)
+{
+  const std::uint32_t apart =
+    aBefore > aAfter ? aBefore - aAfter : aAfter - aBefore;
+  return apart > std::max(std::uint32_t{ 1 }, aBefore / kSmallChange);
+}
+
+bool
+IsUrgent(const proto::UpstreamState& aBefore,
+         const proto::UpstreamState& aAfter)
+{
+  return aBefore.temperature() != aAfter.temperature() ||
+         aBefore.leaving() != aAfter.leaving() ||
+         (aBefore.window() == 0) != (aAfter.window() == 0);
+}
+
+} // namespace
+
+bool
+Membership::Impl::Send(const DaemonId& aTo,
+                       const std::string& aAddress,
+                       const ZoneId& aZone,
+                       Traffic aClass,
+                       std::vector<proto::PeerMessage> aMessages,
+                       proto::Gossip aGossip,
+                       MembershipActions& aActions)
+{
+  std::size_t bytes =
+    EnvelopeBytes(m_self, aMessages) + aGossip.ByteSizeLong() + kFieldBytes;
+  if (aAddress.empty() || m_budget.Available(aClass, m_now) < bytes) {
+    ++m_counters.m_budgetRefusals;
+    return false;
+  }
+  const std::size_t spare = m_budget.Available(Traffic::Gossip, m_now);
+  if (spare > bytes) {
+    FillGossip(
+      aZone, std::min(m_options.m_maxGossipBytes, spare - bytes), aGossip);
+  }
+  if (!IsEmpty(aGossip)) {
+    proto::PeerMessage message;
+    *message.mutable_gossip() = std::move(aGossip);
+    // First, so that the receiver knows the sender when it answers.
+    aMessages.insert(aMessages.begin(), std::move(message));
+  }
+  bytes = EnvelopeBytes(m_self, aMessages);
+  m_budget.TrySpend(Traffic::Probe, bytes, m_now);
+  aActions.emplace_back(SendPeer{ aTo, aAddress, std::move(aMessages), bytes });
+  return true;
+}
+
+Membership::Impl::State
+Membership::Impl::FullWordOf(const Member& aMember) const
+{
+  State word = aMember.m_state;
+  if (!InOwnZone(aMember)) {
+    word.clear_config_version();
+  }
+  return word;
+}
+
+// The shortest word of use: who knows the member needs no addresses to learn of
+// its end, and who does not know it has no use for that.
+Membership::Impl::State
+Membership::Impl::WordOf(const Member& aMember) const
+{
+  State word = FullWordOf(aMember);
+  if (word.status() != State::ALIVE) {
+    ClearPlace(word);
+  }
+  return word;
+}
+
+bool
+Membership::Impl::AddDelta(const DeltaKey& aKey, proto::Gossip& aGossip) const
+{
+  const std::string& subject = aKey.m_subject;
+  switch (aKey.m_kind) {
+    case DeltaKind::Member:
+    case DeltaKind::MemberVersion: {
+      const Member* member = m_table.Find(DaemonId(subject));
+      if (member == nullptr) {
+        return false;
+      }
+      State word = WordOf(*member);
+      if (aKey.m_kind == DeltaKind::MemberVersion) {
+        ClearPlace(word);
+      }
+      *aGossip.add_members() = std::move(word);
+      return true;
+    }
+    case DeltaKind::ZoneLink: {
+      const std::size_t cut = subject.find(kSubjectSeparator);
+      const proto::ZoneLink* link = m_links.Find(
+        ZoneId(subject.substr(0, cut)), DaemonId(subject.substr(cut + 1)));
+      *aGossip.add_links() = *link;
+      return true;
+    }
+    case DeltaKind::Upstream:
+      *aGossip.add_upstreams() = m_upstreams.at(UpstreamId(subject));
+      return true;
+    case DeltaKind::ZoneSummary:
+      *aGossip.add_zones() = m_summaries.at(ZoneId(subject));
+      return true;
+  }
+  return false;
+}
+
+void
+Membership::Impl::FillGossip(const ZoneId& aZone,
+                             std::size_t aLimit,
+                             proto::Gossip& aOut)
+{
+  std::size_t room = aLimit;
+  m_queue.Send(aZone, [&](const DeltaKey& aKey) {
+    proto::Gossip one;
+    if (!AddDelta(aKey, one)) {
+      return true; // forgotten meanwhile
+    }
+    const std::size_t bytes = one.ByteSizeLong();
+    if (bytes > room) {
+      return false;
+    }
+    room -= bytes;
+    aOut.MergeFrom(one);
+    return true;
+  });
+}
+
+std::vector<ZoneId>
+Membership::Impl::OtherZones(const ZoneId& aExcept) const
+{
+  std::vector<ZoneId> zones = m_table.Zones();
+  std::erase_if(zones, [&](const ZoneId& aZone) {
+    return aZone == m_self.m_zone || aZone == aExcept;
+  });
+  return zones;
+}
+
+// In a small zone a few sends reach everyone.
+std::uint32_t
+Membership::Impl::LocalSends(std::uint32_t aLimit) const
+{
+  const auto others = static_cast<std::uint32_t>(ZoneMembers(false).size());
+  return std::clamp<std::uint32_t>(others * 2, 1, aLimit);
+}
+
+void
+Membership::Impl::QueueMember(const State& aWord, const ZoneId& aFromZone)
+{
+  // A suspicion concerns only the zone that raised it. A daemon that is no
+  // relay tells other zones nothing: its relays hear of it here.
+  const bool abroad = aWord.status() != State::SUSPECT && IsRelay();
+  m_queue.Put({ DeltaKind::Member, aWord.daemon() },
+              DeltaUrgency::Change,
+              LocalSends(m_options.m_retransmits),
+              abroad ? OtherZones(aFromZone) : std::vector<ZoneId>(),
+              m_options.m_zoneRetransmits);
+}
+
+void
+Membership::Impl::QueueLocal(DeltaKind aKind,
+                             std::string aSubject,
+                             DeltaUrgency aUrgency,
+                             std::uint32_t aSends)
+{
+  m_queue.Put(
+    { aKind, std::move(aSubject) }, aUrgency, LocalSends(aSends), {}, 0);
+}
+
+void
+Membership::Impl::TickGossip(MembershipActions& aActions)
+{
+  if (m_now >= m_nextSummary) {
+    m_nextSummary = m_now + m_options.m_summaryPeriod;
+    ForgetUpstreams();
+    if (IsRelay()) {
+      SummarizeZone();
+    }
+  }
+  if (m_now < m_nextGossip) {
+    return;
+  }
+  m_nextGossip = m_now + m_options.m_gossipInterval;
+  RefreshUpstreams();
+  if (m_queue.ChangeWaits(ZoneId())) {
+    SendChanges(ZoneId(), aActions);
+  }
+  if (!IsRelay()) {
+    return;
+  }
+  for (const ZoneId& zone : OtherZones(m_self.m_zone)) {
+    if (ZoneReachable(zone) && m_queue.ChangeWaits(zone)) {
+      SendChanges(zone, aActions);
+    }
+  }
+}
+
+// A message of its own for what waits, to a random member of the own zone or a
+// relay of another.
+void
+Membership::Impl::SendChanges(const ZoneId& aZone, MembershipActions& aActions)
+{
+  const Member* target = nullptr;
+  if (aZone.Empty()) {
+    const std::vector<const Member*> members = ZoneMembers(true);
+    target = members.empty() ? nullptr : members[m_random() % members.size()];
+  } else {
+    target = PickInZone(aZone, true);
+  }
+  const std::size_t spare = m_budget.Available(Traffic::Gossip, m_now);
+  const std::size_t fixed = EnvelopeBytes(m_self, {}) + kFieldBytes;
+  if (target == nullptr || spare <= fixed) {
+    return;
+  }
+  proto::Gossip gossip;
+  FillGossip(
+    aZone, std::min(m_options.m_maxGossipBytes, spare - fixed), gossip);
+  if (IsEmpty(gossip)) {
+    return;
+  }
+  proto::PeerMessage message;
+  *message.mutable_gossip() = std::move(gossip);
+  std::vector<proto::PeerMessage> messages = { std::move(message) };
+  const std::size_t bytes = EnvelopeBytes(m_self, messages);
+  m_budget.TrySpend(Traffic::Probe, bytes, m_now);
+  aActions.emplace_back(SendPeer{ DaemonId(target->m_state.daemon()),
+                                  target->m_state.peer_address(),
+                                  std::move(messages),
+                                  bytes });
+}
+
+void
+Membership::Impl::OnGossip(const DaemonId& aFrom,
+                           const proto::Gossip& aGossip,
+                           MembershipActions& aActions)
+{
+  const Member* sender = m_table.Find(aFrom);
+  const ZoneId fromZone =
+    sender == nullptr ? ZoneId() : ZoneId(sender->m_state.zone());
+  for (const State& word : aGossip.members()) {
+    TakeWord(word, fromZone);
+  }
+  for (const proto::UpstreamState& state : aGossip.upstreams()) {
+    TakeUpstream(state, aActions);
+  }
+  for (const proto::ZoneSummary& summary : aGossip.zones()) {
+    TakeSummary(summary);
+  }
+  for (const proto::ZoneLink& link : aGossip.links()) {
+    TakeLink(link);
+  }
+  sender = m_table.Find(aFrom);
+  if (!aGossip.buckets().empty() && sender != nullptr) {
+    SendSync(aFrom,
+             sender->m_state.peer_address(),
+             { aGossip.buckets().begin(), aGossip.buckets().end() },
+             false,
+             aActions);
+  }
+}
+
+void
+Membership::Impl::TakeWord(const State& aWord, const ZoneId& aFromZone)
+{
+  const DaemonId daemon(aWord.daemon());
+  if (IsSelf(daemon)) {
+    Refute(aWord);
+    return;
+  }
+  const MergeResult result = m_table.Merge(aWord, m_now);
+  if (result == MergeResult::Nothing) {
+    return;
+  }
+  Member& member = *m_table.Find(daemon);
+  if (result == MergeResult::VersionOnly) {
+    if (InOwnZone(member)) {
+      QueueLocal(DeltaKind::MemberVersion,
+                 aWord.daemon(),
+                 DeltaUrgency::Load,
+                 m_options.m_loadRetransmits);
+    }
+    return;
+  }
+  if (aWord.status() == State::SUSPECT && InOwnZone(member) &&
+      !member.m_suspectUntil.has_value()) {
+    member.m_suspectUntil = m_now + m_options.m_suspicionTime;
+  }
+  QueueMember(member.m_state, aFromZone);
+}
+
+void
+Membership::Impl::TakeUpstream(const proto::UpstreamState& aState,
+                               MembershipActions& aActions)
+{
+  const UpstreamId upstream(aState.upstream());
+  proto::UpstreamState& known = m_upstreams[upstream];
+  const bool newer = aState.sequence() > known.sequence() ||
+                     (aState.sequence() == known.sequence() &&
+                      aState.incarnation() > known.incarnation());
+  if (!newer) {
+    return;
+  }
+  const bool urgent = known.sequence() == 0 || IsUrgent(known, aState);
+  known = aState;
+  m_upstreamTimes[upstream] = m_now;
+  m_ownUpstreams.erase(upstream); // another owner speaks for it now
+  QueueLocal(DeltaKind::Upstream,
+             aState.upstream(),
+             urgent ? DeltaUrgency::Change : DeltaUrgency::Load,
+             urgent ? m_options.m_retransmits : m_options.m_loadRetransmits);
+  aActions.emplace_back(UpstreamChanged{ aState });
+}
+
+void
+Membership::Impl::SetUpstreamState(proto::UpstreamState aState, Time aNow)
+{
+  Advance(aNow);
+  const UpstreamId upstream(aState.upstream());
+  const auto known = m_upstreams.find(upstream);
+  m_ownUpstreams[upstream] = aState;
+  if (known == m_upstreams.end() || IsUrgent(known->second, aState)) {
+    AnnounceUpstream(std::move(aState), DeltaUrgency::Change);
+  }
+}
+
+void
+Membership::Impl::AnnounceUpstream(proto::UpstreamState aState,
+                                   DeltaUrgency aUrgency)
+{
+  const UpstreamId upstream(aState.upstream());
+  proto::UpstreamState& known = m_upstreams[upstream];
+  aState.set_sequence(known.sequence() + 1);
+  aState.set_incarnation(m_self.m_incarnation);
+  known = std::move(aState);
+  m_upstreamTimes[upstream] = m_now;
+  QueueLocal(DeltaKind::Upstream,
+             upstream.Value(),
+             aUrgency,
+             aUrgency == DeltaUrgency::Change ? m_options.m_retransmits
+                                              : m_options.m_loadRetransmits);
+}
+
+// Spreads figures that moved, and repeats the others from time to time.
+void
+Membership::Impl::RefreshUpstreams()
+{
+  for (const auto& [upstream, latest] : m_ownUpstreams) {
+    const proto::UpstreamState& known = m_upstreams[upstream];
+    const Duration age = m_now - m_upstreamTimes[upstream];
+    const bool moved = MovedMuch(known.in_progress(), latest.in_progress()) ||
+                       MovedMuch(known.window(), latest.window());
+    if (age >= m_options.m_upstreamRefresh ||
+        (moved && age >= m_options.m_upstreamInterval)) {
+      AnnounceUpstream(latest, DeltaUrgency::Load);
+    }
+  }
+}
+
+// Drops upstreams that no owner has spoken of for long.
+void
+Membership::Impl::ForgetUpstreams()
+{
+  std::erase_if(m_upstreamTimes, [this](const auto& aEntry) {
+    const auto& [upstream, time] = aEntry;
+    if (m_now - time <= m_options.m_forgetAfter) {
+      return false;
+    }
+    m_queue.Remove({ DeltaKind::Upstream, upstream.Value() });
+    m_upstreams.erase(upstream);
+    return true;
+  });
+}
+
+// Sums up the own zone for the others.
+void
+Membership::Impl::SummarizeZone()
+{
+  proto::ZoneSummary sum;
+  sum.set_zone(m_self.m_zone.Value());
+  sum.set_reporter(m_self.m_daemon.Value());
+  for (const auto& [upstream, state] : m_upstreams) {
+    sum.set_upstreams(sum.upstreams() + 1);
+    sum.set_cold_upstreams(sum.cold_upstreams() +
+                           (state.temperature() == proto::COLD ? 1 : 0));
+    sum.set_in_progress(sum.in_progress() + state.in_progress());
+    sum.set_window(sum.window() + state.window());
+  }
+  std::uint64_t lowest = Self().m_state.config_version();
+  const std::vector<const Member*> members = ZoneMembers(true);
+  for (const Member* member : members) {
+    lowest = std::min(lowest, member->m_state.config_version());
+  }
+  sum.set_lowest_config_version(lowest);
+  sum.set_members(static_cast<std::uint32_t>(members.size() + 1));
+  const proto::ZoneSummary& said = m_summaries[m_self.m_zone];
+  const bool repeat =
+    (m_now - m_started) / m_options.m_summaryPeriod % kSummaryRefreshes == 0;
+  const bool changed = said.upstreams() != sum.upstreams() ||
+                       said.cold_upstreams() != sum.cold_upstreams() ||
+                       said.members() != sum.members() ||
+                       said.lowest_config_version() != lowest ||
+                       MovedMuch(said.in_progress(), sum.in_progress()) ||
+                       MovedMuch(said.window(), sum.window());
+  if (!changed && !repeat) {
+    return;
+  }
+  sum.set_sequence(said.sequence() + 1);
+  m_summaries[m_self.m_zone] = sum;
+  m_queue.Put({ DeltaKind::ZoneSummary, m_self.m_zone.Value() },
+              DeltaUrgency::Load,
+              LocalSends(m_options.m_loadRetransmits),
+              OtherZones(m_self.m_zone),
+              m_options.m_zoneRetransmits);
+}
+
+void
+Membership::Impl::TakeSummary(const proto::ZoneSummary& aSummary)
+{
+  proto::ZoneSummary& known = m_summaries[ZoneId(aSummary.zone())];
+  const bool newer = aSummary.sequence() > known.sequence() ||
+                     (aSummary.sequence() == known.sequence() &&
+                      aSummary.reporter() > known.reporter());
+  if (!newer) {
+    return;
+  }
+  known = aSummary;
+  QueueLocal(DeltaKind::ZoneSummary,
+             aSummary.zone(),
+             DeltaUrgency::Load,
+             m_options.m_loadRetransmits);
+}
+
+void
+Membership::Impl::TakeLink(const proto::ZoneLink& aLink)
+{
+  if (!m_links.Take(aLink, m_now)) {
+    return;
+  }
+  m_announcedVersion = 0;
+  QueueLocal(DeltaKind::ZoneLink,
+             aLink.zone() + kSubjectSeparator + aLink.reporter(),
+             DeltaUrgency::Change,
+             m_options.m_retransmits);
+}
+
+// Tells a new member of a few in its zone, with whom it repairs its view; so
+// the seeds of a starting fleet have little to send to each.
+void
+Membership::Impl::Introduce(const Member& aNewcomer,
+                            proto::Gossip& aGossip) const
+{
+  const State& newcomer = aNewcomer.m_state;
+  std::vector<const Member*> members;
+  for (const auto& [daemon, member] : m_table.All()) {
+    const State& state = member.m_state;
+    if (state.zone() == newcomer.zone() &&
+        state.daemon() != newcomer.daemon() && state.incarnation() > 0 &&
+        state.status() == State::ALIVE) {
+      members.push_back(&member);
+    }
+  }
+  // By a hash that differs for each newcomer, so that they spread.
+  std::sort(
+    members.begin(), members.end(), [&](const Member* aA, const Member* aB) {
+      const std::uint64_t seed = StableHash(newcomer.daemon());
+      return StableHash(aA->m_state.daemon(), seed) <
+             StableHash(aB->m_state.daemon(), seed);
+    });
+  if (members.size() > kIntroductions) {
+    members.resize(kIntroductions);
+  }
+  for (const Member* member : members) {
+    *aGossip.add_members() = WordOf(*member);
+  }
+}
+
+void
+Membership::Impl::AddBuckets(
+  google::protobuf::RepeatedField<std::uint32_t>& aOut) const
+{
+  for (const std::uint32_t bucket : m_table.Digest().Buckets()) {
+    aOut.Add(bucket);
+  }
+}
+
+// Sends the members of the buckets that differ from aTheirs, from a random one
+// on, as far as the budget goes; what is left follows with a later repair.
+void
+Membership::Impl::SendSync(const DaemonId& aTo,
+                           const std::string& aAddress,
+                           const std::vector<std::uint32_t>& aTheirs,
+                           bool aAskBack,
+                           MembershipActions& aActions)
+{
+  const auto& ours = m_table.Digest().Buckets();
+  if (aTheirs.size() != ours.size()) {
+    return;
+  }
+  ++m_counters.m_syncs;
+  std::vector<std::vector<const Member*>> buckets(ours.size());
+  for (const auto& [daemon, member] : m_table.All()) {
+    const std::size_t bucket = ViewDigest::BucketOf(daemon.Value());
+    if (ours[bucket] != aTheirs[bucket] && member.m_state.incarnation() > 0 &&
+        !IsSelf(daemon)) {
+      buckets[bucket].push_back(&member);
+    }
+  }
+  proto::Gossip gossip;
+  *gossip.add_members() = WordOf(Self());
+  if (aAskBack) {
+    AddBuckets(*gossip.mutable_buckets());
+  }
+  const std::size_t spare = m_budget.Available(Traffic::Gossip, m_now);
+  const std::size_t limit = std::min(spare, m_options.m_maxSyncBytes);
+  std::size_t bytes = EnvelopeBytes(m_self, {}) + gossip.ByteSizeLong();
+  const std::size_t first = m_random() % buckets.size();
+  for (std::size_t i = 0; i < buckets.size(); ++i) {
+    for (const Member* member : buckets[(first + i) % buckets.size()]) {
+      State word = FullWordOf(*member);
+      bytes += word.ByteSizeLong() + kFieldBytes;
+      if (bytes < limit) {
+        *gossip.add_members() = std::move(word);
+      }
+    }
+  }
+  const Member* to = m_table.Find(aTo);
+  const bool near = to == nullptr || InOwnZone(*to);
+  Send(aTo,
+       aAddress,
+       near ? ZoneId() : ZoneId(to->m_state.zone()),
+       Traffic::Gossip,
+       {},
+       std::move(gossip),
+       aActions);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/membership/membership_probe.cc
@@ -0,0 +1,531 @@
+// Failure detection. Within the zone: a shuffled round over its members, one
+// ping each period; without an answer in time a few others are asked to ping,
+// and at the end of the period the member is suspected. A shuffled round bounds
+// the time until a member is pinged, and spreads the load evenly. A suspicion
+// becomes a death on the own timer of each member that hears of it.
+//
+// Between zones a member is never judged from outside; only the zone as a whole
+// is, by its relays' answers.
+
+#include <algorithm>
+#include <utility>
+
+#include "walnutwing/membership/membership_impl.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr std::size_t kMaxRelayedPings = 32; // for others, at once
+constexpr std::size_t kMaxSuspectPings = 3;  // a period, besides the round
+constexpr int kUnreachableSlowdown = 4; // zone periods between hopeless pings
+
+bool
+IsDoubted(const proto::MemberState& aState)
+{
+  return aState.incarnation() > 0 &&
+         (aState.status() == proto::MemberState::SUSPECT ||
+          aState.status() == proto::MemberState::DEAD);
+}
+
+} // namespace
+
+// Members of the own zone without this daemon; all but the dead, or only those
+// that are alive or suspected.
+std::vector<const Member*>
+Membership::Impl::ZoneMembers(bool aRunningOnly) const
+{
+  std::vector<const Member*> members;
+  for (const auto& [daemon, member] : m_table.All()) {
+    const auto status = member.m_state.status();
+    const bool running = status == State::ALIVE || status == State::SUSPECT;
+    if (IsSelf(daemon) || !InOwnZone(member) || status == State::DEAD ||
+        (aRunningOnly && !running)) {
+      continue;
+    }
+    members.push_back(&member);
+  }
+  return members;
+}
+
+// Whether no other member of the own zone has been heard of.
+bool
+Membership::Impl::Alone() const
+{
+  const std::vector<const Member*> members = ZoneMembers(true);
+  return std::none_of(
+    members.begin(), members.end(), [](const Member* aMember) {
+      return aMember->m_state.incarnation() > 0;
+    });
+}
+
+void
+Membership::Impl::TickProbes(MembershipActions& aActions)
+{
+  std::vector<std::uint64_t> ended;
+  for (auto& [sequence, probe] : m_probes) {
+    ExpireProbe(probe, sequence, aActions, ended);
+  }
+  for (const std::uint64_t sequence : ended) {
+    m_probes.erase(sequence);
+  }
+  ExpireSuspicions();
+  if (m_now >= m_nextProbe) {
+    m_nextProbe = std::max(m_nextProbe + m_options.m_period, m_now);
+    ProbeNextMember(aActions);
+    ProbeSuspects(aActions);
+  }
+  const bool relay = IsRelay() && !Stopping();
+  if (relay && !m_wasRelay) {
+    // Starts from what the zone believed, so that a change of relays does not
+    // make an unreachable zone seem reachable.
+    m_zoneContacts.clear();
+    for (const ZoneId& zone : OtherZones(m_self.m_zone)) {
+      if (!ZoneReachable(zone)) {
+        m_zoneContacts[zone].m_failures = m_options.m_zoneFailures;
+        SayLink(zone, false);
+      }
+    }
+  }
+  m_wasRelay = relay;
+  if (relay && m_now >= m_nextZoneProbe) {
+    m_nextZoneProbe = std::max(m_nextZoneProbe + m_options.m_zonePeriod, m_now);
+    ProbeNextZone(aActions);
+    RepeatLinks();
+  }
+  if (m_now >= m_nextContact) {
+    m_contactDelay = Alone()
+                       ? std::min(m_contactDelay * 2, m_options.m_seedPeriod)
+                       : m_options.m_seedPeriod;
+    m_nextContact = m_now + m_contactDelay;
+    ContactLost(aActions);
+  }
+}
+
+void
+Membership::Impl::ExpireProbe(Probe& aProbe,
+                              std::uint64_t aSequence,
+                              MembershipActions& aActions,
+                              std::vector<std::uint64_t>& aEnded)
+{
+  const Duration age = m_now - aProbe.m_sent;
+  if (aProbe.m_kind == ProbeKind::Zone) {
+    if (age >= m_options.m_zoneAckTimeout) {
+      aEnded.push_back(aSequence);
+      OnZoneAnswer(aProbe.m_zone, false);
+    }
+    return;
+  }
+  const bool member = aProbe.m_kind == ProbeKind::Member;
+  if (member && !aProbe.m_indirect && age >= m_options.m_ackTimeout) {
+    aProbe.m_indirect = true;
+    AskOthers(aProbe, aSequence, aActions);
+  }
+  if (age < m_options.m_period) {
+    return;
+  }
+  aEnded.push_back(aSequence);
+  if (member) {
+    ++m_counters.m_probeFailures;
+    SuspectMember(aProbe.m_target);
+  }
+}
+
+void
+Membership::Impl::AskOthers(const Probe& aProbe,
+                            std::uint64_t aSequence,
+                            MembershipActions& aActions)
+{
+  std::vector<const Member*> members = ZoneMembers(true);
+  std::erase_if(members, [&](const Member* aMember) {
+    return aMember->m_state.daemon() == aProbe.m_target.Value();
+  });
+  std::shuffle(members.begin(), members.end(), m_random);
+  if (members.size() > m_options.m_indirectProbes) {
+    members.resize(m_options.m_indirectProbes);
+  }
+  for (const Member* member : members) {
+    proto::PeerMessage message;
+    message.mutable_ping_request()->set_sequence(aSequence);
+    message.mutable_ping_request()->set_target(aProbe.m_target.Value());
+    Send(DaemonId(member->m_state.daemon()),
+         member->m_state.peer_address(),
+         ZoneId(),
+         Traffic::Probe,
+         { std::move(message) },
+         {},
+         aActions);
+  }
+}
+
+void
+Membership::Impl::SuspectMember(const DaemonId& aTarget)
+{
+  Member* member = m_table.Find(aTarget);
+  if (member == nullptr || member->m_suspectUntil.has_value() ||
+      member->m_state.status() == State::DEAD) {
+    return;
+  }
+  ++m_counters.m_suspicions;
+  member->m_suspectUntil = m_now + m_options.m_suspicionTime;
+  member->m_suspectedHere = true;
+  if (member->m_state.status() != State::ALIVE ||
+      member->m_state.incarnation() == 0) {
+    return; // a leaving member, or one only listed: no word, only the timer
+  }
+  m_table.SetStatus(*member, State::SUSPECT, m_now);
+  QueueMember(member->m_state, m_self.m_zone);
+}
+
+void
+Membership::Impl::ExpireSuspicions()
+{
+  for (auto& [daemon, member] : m_table.All()) {
+    if (!member.m_suspectUntil.has_value() || m_now < *member.m_suspectUntil) {
+      continue;
+    }
+    ++m_counters.m_deaths;
+    m_table.SetStatus(member, State::DEAD, m_now);
+    if (member.m_state.incarnation() > 0) {
+      QueueMember(member.m_state, m_self.m_zone);
+    }
+  }
+}
+
+// The next member of the shuffled round; a new round when it is used up.
+std::optional<DaemonId>
+Membership::Impl::NextProbeTarget()
+{
+  for (int round = 0; round < 2; ++round) {
+    while (!m_probeOrder.empty()) {
+      const DaemonId target = m_probeOrder.front();
+      m_probeOrder.pop_front();
+      const Member* member = m_table.Find(target);
+      if (member != nullptr && member->m_state.status() != State::DEAD) {
+        return target;
+      }
+    }
+    for (const Member* member : ZoneMembers(false)) {
+      m_probeOrder.emplace_back(member->m_state.daemon());
+    }
+    std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+  }
+  return std::nullopt;
+}
+
+void
+Membership::Impl::ProbeNextMember(MembershipActions& aActions)
+{
+  const std::optional<DaemonId> target = NextProbeTarget();
+  if (!target.has_value()) {
+    return;
+  }
+  ++m_counters.m_probes;
+  Probe probe;
+  probe.m_target = *target;
+  SendPing(std::move(probe), aActions);
+}
+
+// A suspect is told directly, each period, so that it can refute.
+void
+Membership::Impl::ProbeSuspects(MembershipActions& aActions)
+{
+  std::vector<DaemonId> suspects;
+  for (const auto& [daemon, member] : m_table.All()) {
+    if (member.m_suspectedHere && member.m_suspectUntil.has_value() &&
+        suspects.size() < kMaxSuspectPings) {
+      suspects.push_back(daemon);
+    }
+  }
+  for (const DaemonId& suspect : suspects) {
+    Probe probe;
+    probe.m_kind = ProbeKind::Contact;
+    probe.m_target = suspect;
+    SendPing(std::move(probe), aActions);
+  }
+}
+
+const Member*
+Membership::Impl::PickInZone(const ZoneId& aZone, bool aRelayOnly)
+{
+  std::vector<const Member*> members;
+  if (aRelayOnly) {
+    for (const DaemonId& relay : m_table.RelaysOf(aZone)) {
+      members.push_back(m_table.Find(relay));
+    }
+  }
+  for (const auto& [daemon, member] : m_table.All()) {
+    if (!aRelayOnly && member.m_state.zone() == aZone.Value() &&
+        member.m_state.status() != State::DEAD) {
+      members.push_back(&member);
+    }
+  }
+  return members.empty() ? nullptr : members[m_random() % members.size()];
+}
+
+// A zone that has just failed to answer is asked again at once; the others in
+// turn, unreachable ones less often.
+std::optional<ZoneId>
+Membership::Impl::NextZone()
+{
+  for (const auto& [zone, contact] : m_zoneContacts) {
+    if (!contact.m_pending && contact.m_failures > 0 &&
+        contact.m_failures < m_options.m_zoneFailures) {
+      return zone;
+    }
+  }
+  if (m_zoneOrder.empty()) {
+    const std::vector<ZoneId> zones = OtherZones(m_self.m_zone);
+    m_zoneOrder.assign(zones.begin(), zones.end());
+    std::shuffle(m_zoneOrder.begin(), m_zoneOrder.end(), m_random);
+  }
+  while (!m_zoneOrder.empty()) {
+    const ZoneId zone = m_zoneOrder.front();
+    m_zoneOrder.pop_front();
+    const ZoneContact& contact = m_zoneContacts[zone];
+    const bool hopeless = contact.m_failures >= m_options.m_zoneFailures;
+    if (!contact.m_pending &&
+        (!hopeless || m_random() % kUnreachableSlowdown == 0)) {
+      return zone;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Membership::Impl::ProbeNextZone(MembershipActions& aActions)
+{
+  const std::optional<ZoneId> zone = NextZone();
+  if (!zone.has_value()) {
+    return;
+  }
+  ZoneContact& contact = m_zoneContacts[*zone];
+  // After a failure any member will do: the relays may have died together.
+  const Member* target = PickInZone(*zone, contact.m_failures == 0);
+  if (target == nullptr) {
+    m_zoneContacts.erase(*zone);
+    return;
+  }
+  Probe probe;
+  probe.m_kind = ProbeKind::Zone;
+  probe.m_target = DaemonId(target->m_state.daemon());
+  probe.m_zone = *zone;
+  contact.m_pending = SendPing(std::move(probe), aActions) != 0;
+}
+
+void
+Membership::Impl::OnZoneAnswer(const ZoneId& aZone, bool aAnswered)
+{
+  ZoneContact& contact = m_zoneContacts[aZone];
+  contact.m_pending = false;
+  contact.m_failures = aAnswered ? 0 : contact.m_failures + 1;
+  const proto::ZoneLink* said = m_links.Find(aZone, m_self.m_daemon);
+  const bool saidReachable = said == nullptr || said->reachable();
+  if (aAnswered && !saidReachable) {
+    SayLink(aZone, true);
+  }
+  if (contact.m_failures >= m_options.m_zoneFailures && saidReachable) {
+    SayLink(aZone, false);
+  }
+}
+
+void
+Membership::Impl::SayLink(const ZoneId& aZone, bool aReachable)
+{
+  proto::ZoneLink link;
+  link.set_reporter(m_self.m_daemon.Value());
+  link.set_zone(aZone.Value());
+  link.set_reachable(aReachable);
+  link.set_sequence(++m_linkSequence);
+  TakeLink(link);
+  if (!aReachable) {
+    m_zoneContacts[aZone].m_repeated = m_now;
+  }
+}
+
+void
+Membership::Impl::RepeatLinks()
+{
+  for (auto& [zone, contact] : m_zoneContacts) {
+    const bool due = contact.m_failures >= m_options.m_zoneFailures &&
+                     contact.m_repeated.has_value() &&
+                     m_now - *contact.m_repeated >= m_options.m_linkRefresh;
+    if (due) {
+      SayLink(zone, false);
+    }
+  }
+}
+
+// Pings one daemon that seems lost, or a seed: two halves of a zone that have
+// declared each other dead find together again, and a new daemon joins.
+void
+Membership::Impl::ContactLost(MembershipActions& aActions)
+{
+  std::vector<Probe> candidates;
+  std::vector<std::string> known;
+  const bool alone = Alone();
+  for (const auto& [daemon, member] : m_table.All()) {
+    const State& state = member.m_state;
+    const bool running =
+      state.status() != State::DEAD && state.incarnation() > 0;
+    const bool near = InOwnZone(member) || IsRelay() || alone;
+    if (running) {
+      known.push_back(state.peer_address());
+    }
+    if (IsSelf(daemon) || running || !near || state.peer_address().empty()) {
+      continue;
+    }
+    Probe probe;
+    probe.m_kind = ProbeKind::Contact;
+    probe.m_target = daemon;
+    candidates.push_back(std::move(probe));
+  }
+  for (const std::string& seed : m_seeds) {
+    if (std::find(known.begin(), known.end(), seed) != known.end()) {
+      continue;
+    }
+    Probe probe;
+    probe.m_kind = ProbeKind::Contact;
+    probe.m_address = seed;
+    candidates.push_back(std::move(probe));
+  }
+  if (!candidates.empty()) {
+    SendPing(candidates[m_random() % candidates.size()], aActions);
+  }
+}
+
+// Returns the sequence, or 0 when the ping was not sent.
+std::uint64_t
+Membership::Impl::SendPing(Probe aProbe, MembershipActions& aActions)
+{
+  const std::uint64_t sequence = m_nextSequence++;
+  proto::PeerMessage message;
+  proto::Ping& ping = *message.mutable_ping();
+  ping.set_sequence(sequence);
+  ping.set_sender_address(m_self.m_peerAddress);
+  ping.set_view_digest(m_table.Digest().Whole());
+  proto::Gossip gossip;
+  ZoneId zone;
+  const Member* target = m_table.Find(aProbe.m_target);
+  if (target == nullptr) {
+    *gossip.add_members() = WordOf(Self());
+  } else {
+    const State& state = target->m_state;
+    ping.set_target(state.daemon());
+    ping.set_target_incarnation(state.incarnation());
+    aProbe.m_address = state.peer_address();
+    zone = InOwnZone(*target) ? ZoneId() : ZoneId(state.zone());
+    if (IsDoubted(state)) {
+      *gossip.add_members() = WordOf(*target); // so that it can refute
+    }
+  }
+  aProbe.m_sent = m_now;
+  if (!Send(aProbe.m_target,
+            aProbe.m_address,
+            zone,
+            Traffic::Probe,
+            { std::move(message) },
+            std::move(gossip),
+            aActions)) {
+    return 0;
+  }
+  m_probes[sequence] = std::move(aProbe);
+  return sequence;
+}
+
+void
+Membership::Impl::OnPing(const DaemonId& aFrom,
+                         const proto::Ping& aPing,
+                         MembershipActions& aActions)
+{
+  if (!aPing.target().empty() && aPing.target() != m_self.m_daemon.Value()) {
+    return; // meant for the process that had this address before
+  }
+  proto::PeerMessage message;
+  proto::Ack& ack = *message.mutable_ack();
+  ack.set_sequence(aPing.sequence());
+  proto::Gossip gossip;
+  if (aPing.target_incarnation() != m_self.m_incarnation) {
+    *gossip.add_members() = WordOf(Self());
+  }
+  const Member* sender = m_table.Find(aFrom);
+  if (sender != nullptr && IsDoubted(sender->m_state)) {
+    *gossip.add_members() = WordOf(*sender); // so that it can refute
+  }
+  const bool newcomer = aPing.target().empty() && sender != nullptr;
+  if (newcomer) {
+    Introduce(*sender, gossip);
+  }
+  const bool repair = aPing.view_digest() != m_table.Digest().Whole() &&
+                      !m_queue.ChangeWaits(ZoneId()) && m_now >= m_nextSync;
+  if (repair && !(newcomer && gossip.members_size() > 1)) {
+    m_nextSync = m_now + m_options.m_syncInterval;
+    AddBuckets(*ack.mutable_buckets());
+  }
+  const bool near = sender == nullptr || InOwnZone(*sender);
+  Send(aFrom,
+       aPing.sender_address(),
+       near ? ZoneId() : ZoneId(sender->m_state.zone()),
+       newcomer ? Traffic::Gossip : Traffic::Probe,
+       { std::move(message) },
+       std::move(gossip),
+       aActions);
+}
+
+void
+Membership::Impl::OnAck(const DaemonId& aFrom,
+                        const proto::Ack& aAck,
+                        MembershipActions& aActions)
+{
+  const auto found = m_probes.find(aAck.sequence());
+  if (found == m_probes.end()) {
+    return;
+  }
+  const Probe probe = found->second;
+  m_probes.erase(found);
+  if (probe.m_kind == ProbeKind::Zone) {
+    OnZoneAnswer(probe.m_zone, true);
+  }
+  const Member* requester = m_table.Find(probe.m_requester);
+  if (probe.m_kind == ProbeKind::Relayed && requester != nullptr) {
+    proto::PeerMessage message;
+    message.mutable_ack()->set_sequence(probe.m_requesterSequence);
+    Send(probe.m_requester,
+         requester->m_state.peer_address(),
+         ZoneId(),
+         Traffic::Probe,
+         { std::move(message) },
+         {},
+         aActions);
+  }
+  if (!aAck.buckets().empty()) {
+    SendSync(aFrom,
+             probe.m_address,
+             { aAck.buckets().begin(), aAck.buckets().end() },
+             true,
+             aActions);
+  }
+}
+
+void
+Membership::Impl::OnPingRequest(const DaemonId& aFrom,
+                                const proto::PingRequest& aRequest,
+                                MembershipActions& aActions)
+{
+  const Member* target = m_table.Find(DaemonId(aRequest.target()));
+  const auto relayed =
+    std::count_if(m_probes.begin(), m_probes.end(), [](const auto& aEntry) {
+      return aEntry.second.m_kind == ProbeKind::Relayed;
+    });
+  if (target == nullptr || m_table.Find(aFrom) == nullptr ||
+      static_cast<std::size_t>(relayed) >= kMaxRelayedPings) {
+    return;
+  }
+  Probe probe;
+  probe.m_kind = ProbeKind::Relayed;
+  probe.m_target = DaemonId(aRequest.target());
+  probe.m_requester = aFrom;
+  probe.m_requesterSequence = aRequest.sequence();
+  SendPing(std::move(probe), aActions);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/membership/view_digest.cc
@@ -0,0 +1,49 @@
+// The XOR lets a digest follow each change in constant time. 32 bits a bucket
+// are enough: a collision hides a difference only until the next change of any
+// member of that bucket, and no decision is drawn from a digest.
+
+#include "walnutwing/membership/view_digest.h"
+
+#include "walnutwing/membership/stable_hash.h"
+
+namespace walnutwing {
+
+std::size_t
+ViewDigest::BucketOf(std::string_view aDaemon)
+{
+  return StableHash(aDaemon) % kBuckets;
+}
+
+std::uint32_t
+ViewDigest::HashOf(const proto::MemberState& aState)
+{
+  if (aState.incarnation() == 0 ||
+      aState.status() == proto::MemberState::DEAD) {
+    return 0;
+  }
+  const std::uint64_t leaving =
+    aState.status() == proto::MemberState::LEAVING ? 1 : 0;
+  const std::uint64_t seed = aState.incarnation() * 4 +
+                             std::uint64_t{ aState.refutation() } * 2 + leaving;
+  const auto hash =
+    static_cast<std::uint32_t>(StableHash(aState.daemon(), seed + 1));
+  return hash == 0 ? 1 : hash;
+}
+
+void
+ViewDigest::Toggle(std::string_view aDaemon, std::uint32_t aHash)
+{
+  m_buckets[BucketOf(aDaemon)] ^= aHash;
+}
+
+std::uint64_t
+ViewDigest::Whole() const
+{
+  std::uint64_t whole = 0;
+  for (const std::uint32_t bucket : m_buckets) {
+    whole = MixBits(whole ^ bucket) + 1;
+  }
+  return whole;
+}
+
+} // namespace walnutwing
