--- a/daemon/config_feed.cc
+++ b/daemon/config_feed.cc
@@ -53,8 +53,9 @@
   m_tick.Every(kTickInterval, [this] {
     m_context.m_config->Call([](ConfigFeed& aSelf) {
       ConfigActions actions;
-      aSelf.m_follower.OnTick(
-        aSelf.m_context.m_loop.Now(), aSelf.m_context.m_loop.WallNow(), &actions);
+      aSelf.m_follower.OnTick(aSelf.m_context.m_loop.Now(),
+                              aSelf.m_context.m_loop.WallNow(),
+                              &actions);
       aSelf.CarryOut(actions);
     });
   });
@@ -71,16 +72,19 @@
   proto::VmEntry role;
   role.set_id(kReaderRole.Value());
   role.set_zone(m_context.m_settings.m_zone.Value());
-  m_follower.OnReaderRole(fleet->OwnerOfUpstream(role) == m_context.m_settings.m_id);
+  m_follower.OnReaderRole(fleet->OwnerOfUpstream(role) ==
+                          m_context.m_settings.m_id);
 }
 
 void
-ConfigFeed::OnPeerMessage(const DaemonId& aFrom, const proto::PeerMessage& aMessage)
+ConfigFeed::OnPeerMessage(const DaemonId& aFrom,
+                          const proto::PeerMessage& aMessage)
 {
   const Time now = m_context.m_loop.Now();
   ConfigActions actions;
   if (aMessage.has_config_offer()) {
-    m_follower.OnPeerOffer(now, aFrom, aMessage.config_offer().version(), &actions);
+    m_follower.OnPeerOffer(
+      now, aFrom, aMessage.config_offer().version(), &actions);
   } else if (aMessage.has_config_pull()) {
     m_follower.OnPeerPull(aFrom, aMessage.config_pull(), &actions);
   } else if (aMessage.has_config_push()) {
@@ -141,14 +145,15 @@
 ConfigFeed::Append(const proto::ConfigRecord& aRecord)
 {
   ++m_context.m_metrics.Counter("platform_appends_total", "stream=\"config\"");
-  m_append =
-    m_context.m_platform.Append(kStream, { aRecord.SerializeAsString() }, [](AppendAnswer) {});
+  m_append = m_context.m_platform.Append(
+    kStream, { aRecord.SerializeAsString() }, [](AppendAnswer) {});
 }
 
 void
 ConfigFeed::Send(const DaemonId& aTo, const proto::PeerMessage& aMessage)
 {
-  m_context.m_peers->Call([&](PeerLink& aPeers) { aPeers.Send(aTo, aMessage, true); });
+  m_context.m_peers->Call(
+    [&](PeerLink& aPeers) { aPeers.Send(aTo, aMessage, true); });
 }
 
 void
@@ -160,11 +165,14 @@
             { { "version", std::to_string(m_current->version()) },
               { "preset", m_current->active_preset() },
               { "changed_by", m_current->changed_by() } });
-  m_context.m_metrics.Gauge("config_version") = static_cast<double>(m_current->version());
+  m_context.m_metrics.Gauge("config_version") =
+    static_cast<double>(m_current->version());
   m_context.m_fleet->Call(
     [&](FleetView& aFleet) { aFleet.SetConfigVersion(m_current->version()); });
-  m_context.m_permits->Call([](PermitDesk& aPermits) { aPermits.OnConfigChanged(); });
-  m_context.m_owners->Call([](OwnerHost& aOwners) { aOwners.OnConfigChanged(); });
+  m_context.m_permits->Call(
+    [](PermitDesk& aPermits) { aPermits.OnConfigChanged(); });
+  m_context.m_owners->Call(
+    [](OwnerHost& aOwners) { aOwners.OnConfigChanged(); });
 }
 
 } // namespace walnutwing
--- a/daemon/config_feed.h
+++ b/daemon/config_feed.h
@@ -22,8 +22,14 @@
   void OnFleetChanged();
 
   // The configuration in force; null before there is any.
-  const std::shared_ptr<const proto::FleetConfig>& Current() const { return m_current; }
-  const ConfigFollowerCounters& Counters() const { return m_follower.Counters(); }
+  const std::shared_ptr<const proto::FleetConfig>& Current() const
+  {
+    return m_current;
+  }
+  const ConfigFollowerCounters& Counters() const
+  {
+    return m_follower.Counters();
+  }
 
 private:
   void CarryOut(const ConfigActions& aActions);
--- /dev/null
+++ b/daemon/daemon.cc
@@ -0,0 +1,247 @@
+// Puts the components together, in three groups: what talks to the platform and
+// the peers, what decides about upstreams, and what faces callers and
+// operators. A group whose members keep failing starts anew as a whole.
+
+#include "daemon/daemon.h"
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <system_error>
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "daemon/admin.h"
+#include "daemon/config_feed.h"
+#include "daemon/context.h"
+#include "daemon/fleet_view.h"
+#include "daemon/front.h"
+#include "daemon/log.h"
+#include "daemon/order_desk.h"
+#include "daemon/owner_host.h"
+#include "daemon/peer_link.h"
+#include "daemon/permit_desk.h"
+#include "net/owned_timer.h"
+#include "walnutwing/base/result_code.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+// After the announcement, callers and peers may still send for this long.
+constexpr Duration kLeaveDelay = std::chrono::milliseconds(500);
+
+class Daemon
+{
+public:
+  explicit Daemon(const DaemonSettings& aSettings)
+    : m_settings(aSettings)
+    , m_random(std::random_device{}())
+    , m_tracer(aSettings.m_id.Value(), aSettings.m_traceFile, m_random())
+    , m_http(m_loop)
+    , m_platform(m_loop,
+                 m_http,
+                 net::Endpoint::Parse(aSettings.m_platformAddress).value(),
+                 aSettings.m_zone,
+                 aSettings.m_platformTimeout)
+    , m_budget(BudgetOptions(aSettings), m_loop.Now())
+    , m_context{ m_loop,
+                 m_settings,
+                 m_metrics,
+                 m_tracer,
+                 m_http,
+                 m_platform,
+                 m_budget,
+                 m_random,
+                 static_cast<std::uint64_t>(
+                   m_loop.WallNow().time_since_epoch().count()) }
+    , m_root("daemon", {}, Hooks(), nullptr, [this] { GiveUp(); })
+    , m_stopCheck(m_loop)
+    , m_stopLimit(m_loop)
+  {
+    AddComponents();
+  }
+
+  int Run()
+  {
+    WatchSignals();
+    m_root.Start();
+    LogChange(LogLevel::Info,
+              "started",
+              { { "daemon", m_settings.m_id.Value() },
+                { "zone", m_settings.m_zone.Value() },
+                { "listen", m_settings.m_listen } });
+    m_loop.Run();
+    m_root.Stop();
+    return m_exitStatus;
+  }
+
+private:
+  static ByteBudgetOptions BudgetOptions(const DaemonSettings& aSettings)
+  {
+    ByteBudgetOptions options;
+    // The setting counts both directions; as much is received as is sent.
+    options.m_bytesPerSecond =
+      static_cast<std::uint32_t>(aSettings.m_controlBytesPerSecond / 2);
+    return options;
+  }
+
+  SupervisorHooks Hooks()
+  {
+    return { [this] { return m_loop.Now(); },
+             [this](Duration aDelay, std::function<void()> aFunction) {
+               m_loop.After(aDelay, std::move(aFunction));
+             },
+             [this](const std::string& aChild, const std::string& aWhy) {
+               if (aWhy.empty()) {
+                 LogChange(LogLevel::Info,
+                           "component_started",
+                           { { "component", aChild } });
+                 return;
+               }
+               ++m_metrics.Counter("component_failures_total",
+                                   "component=\"" + aChild + "\"");
+               LogChange(LogLevel::Error,
+                         "component_failed",
+                         { { "component", aChild }, { "why", aWhy } });
+             } };
+  }
+
+  void AddComponents()
+  {
+    Supervisor& links = m_root.AddSupervisor("links", {});
+    m_context.m_peers = &links.Add<PeerLink>(
+      "peer_link", [this] { return std::make_unique<PeerLink>(m_context); });
+    m_context.m_fleet = &links.Add<FleetView>(
+      "fleet_view", [this] { return std::make_unique<FleetView>(m_context); });
+    m_context.m_config = &links.Add<ConfigFeed>("config_feed", [this] {
+      return std::make_unique<ConfigFeed>(m_context);
+    });
+    Supervisor& decisions = m_root.AddSupervisor("decisions", {});
+    m_context.m_owners = &decisions.Add<OwnerHost>(
+      "owner_host", [this] { return std::make_unique<OwnerHost>(m_context); });
+    m_context.m_permits = &decisions.Add<PermitDesk>("permit_desk", [this] {
+      return std::make_unique<PermitDesk>(m_context);
+    });
+    m_context.m_orders = &decisions.Add<OrderDesk>(
+      "order_desk", [this] { return std::make_unique<OrderDesk>(m_context); });
+    Supervisor& faces = m_root.AddSupervisor("faces", {});
+    m_context.m_front = &faces.Add<Front>(
+      "front", [this] { return std::make_unique<Front>(m_context); });
+    faces.Add<Admin>(
+      "admin", [this] { return std::make_unique<Admin>(m_context, m_root); });
+  }
+
+  // Signals are blocked and read from a descriptor, so that they are events of
+  // the loop like all others.
+  void WatchSignals()
+  {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (descriptor < 0) {
+      throw std::system_error(errno, std::generic_category(), "signalfd");
+    }
+    m_signals = m_loop.WatchReadable(descriptor, [this, descriptor] {
+      signalfd_siginfo info{};
+      while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
+        OnStopSignal();
+      }
+    });
+  }
+
+  void OnStopSignal()
+  {
+    if (m_context.m_stopping) {
+      CutAndEnd("second signal");
+      return;
+    }
+    m_context.m_stopping = true;
+    LogChange(LogLevel::Info, "stopping", {});
+    m_context.m_fleet->Call([](FleetView& aFleet) { aFleet.OnStop(); });
+    m_loop.After(kLeaveDelay, [this] {
+      m_context.m_front->Call([](Front& aFront) { aFront.StopAccepting(); });
+      m_context.m_orders->Call([](OrderDesk& aOrders) { aOrders.OnStop(); });
+      m_stopCheck.Every(kStopCheckInterval, [this] { EndWhenIdle(); });
+    });
+    m_stopLimit.After(m_settings.m_stopLimit,
+                      [this] { CutAndEnd("stop limit"); });
+  }
+
+  void EndWhenIdle()
+  {
+    const Front* front = m_context.m_front->Peek();
+    const OrderDesk* orders = m_context.m_orders->Peek();
+    const bool busy = (front != nullptr && front->InProgress() != 0) ||
+                      (orders != nullptr && !orders->Idle());
+    if (!busy) {
+      LogChange(LogLevel::Info, "stopped", { { "requests_cut", "0" } });
+      m_loop.Stop();
+    }
+  }
+
+  void CutAndEnd(const char* aWhy)
+  {
+    std::size_t cut = 0;
+    m_context.m_front->Call([&](Front& aFront) { cut = aFront.CutAll(); });
+    if (cut != 0) {
+      m_exitStatus = ExitStatusOf(ResultCode::StopCutRequests);
+    }
+    LogChange(LogLevel::Warning,
+              "stopped",
+              { { "why", aWhy }, { "requests_cut", std::to_string(cut) } });
+    // One more turn, so that the last bytes leave.
+    m_loop.After(kStopCheckInterval, [this] { m_loop.Stop(); });
+  }
+
+  // The platform replaces a VM whose process ends.
+  void GiveUp()
+  {
+    LogChange(
+      LogLevel::Error, "gave_up", { { "why", "components keep failing" } });
+    m_exitStatus = 1;
+    m_loop.Stop();
+  }
+
+  const DaemonSettings& m_settings;
+  net::EventLoop m_loop;
+  std::mt19937_64 m_random;
+  Metrics m_metrics;
+  Tracer m_tracer;
+  net::HttpClient m_http;
+  PlatformClient m_platform;
+  ByteBudget m_budget;
+  Context m_context;
+  Supervisor m_root;
+  net::OwnedTimer m_stopCheck;
+  net::OwnedTimer m_stopLimit;
+  std::unique_ptr<net::ReadableWatch> m_signals;
+  int m_exitStatus = 0;
+};
+
+} // namespace
+
+int
+RunDaemon(const std::string& aSettingsFile)
+{
+  try {
+    const DaemonSettings settings = LoadDaemonSettings(aSettingsFile);
+    StartLog(settings.m_logLevel);
+    return Daemon(settings).Run();
+  } catch (const SettingsError& error) {
+    std::cerr << error.what() << "\n";
+    return ExitStatusOf(error.Code());
+  } catch (const std::system_error& error) {
+    const ResultCodeRow& row = RowOf(ResultCode::AddressInUse);
+    std::cerr << "error " << static_cast<int>(row.m_code) << " " << row.m_name
+              << ": " << error.what() << "\n";
+    return ExitStatusOf(row.m_code);
+  }
+}
+
+} // namespace walnutwing
--- a/daemon/fleet_view.cc
+++ b/daemon/fleet_view.cc
@@ -1,5 +1,5 @@
-// Membership's actions are carried out here; whoever depends on the view is told
-// once for each batch of actions that changed it.
+// Membership's actions are carried out here; whoever depends on the view is
+// told once for each batch of actions that changed it.
 
 #include "daemon/fleet_view.h"
 
@@ -57,14 +57,15 @@
 void
 FleetView::PollVmList()
 {
-  m_call = m_context.m_platform.ListVms([this](const std::optional<proto::VmList>& aList) {
-    m_context.m_fleet->Call([&](FleetView& aSelf) {
-      if (aList) {
-        aSelf.OnVmList(*aList);
-      }
-      aSelf.m_poll.After(kVmListInterval, [&aSelf] { aSelf.PollVmList(); });
+  m_call = m_context.m_platform.ListVms(
+    [this](const std::optional<proto::VmList>& aList) {
+      m_context.m_fleet->Call([&](FleetView& aSelf) {
+        if (aList) {
+          aSelf.OnVmList(*aList);
+        }
+        aSelf.m_poll.After(kVmListInterval, [&aSelf] { aSelf.PollVmList(); });
+      });
     });
-  });
 }
 
 void
@@ -86,7 +87,8 @@
 }
 
 void
-FleetView::OnPeerMessage(const DaemonId& aFrom, const proto::PeerMessage& aMessage)
+FleetView::OnPeerMessage(const DaemonId& aFrom,
+                         const proto::PeerMessage& aMessage)
 {
   MembershipActions actions;
   m_membership->OnMessage(aFrom, aMessage, m_context.m_loop.Now(), actions);
@@ -105,7 +107,8 @@
 FleetView::SetUpstreamState(const proto::UpstreamState& aState)
 {
   m_membership->SetUpstreamState(aState, m_context.m_loop.Now());
-  m_context.m_permits->Call([&](PermitDesk& aPermits) { aPermits.OnUpstreamState(aState); });
+  m_context.m_permits->Call(
+    [&](PermitDesk& aPermits) { aPermits.OnUpstreamState(aState); });
 }
 
 void
@@ -115,21 +118,29 @@
   std::vector<DaemonId> gone;
   for (const MembershipAction& action : aActions) {
     if (const auto* send = std::get_if<SendPeer>(&action)) {
-      m_context.m_peers->Call(
-        [&](PeerLink& aPeers) { aPeers.SendCharged(send->m_address, send->m_messages); });
+      m_context.m_peers->Call([&](PeerLink& aPeers) {
+        aPeers.SendCharged(send->m_address, send->m_messages);
+      });
     } else if (const auto* up = std::get_if<MemberUp>(&action)) {
       changed = true;
-      LogChange(LogLevel::Info, "member_up", { { "daemon", up->m_member.m_daemon.Value() } });
+      LogChange(LogLevel::Info,
+                "member_up",
+                { { "daemon", up->m_member.m_daemon.Value() } });
     } else if (const auto* down = std::get_if<MemberDown>(&action)) {
       changed = true;
       gone.push_back(down->m_daemon);
-      LogChange(LogLevel::Info, "member_down", { { "daemon", down->m_daemon.Value() } });
+      LogChange(LogLevel::Info,
+                "member_down",
+                { { "daemon", down->m_daemon.Value() } });
     } else if (const auto* leaving = std::get_if<MemberLeaving>(&action)) {
       changed = true;
-      LogChange(LogLevel::Info, "member_leaving", { { "daemon", leaving->m_daemon.Value() } });
+      LogChange(LogLevel::Info,
+                "member_leaving",
+                { { "daemon", leaving->m_daemon.Value() } });
     } else if (const auto* upstream = std::get_if<UpstreamChanged>(&action)) {
-      m_context.m_permits->Call(
-        [&](PermitDesk& aPermits) { aPermits.OnUpstreamState(upstream->m_state); });
+      m_context.m_permits->Call([&](PermitDesk& aPermits) {
+        aPermits.OnUpstreamState(upstream->m_state);
+      });
     }
   }
   if (!changed) {
@@ -137,7 +148,8 @@
   }
   RefreshMembers();
   for (const DaemonId& daemon : gone) {
-    m_context.m_owners->Call([&](OwnerHost& aOwners) { aOwners.OnDaemonGone(daemon); });
+    m_context.m_owners->Call(
+      [&](OwnerHost& aOwners) { aOwners.OnDaemonGone(daemon); });
   }
   TellOthers();
 }
@@ -158,9 +170,12 @@
 void
 FleetView::TellOthers()
 {
-  m_context.m_permits->Call([](PermitDesk& aPermits) { aPermits.OnFleetChanged(); });
-  m_context.m_owners->Call([](OwnerHost& aOwners) { aOwners.OnFleetChanged(); });
-  m_context.m_config->Call([](ConfigFeed& aConfig) { aConfig.OnFleetChanged(); });
+  m_context.m_permits->Call(
+    [](PermitDesk& aPermits) { aPermits.OnFleetChanged(); });
+  m_context.m_owners->Call(
+    [](OwnerHost& aOwners) { aOwners.OnFleetChanged(); });
+  m_context.m_config->Call(
+    [](ConfigFeed& aConfig) { aConfig.OnFleetChanged(); });
 }
 
 std::string
@@ -194,7 +209,8 @@
 DaemonId
 FleetView::OwnerOfUpstream(const proto::VmEntry& aUpstream) const
 {
-  return OwnerOf(UpstreamId(aUpstream.id()), DaemonsOf(ZoneId(aUpstream.zone())));
+  return OwnerOf(UpstreamId(aUpstream.id()),
+                 DaemonsOf(ZoneId(aUpstream.zone())));
 }
 
 const proto::UpstreamState*
--- a/daemon/fleet_view.h
+++ b/daemon/fleet_view.h
@@ -27,7 +27,10 @@
   // A graceful shutdown begins.
   void OnStop();
 
-  void SetConfigVersion(std::uint64_t aVersion) { m_membership->SetConfigVersion(aVersion); }
+  void SetConfigVersion(std::uint64_t aVersion)
+  {
+    m_membership->SetConfigVersion(aVersion);
+  }
   void SetUpstreamState(const proto::UpstreamState& aState);
 
   // The peer address of a daemon, or "".
@@ -39,11 +42,15 @@
   // All daemons that are up, without this one.
   std::vector<DaemonId> PeersUp() const;
 
-  // The daemon that owns an upstream in this view; empty when its zone has none.
+  // The daemon that owns an upstream in this view; empty when its zone has
+  // none.
   DaemonId OwnerOfUpstream(const proto::VmEntry& aUpstream) const;
 
   // Engines and plain services of the platform's list.
-  const std::map<UpstreamId, proto::VmEntry>& Upstreams() const { return m_upstreams; }
+  const std::map<UpstreamId, proto::VmEntry>& Upstreams() const
+  {
+    return m_upstreams;
+  }
 
   std::vector<MemberView> Members() const { return m_membership->View(); }
   const proto::UpstreamState* StateOf(const UpstreamId& aUpstream) const;
--- /dev/null
+++ b/daemon/front.cc
@@ -0,0 +1,309 @@
+// Checks go from cheap to dear, and each failed one is a numbered refusal that
+// says "not run".
+
+#include "daemon/front.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "daemon/config_feed.h"
+#include "daemon/fleet_view.h"
+#include "walnutwing/config/fleet_config.h"
+#include "walnutwing/orders/order_key.h"
+
+namespace walnutwing {
+namespace {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kOrderPath = "/v1/orders/";
+constexpr std::string_view kCallPath = "/v1/calls/";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kPlainTarget = "/call";
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(500);
+constexpr Duration kLongestDeadline = std::chrono::minutes(30);
+// h2o answers larger bodies itself, without a number; so it is given room for
+// ours to be seen first.
+constexpr std::size_t kBodyHeadroom = std::size_t{ 64 } * 1024;
+// Daemons do not get equal parts of the callers, so each may take this many
+// times its part of the upstreams' slots before shares bind.
+constexpr std::uint32_t kUnevenness = 2;
+constexpr std::size_t kMaxChatIdBytes = 256;
+
+template<typename Number>
+std::optional<Number>
+ParseNumber(std::string_view aText)
+{
+  Number value = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (error != std::errc() || end != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// The service that a request names: in its path, its header, or, as model
+// clients do, as the "model" of its body.
+std::string
+ServiceNameOf(const net::HttpRequest& aRequest)
+{
+  for (const std::string_view prefix : { kOrderPath, kCallPath }) {
+    if (aRequest.m_path.starts_with(prefix)) {
+      return aRequest.m_path.substr(prefix.size());
+    }
+  }
+  if (const auto header = aRequest.m_headers.Find("walnutwing-service")) {
+    return std::string(*header);
+  }
+  const nlohmann::json body =
+    nlohmann::json::parse(aRequest.m_body, nullptr, false);
+  if (!body.is_object() || !body.contains("model") ||
+      !body["model"].is_string()) {
+    return "";
+  }
+  return body["model"].get<std::string>();
+}
+
+bool
+IsKnownPath(const net::HttpRequest& aRequest)
+{
+  return aRequest.m_path == kChatPath ||
+         aRequest.m_path.starts_with(kOrderPath) ||
+         aRequest.m_path.starts_with(kCallPath);
+}
+
+} // namespace
+
+Front::Front(Context& aContext)
+  : m_context(aContext)
+  , m_refresh(aContext.m_loop)
+{
+  net::HttpServerOptions options;
+  options.m_maxBodyBytes = aContext.m_settings.m_maxBodyBytes + kBodyHeadroom;
+  options.m_requestTimeout = aContext.m_settings.m_requestTimeout;
+  m_server = std::make_unique<net::HttpServer>(
+    aContext.m_loop,
+    net::Endpoint::Parse(aContext.m_settings.m_listen).value(),
+    options,
+    [this](const std::shared_ptr<net::Exchange>& aExchange) {
+      m_context.m_front->Call(
+        [&](Front& aSelf) { aSelf.OnRequest(aExchange); });
+    });
+  m_refresh.Every(kRefreshInterval, [this] {
+    m_context.m_front->Call([](Front& aSelf) {
+      aSelf.RefreshShares();
+      const auto flows = aSelf.m_flows; // a flow that ends removes itself
+      for (const std::shared_ptr<RequestFlow>& flow : flows) {
+        flow->CheckCaller();
+      }
+    });
+  });
+}
+
+Front::~Front() = default;
+
+void
+Front::StopAccepting()
+{
+  m_server->StopAccepting();
+}
+
+std::size_t
+Front::CutAll()
+{
+  const auto flows = m_flows;
+  for (const std::shared_ptr<RequestFlow>& flow : flows) {
+    flow->Cut();
+  }
+  return flows.size();
+}
+
+void
+Front::OnRequest(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  Checked checked = Check(aExchange->Request());
+  if (const auto* refusal = std::get_if<Refusal>(&checked)) {
+    Refuse(*aExchange, *refusal);
+    return;
+  }
+  FlowRequest& request = std::get<FlowRequest>(checked);
+  RefreshShares();
+  const Admission admission =
+    m_shares.Admit(request.m_chat.m_customer, m_context.m_loop.Now());
+  if (admission.m_code != ResultCode::Ok) {
+    Refuse(*aExchange, { admission.m_code, admission.m_retryAfter });
+    return;
+  }
+  StartFlow(std::move(request), aExchange);
+}
+
+Front::Checked
+Front::Check(const net::HttpRequest& aRequest) const
+{
+  if (!IsKnownPath(aRequest)) {
+    return Refusal{ ResultCode::NotFound };
+  }
+  if (aRequest.m_method != "POST") {
+    return Refusal{ ResultCode::BadRequest };
+  }
+  if (m_context.m_stopping) {
+    return Refusal{ ResultCode::Stopping, std::chrono::seconds(1) };
+  }
+  if (aRequest.m_body.size() > m_context.m_settings.m_maxBodyBytes) {
+    return Refusal{ ResultCode::RequestTooLarge };
+  }
+  const ConfigFeed* feed = m_context.m_config->Peek();
+  if (feed == nullptr || feed->Current() == nullptr) {
+    return Refusal{ ResultCode::NoConfiguration, std::chrono::seconds(2) };
+  }
+  const proto::FleetConfig& config = *feed->Current();
+  const std::string_view authorization =
+    aRequest.m_headers.Get("authorization");
+  const proto::Customer* customer =
+    authorization.starts_with(kBearer)
+      ? FindCustomerByKey(config, authorization.substr(kBearer.size()))
+      : nullptr;
+  if (customer == nullptr) {
+    return Refusal{ ResultCode::Unauthorized };
+  }
+  const std::string serviceName = ServiceNameOf(aRequest);
+  const proto::Service* service = FindService(config, serviceName);
+  if (service == nullptr ||
+      ActivePresetService(config, serviceName) == nullptr) {
+    return Refusal{ ResultCode::UnknownService };
+  }
+  if (m_flows.size() >= m_context.m_settings.m_maxRequests) {
+    return Refusal{ ResultCode::QueueFull, std::chrono::seconds(1) };
+  }
+
+  FlowRequest flow;
+  flow.m_chat.m_customer = CustomerId(customer->name());
+  flow.m_chat.m_service = ServiceId(serviceName);
+  flow.m_chat.m_chat =
+    ChatId(std::string(aRequest.m_headers.Get("walnutwing-chat")));
+  flow.m_priority = customer->priority();
+  flow.m_idempotent = service->idempotent();
+  flow.m_upstreamTarget =
+    service->kind() == proto::Service::ENGINE ? kChatPath : kPlainTarget;
+  flow.m_trace = TraceContext::Parse(aRequest.m_headers.Get("traceparent"));
+  Duration deadline(service->default_deadline_ms());
+  if (const auto header = aRequest.m_headers.Find("walnutwing-deadline-ms")) {
+    const std::optional<std::uint32_t> value =
+      ParseNumber<std::uint32_t>(*header);
+    if (!value || *value == 0) {
+      return Refusal{ ResultCode::BadRequest };
+    }
+    deadline = Duration(*value);
+  }
+  flow.m_deadline =
+    m_context.m_loop.Now() + std::min(deadline, kLongestDeadline);
+  if (flow.m_chat.m_chat.Value().size() > kMaxChatIdBytes) {
+    return Refusal{ ResultCode::BadRequest };
+  }
+  if (const std::optional<ResultCode> code = CheckOrder(aRequest, flow)) {
+    return Refusal{ *code };
+  }
+  return flow;
+}
+
+// Orders go to services that are not idempotent, and nothing else does.
+std::optional<ResultCode>
+Front::CheckOrder(const net::HttpRequest& aRequest, FlowRequest& aFlow) const
+{
+  const bool isOrder = aRequest.m_path.starts_with(kOrderPath);
+  if (!isOrder) {
+    return aFlow.m_idempotent ? std::nullopt
+                              : std::make_optional(ResultCode::OrderKeyMissing);
+  }
+  if (aFlow.m_idempotent) {
+    return ResultCode::UnknownService;
+  }
+  const auto key = aRequest.m_headers.Find("idempotency-key");
+  if (!key) {
+    return ResultCode::OrderKeyMissing;
+  }
+  aFlow.m_orderKey = OrderKey(std::string(*key));
+  const ResultCode code =
+    CheckOrderKey(aFlow.m_orderKey, m_context.m_loop.WallNow(), {});
+  return code == ResultCode::Ok ? std::nullopt : std::make_optional(code);
+}
+
+void
+Front::StartFlow(FlowRequest aRequest,
+                 const std::shared_ptr<net::Exchange>& aExchange)
+{
+  const CustomerId customer = aRequest.m_chat.m_customer;
+  // The flow's end comes from a later turn, so the flow is in the set by then.
+  const auto slot = std::make_shared<std::weak_ptr<RequestFlow>>();
+  const auto flow =
+    std::make_shared<RequestFlow>(m_context,
+                                  std::move(aRequest),
+                                  aExchange,
+                                  [this, slot, customer](ResultCode) {
+                                    m_context.m_front->Call([&](Front& aSelf) {
+                                      aSelf.m_shares.OnFinished(customer);
+                                      aSelf.m_flows.erase(slot->lock());
+                                    });
+                                  });
+  *slot = flow;
+  m_flows.insert(flow);
+  m_context.m_metrics.Gauge("requests_in_progress") =
+    static_cast<double>(m_flows.size());
+  flow->Start();
+}
+
+void
+Front::Refuse(net::Exchange& aExchange, const Refusal& aRefusal)
+{
+  ++m_context.m_metrics.Counter(
+    "requests_total",
+    "code=\"" + std::to_string(static_cast<int>(aRefusal.m_code)) + "\"");
+  RespondWithError(aExchange, aRefusal.m_code, aRefusal.m_retryAfter);
+}
+
+// Capacity is this daemon's part of the slots of the upstreams that take work.
+void
+Front::RefreshShares()
+{
+  const ConfigFeed* feed = m_context.m_config->Peek();
+  const FleetView* fleet = m_context.m_fleet->Peek();
+  if (feed == nullptr || fleet == nullptr || feed->Current() == nullptr) {
+    return;
+  }
+  const proto::FleetConfig& config = *feed->Current();
+  std::uint32_t slots = 0;
+  for (const auto& [id, vm] : fleet->Upstreams()) {
+    if (vm.leaving() || IsZoneOut(config, vm.zone())) {
+      continue;
+    }
+    for (const proto::PresetService& service :
+         ActivePreset(config)->services()) {
+      if (service.model() == vm.model()) {
+        slots += service.engine_slots() + service.queue_limit();
+        break;
+      }
+    }
+  }
+  const auto daemons = static_cast<std::uint32_t>(fleet->PeersUp().size()) + 1;
+  m_shares.SetCapacity(
+    std::max<std::uint32_t>(1, kUnevenness * slots / daemons));
+  m_context.m_metrics.Gauge("requests_in_progress") =
+    static_cast<double>(m_flows.size());
+  if (m_sharesOf == feed->Current()) {
+    return;
+  }
+  m_sharesOf = feed->Current();
+  std::vector<CustomerLimit> limits;
+  for (const proto::Customer& customer : config.customers()) {
+    limits.push_back({ CustomerId(customer.name()),
+                       customer.share(),
+                       customer.priority(),
+                       customer.max_in_progress() });
+  }
+  m_shares.SetCustomers(limits);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/daemon/front.h
@@ -0,0 +1,67 @@
+#ifndef WALNUTWING_DAEMON_FRONT_H_
+#define WALNUTWING_DAEMON_FRONT_H_
+
+// The callers' side: checks each request, admits it by its customer's share and
+// starts its flow. docs/CALLERS.md lists paths and headers.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <variant>
+
+#include "config.pb.h"
+#include "daemon/context.h"
+#include "daemon/request_flow.h"
+#include "net/http_server.h"
+#include "net/owned_timer.h"
+#include "walnutwing/admission/customer_shares.h"
+#include "walnutwing/placement/chat_hint.h"
+
+namespace walnutwing {
+
+class Front
+{
+public:
+  // Listens at once. Throws std::system_error if the address cannot be bound.
+  explicit Front(Context& aContext);
+  ~Front();
+
+  // Accepts no new connections; requests in progress go on.
+  void StopAccepting();
+
+  // Ends all requests in progress as broken; returns how many.
+  std::size_t CutAll();
+
+  std::size_t InProgress() const { return m_flows.size(); }
+
+private:
+  // A refusal before any flow begins.
+  struct Refusal
+  {
+    ResultCode m_code;
+    Duration m_retryAfter{ 0 };
+  };
+  using Checked = std::variant<FlowRequest, Refusal>;
+
+  void OnRequest(const std::shared_ptr<net::Exchange>& aExchange);
+  Checked Check(const net::HttpRequest& aRequest) const;
+  std::optional<ResultCode> CheckOrder(const net::HttpRequest& aRequest,
+                                       FlowRequest& aFlow) const;
+  void StartFlow(FlowRequest aRequest,
+                 const std::shared_ptr<net::Exchange>& aExchange);
+  void Refuse(net::Exchange& aExchange, const Refusal& aRefusal);
+  void RefreshShares();
+
+  Context& m_context;
+  CustomerShares m_shares;
+  std::unordered_set<std::shared_ptr<RequestFlow>> m_flows;
+  std::shared_ptr<const proto::FleetConfig>
+    m_sharesOf; // configuration of m_shares
+  net::OwnedTimer m_refresh;
+  std::unique_ptr<net::HttpServer> m_server;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_DAEMON_FRONT_H_
--- /dev/null
+++ b/daemon/main.cc
@@ -0,0 +1,50 @@
+// The one binary: `walnutwing daemon` runs a router, every other subcommand is
+// the operators' client.
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon.h"
+#include "walnutwing/base/result_code.h"
+
+namespace {
+
+constexpr const char* kDaemonHelp =
+  "usage: walnutwing daemon --config FILE\n"
+  "Runs a router with the settings in FILE (docs/SETTINGS.md).\n"
+  "SIGTERM stops it gracefully; a second one cuts what is still running.\n";
+
+int
+RunDaemonCommand(const std::vector<std::string>& aArguments)
+{
+  if (aArguments.size() == 1 &&
+      (aArguments[0] == "--help" || aArguments[0] == "-h")) {
+    std::cout << kDaemonHelp;
+    return 0;
+  }
+  constexpr std::string_view kFlag = "--config=";
+  if (aArguments.size() == 2 && aArguments[0] == "--config") {
+    return walnutwing::RunDaemon(aArguments[1]);
+  }
+  if (aArguments.size() == 1 && aArguments[0].starts_with(kFlag)) {
+    return walnutwing::RunDaemon(aArguments[0].substr(kFlag.size()));
+  }
+  std::cerr
+    << "error 5006 command_line: daemon takes --config FILE and nothing else\n"
+    << kDaemonHelp;
+  return walnutwing::ExitStatusOf(walnutwing::ResultCode::CommandLine);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  const std::vector<std::string> arguments(aValues + 1, aValues + aCount);
+  if (!arguments.empty() && arguments[0] == "daemon") {
+    return RunDaemonCommand({ arguments.begin() + 1, arguments.end() });
+  }
+  std::cerr << "error 5006 command_line: unknown subcommand\n";
+  return walnutwing::ExitStatusOf(walnutwing::ResultCode::CommandLine);
+}
--- a/daemon/order_desk.cc
+++ b/daemon/order_desk.cc
@@ -33,7 +33,9 @@
 
 OrderDesk::OrderDesk(Context& aContext)
   : m_context(aContext)
-  , m_book(OrderBookOptions(), aContext.m_settings.m_id, aContext.NextIncarnation())
+  , m_book(OrderBookOptions(),
+           aContext.m_settings.m_id,
+           aContext.NextIncarnation())
   , m_tick(aContext.m_loop)
 {
   ScheduleTick();
@@ -53,7 +55,8 @@
   OrderActions actions;
   m_book.OnTick(Now(), &actions);
   CarryOut(actions);
-  m_context.m_metrics.Gauge("order_memory_bytes") = static_cast<double>(m_book.MemoryBytes());
+  m_context.m_metrics.Gauge("order_memory_bytes") =
+    static_cast<double>(m_book.MemoryBytes());
   ScheduleTick();
 }
 
@@ -78,7 +81,9 @@
 }
 
 void
-OrderDesk::OnUpstreamNotSent(RequestId aOrder, ResultCode aCode, Duration aRetryAfter)
+OrderDesk::OnUpstreamNotSent(RequestId aOrder,
+                             ResultCode aCode,
+                             Duration aRetryAfter)
 {
   OrderActions actions;
   m_book.OnUpstreamNotSent(aOrder, aCode, aRetryAfter, Now(), &actions);
@@ -132,9 +137,9 @@
     } else if (const auto* answer = std::get_if<AnswerOrder>(&action)) {
       const auto found = m_orders.find(answer->m_request);
       if (found != m_orders.end()) {
-        m_context.m_loop.After(
-          Duration::zero(),
-          [callback = std::move(found->second.m_answer), result = *answer] { callback(result); });
+        m_context.m_loop.After(Duration::zero(),
+                               [callback = std::move(found->second.m_answer),
+                                result = *answer] { callback(result); });
         m_orders.erase(found);
       }
     }
@@ -154,7 +159,8 @@
     StreamNameOf(aAppend.m_partition),
     std::move(bodies),
     [this, batch = aAppend.m_batch](const AppendAnswer& aAnswer) {
-      m_context.m_orders->Call([&](OrderDesk& aSelf) { aSelf.OnAppendAnswer(batch, aAnswer); });
+      m_context.m_orders->Call(
+        [&](OrderDesk& aSelf) { aSelf.OnAppendAnswer(batch, aAnswer); });
     });
 }
 
@@ -163,7 +169,8 @@
 {
   m_appends.erase(aBatch);
   OrderActions actions;
-  m_book.OnAppendResult(aBatch, StatusOfVerdict(aAnswer.m_verdict), Now(), &actions);
+  m_book.OnAppendResult(
+    aBatch, StatusOfVerdict(aAnswer.m_verdict), Now(), &actions);
   CarryOut(actions);
 }
 
@@ -175,7 +182,8 @@
     StreamNameOf(aRead.m_partition),
     aRead.m_from,
     kRecordsPerRead,
-    [this, partition = aRead.m_partition](const std::optional<proto::ReadResponse>& aResponse) {
+    [this, partition = aRead.m_partition](
+      const std::optional<proto::ReadResponse>& aResponse) {
       m_context.m_orders->Call([&](OrderDesk& aSelf) {
         OrderActions actions;
         if (aResponse) {
--- a/daemon/order_desk.h
+++ b/daemon/order_desk.h
@@ -33,7 +33,9 @@
 
   // How a sent order ended; see OrderBook.
   void OnUpstreamAnswer(RequestId aOrder, const OrderResult& aResult);
-  void OnUpstreamNotSent(RequestId aOrder, ResultCode aCode, Duration aRetryAfter);
+  void OnUpstreamNotSent(RequestId aOrder,
+                         ResultCode aCode,
+                         Duration aRetryAfter);
   void OnUpstreamUnknown(RequestId aOrder, ResultCode aCode);
 
   // The caller has gone or was answered; the order itself may run on.
@@ -48,7 +50,10 @@
   OrderStatus StatusOf(const CustomerId& aCustomer, const OrderKey& aKey);
 
 private:
-  OrderTime Now() const { return { m_context.m_loop.Now(), m_context.m_loop.WallNow() }; }
+  OrderTime Now() const
+  {
+    return { m_context.m_loop.Now(), m_context.m_loop.WallNow() };
+  }
   void ScheduleTick();
   void Tick();
   void CarryOut(const OrderActions& aActions);
--- a/daemon/owner_host.cc
+++ b/daemon/owner_host.cc
@@ -60,7 +60,9 @@
 NumberAt(const nlohmann::json& aObject, const char* aKey)
 {
   const auto found = aObject.find(aKey);
-  return found != aObject.end() && found->is_number_unsigned() ? found->get<std::uint32_t>() : 0;
+  return found != aObject.end() && found->is_number_unsigned()
+           ? found->get<std::uint32_t>()
+           : 0;
 }
 
 } // namespace
@@ -79,8 +81,9 @@
   , m_tick(aContext.m_loop)
   , m_poll(aContext.m_loop)
 {
-  m_tick.Every(kTickInterval,
-               [this] { m_context.m_owners->Call([](OwnerHost& aSelf) { aSelf.Tick(); }); });
+  m_tick.Every(kTickInterval, [this] {
+    m_context.m_owners->Call([](OwnerHost& aSelf) { aSelf.Tick(); });
+  });
   m_poll.Every(kLoadInterval, [this] {
     m_context.m_owners->Call([](OwnerHost& aSelf) {
       for (const auto& [id, owned] : aSelf.m_owned) {
@@ -137,9 +140,11 @@
                       OptionsOf(*PresetOfModel(config, aUpstream.model())),
                       m_context.NextIncarnation(),
                       cold,
-                      last == nullptr ? std::nullopt : std::make_optional(*last),
+                      last == nullptr ? std::nullopt
+                                      : std::make_optional(*last),
                       m_context.m_loop.Now());
-  auto owned = std::make_unique<Owned>(Owned{ aUpstream, std::move(owner), false, 0, nullptr });
+  auto owned = std::make_unique<Owned>(
+    Owned{ aUpstream, std::move(owner), false, 0, nullptr });
   Owned& added = *owned;
   m_owned.emplace(id, std::move(owned));
   PollLoad(added);
@@ -151,9 +156,10 @@
 {
   const proto::FleetConfig& config = *m_context.m_config->Peek()->Current();
   OwnerActions actions;
-  aOwned.m_owner.SetOptions(OptionsOf(*PresetOfModel(config, aOwned.m_vm.model())),
-                            m_context.m_loop.Now(),
-                            actions);
+  aOwned.m_owner.SetOptions(
+    OptionsOf(*PresetOfModel(config, aOwned.m_vm.model())),
+    m_context.m_loop.Now(),
+    actions);
   CarryOut(actions);
   std::unordered_map<CustomerId, std::uint32_t> shares;
   for (const proto::Customer& customer : config.customers()) {
@@ -187,41 +193,45 @@
 void
 OwnerHost::PollLoad(Owned& aOwned)
 {
-  const std::optional<net::Endpoint> endpoint = net::Endpoint::Parse(aOwned.m_vm.address());
+  const std::optional<net::Endpoint> endpoint =
+    net::Endpoint::Parse(aOwned.m_vm.address());
   if (!endpoint) {
     return;
   }
   net::CallRequest request;
   request.m_endpoint = *endpoint;
   request.m_target = "/load";
-  aOwned.m_loadCall =
-    net::FetchWhole(m_context.m_http,
-                    m_context.m_loop,
-                    std::move(request),
-                    kLoadTimeout,
-                    kMaxLoadBytes,
-                    [this, id = UpstreamId(aOwned.m_vm.id())](const net::WholeAnswer& aAnswer) {
-                      m_context.m_owners->Call(
-                        [&](OwnerHost& aSelf) { aSelf.OnLoadAnswer(id, aAnswer); });
-                    });
+  aOwned.m_loadCall = net::FetchWhole(
+    m_context.m_http,
+    m_context.m_loop,
+    std::move(request),
+    kLoadTimeout,
+    kMaxLoadBytes,
+    [this, id = UpstreamId(aOwned.m_vm.id())](const net::WholeAnswer& aAnswer) {
+      m_context.m_owners->Call(
+        [&](OwnerHost& aSelf) { aSelf.OnLoadAnswer(id, aAnswer); });
+    });
 }
 
 void
-OwnerHost::OnLoadAnswer(const UpstreamId& aUpstream, const net::WholeAnswer& aAnswer)
+OwnerHost::OnLoadAnswer(const UpstreamId& aUpstream,
+                        const net::WholeAnswer& aAnswer)
 {
   const auto found = m_owned.find(aUpstream);
   if (found == m_owned.end()) {
     return;
   }
   Owned& owned = *found->second;
-  const bool answered = aAnswer.m_end.m_stage == net::CallStage::Complete &&
-                        (aAnswer.m_status == kHttpOk || aAnswer.m_status == kHttpNotFound);
+  const bool answered =
+    aAnswer.m_end.m_stage == net::CallStage::Complete &&
+    (aAnswer.m_status == kHttpOk || aAnswer.m_status == kHttpNotFound);
   owned.m_loadFailures = answered ? 0 : owned.m_loadFailures + 1;
   Refresh(owned);
   if (!answered || aAnswer.m_status == kHttpNotFound) {
     return;
   }
-  const nlohmann::json report = nlohmann::json::parse(aAnswer.m_body, nullptr, false);
+  const nlohmann::json report =
+    nlohmann::json::parse(aAnswer.m_body, nullptr, false);
   if (!report.is_object()) {
     ++m_context.m_metrics.Counter("load_reports_malformed_total");
     return;
@@ -230,8 +240,8 @@
   load.m_running = NumberAt(report, "running");
   load.m_waiting = NumberAt(report, "waiting");
   load.m_cold = report.value("cold", nlohmann::json(false)) == true;
-  const Duration age =
-    m_context.m_loop.WallNow().time_since_epoch() - Duration(report.value("as_of_ms", 0LL));
+  const Duration age = m_context.m_loop.WallNow().time_since_epoch() -
+                       Duration(report.value("as_of_ms", 0LL));
   load.m_measuredAt = m_context.m_loop.Now() - std::max(age, Duration::zero());
   OwnerActions actions;
   owned.m_owner.OnLoad(load, m_context.m_loop.Now(), actions);
@@ -284,7 +294,8 @@
 
 // The asking daemon's view differs from ours; it tries its next choice.
 void
-OwnerHost::DenyUnowned(const DaemonId& aTo, const proto::PermitRequest& aRequest)
+OwnerHost::DenyUnowned(const DaemonId& aTo,
+                       const proto::PermitRequest& aRequest)
 {
   proto::PeerMessage message;
   proto::PermitDeny& deny = *message.mutable_permit_deny();
@@ -292,7 +303,8 @@
   deny.set_upstream(aRequest.upstream());
   deny.set_code(static_cast<std::uint32_t>(ResultCode::NoUpstream));
   deny.set_retry_after_ms(static_cast<std::uint32_t>(kLoadInterval.count()));
-  m_context.m_peers->Call([&](PeerLink& aPeers) { aPeers.Send(aTo, message, true); });
+  m_context.m_peers->Call(
+    [&](PeerLink& aPeers) { aPeers.Send(aTo, message, true); });
 }
 
 void
@@ -313,16 +325,19 @@
   OwnerActions actions;
   for (const auto& [id, owned] : m_owned) {
     const std::optional<double> mean =
-      permits == nullptr ? std::nullopt : permits->MeanLoadOf(owned->m_vm.model());
+      permits == nullptr ? std::nullopt
+                         : permits->MeanLoadOf(owned->m_vm.model());
     if (mean) {
       owned->m_owner.OnMean(*mean, now, actions);
     }
     owned->m_owner.OnTick(now, actions);
-    m_context.m_fleet->Call(
-      [&](FleetView& aFleet) { aFleet.SetUpstreamState(owned->m_owner.State(now)); });
+    m_context.m_fleet->Call([&](FleetView& aFleet) {
+      aFleet.SetUpstreamState(owned->m_owner.State(now));
+    });
   }
   CarryOut(actions);
-  m_context.m_metrics.Gauge("upstreams_owned") = static_cast<double>(m_owned.size());
+  m_context.m_metrics.Gauge("upstreams_owned") =
+    static_cast<double>(m_owned.size());
 }
 
 void
@@ -339,7 +354,8 @@
       to = deny->m_to;
       ++m_context.m_metrics.Counter("permit_denials_total");
     }
-    m_context.m_peers->Call([&](PeerLink& aPeers) { aPeers.Send(to, message, true); });
+    m_context.m_peers->Call(
+      [&](PeerLink& aPeers) { aPeers.Send(to, message, true); });
   }
 }
 
--- a/daemon/owner_host.h
+++ b/daemon/owner_host.h
@@ -43,7 +43,8 @@
   void Refresh(Owned& aOwned);
   void SetLeaving(Owned& aOwned, bool aLeaving);
   void PollLoad(Owned& aOwned);
-  void OnLoadAnswer(const UpstreamId& aUpstream, const net::WholeAnswer& aAnswer);
+  void OnLoadAnswer(const UpstreamId& aUpstream,
+                    const net::WholeAnswer& aAnswer);
   void Tick();
   void CarryOut(const OwnerActions& aActions);
   void DenyUnowned(const DaemonId& aTo, const proto::PermitRequest& aRequest);
--- a/daemon/peer_link.cc
+++ b/daemon/peer_link.cc
@@ -28,7 +28,8 @@
   if (!aSettings.m_curvePublicKey.empty()) {
     std::string secret = ReadTextFile(aSettings.m_curveSecretKeyFile);
     secret.erase(secret.find_last_not_of(" \r\n\t") + 1);
-    options.m_keys = net::PeerKeys{ aSettings.m_curvePublicKey, std::move(secret) };
+    options.m_keys =
+      net::PeerKeys{ aSettings.m_curvePublicKey, std::move(secret) };
   }
   return options;
 }
@@ -40,7 +41,8 @@
   , m_bus(aContext.m_loop,
           BusOptions(aContext.m_settings),
           [this](std::string_view aBytes) {
-            m_context.m_peers->Call([&](PeerLink& aSelf) { aSelf.OnEnvelope(aBytes); });
+            m_context.m_peers->Call(
+              [&](PeerLink& aSelf) { aSelf.OnEnvelope(aBytes); });
           })
   , m_rideTimer(aContext.m_loop)
   , m_selfTimer(aContext.m_loop)
@@ -48,13 +50,16 @@
 }
 
 void
-PeerLink::Send(const DaemonId& aTo, const proto::PeerMessage& aMessage, bool aUrgent)
+PeerLink::Send(const DaemonId& aTo,
+               const proto::PeerMessage& aMessage,
+               bool aUrgent)
 {
   if (aTo == m_context.m_settings.m_id) {
     m_toSelf.push_back(aMessage);
     if (m_toSelf.size() == 1) {
       m_selfTimer.After(Duration::zero(), [this] {
-        const std::vector<proto::PeerMessage> messages = std::exchange(m_toSelf, {});
+        const std::vector<proto::PeerMessage> messages =
+          std::exchange(m_toSelf, {});
         for (const proto::PeerMessage& message : messages) {
           Dispatch(m_context.m_settings.m_id, m_context.m_incarnation, message);
         }
@@ -84,16 +89,20 @@
 }
 
 void
-PeerLink::SendNow(const DaemonId& aTo, std::vector<proto::PeerMessage> aMessages)
+PeerLink::SendNow(const DaemonId& aTo,
+                  std::vector<proto::PeerMessage> aMessages)
 {
   const FleetView* fleet = m_context.m_fleet->Peek();
   const std::string address = fleet == nullptr ? "" : fleet->AddressOf(aTo);
   if (address.empty()) {
-    ++m_context.m_metrics.Counter("peer_messages_dropped_total", "reason=\"no address\"");
+    ++m_context.m_metrics.Counter("peer_messages_dropped_total",
+                                  "reason=\"no address\"");
     return;
   }
-  const std::size_t bytes = Transmit(address, std::move(aMessages)) + kPacketOverheadBytes;
-  if (!m_context.m_budget.TrySpend(Traffic::Permit, bytes, m_context.m_loop.Now())) {
+  const std::size_t bytes =
+    Transmit(address, std::move(aMessages)) + kPacketOverheadBytes;
+  if (!m_context.m_budget.TrySpend(
+        Traffic::Permit, bytes, m_context.m_loop.Now())) {
     m_context.m_metrics.Counter("control_bytes_over_budget_total") += bytes;
   }
 }
@@ -111,7 +120,8 @@
   proto::PeerEnvelope envelope;
   envelope.set_from(m_context.m_settings.m_id.Value());
   const FleetView* fleet = m_context.m_fleet->Peek();
-  envelope.set_incarnation(fleet != nullptr ? fleet->Incarnation() : m_context.m_incarnation);
+  envelope.set_incarnation(fleet != nullptr ? fleet->Incarnation()
+                                            : m_context.m_incarnation);
   for (proto::PeerMessage& message : aMessages) {
     *envelope.add_messages() = std::move(message);
   }
@@ -119,15 +129,18 @@
 }
 
 std::size_t
-PeerLink::Transmit(const std::string& aAddress, std::vector<proto::PeerMessage> aMessages)
+PeerLink::Transmit(const std::string& aAddress,
+                   std::vector<proto::PeerMessage> aMessages)
 {
   const std::optional<net::Endpoint> endpoint = net::Endpoint::Parse(aAddress);
   const std::string bytes = Encode(std::move(aMessages));
   if (!endpoint || !m_bus.Send(*endpoint, bytes)) {
-    ++m_context.m_metrics.Counter("peer_messages_dropped_total", "reason=\"not connected\"");
+    ++m_context.m_metrics.Counter("peer_messages_dropped_total",
+                                  "reason=\"not connected\"");
     return 0;
   }
-  m_context.m_metrics.Counter("control_bytes_sent_total") += bytes.size() + kPacketOverheadBytes;
+  m_context.m_metrics.Counter("control_bytes_sent_total") +=
+    bytes.size() + kPacketOverheadBytes;
   return bytes.size();
 }
 
@@ -137,7 +150,8 @@
   m_context.m_metrics.Counter("control_bytes_received_total") +=
     aBytes.size() + kPacketOverheadBytes;
   proto::PeerEnvelope envelope;
-  if (!envelope.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+  if (!envelope.ParseFromArray(aBytes.data(),
+                               static_cast<int>(aBytes.size()))) {
     ++m_context.m_metrics.Counter("peer_envelopes_malformed_total");
     return;
   }
@@ -160,8 +174,9 @@
     case Kind::kPermitRequest:
     case Kind::kPermitRelease:
     case Kind::kPermitReport:
-      m_context.m_owners->Call(
-        [&](OwnerHost& aOwners) { aOwners.OnPeerMessage(aFrom, aIncarnation, aMessage); });
+      m_context.m_owners->Call([&](OwnerHost& aOwners) {
+        aOwners.OnPeerMessage(aFrom, aIncarnation, aMessage);
+      });
       return;
     case Kind::kPermitGrant:
     case Kind::kPermitDeny:
--- a/daemon/peer_link.h
+++ b/daemon/peer_link.h
@@ -27,7 +27,9 @@
   // message that is not urgent rides on the next one to the same daemon, or
   // leaves after kRideDelay. To itself, a daemon's messages take the next turn
   // of the loop.
-  void Send(const DaemonId& aTo, const proto::PeerMessage& aMessage, bool aUrgent);
+  void Send(const DaemonId& aTo,
+            const proto::PeerMessage& aMessage,
+            bool aUrgent);
 
   // Sends membership's messages, which have been charged already.
   void SendCharged(const std::string& aAddress,
--- a/daemon/permit_desk.cc
+++ b/daemon/permit_desk.cc
@@ -1,5 +1,5 @@
-// The order of upstreams comes from ChatPlacement, the asking from PermitClient;
-// this adapter feeds both with the view and the configuration.
+// The order of upstreams comes from ChatPlacement, the asking from
+// PermitClient; this adapter feeds both with the view and the configuration.
 
 #include "daemon/permit_desk.h"
 
@@ -53,7 +53,8 @@
   std::vector<PermitTarget> targets = TargetsFor(aSearch);
   PermitClientActions actions;
   if (targets.empty()) {
-    actions.emplace_back(PermitRefused{ id, ResultCode::NoUpstream, kNoUpstreamRetryAfter });
+    actions.emplace_back(
+      PermitRefused{ id, ResultCode::NoUpstream, kNoUpstreamRetryAfter });
   } else {
     m_client.OnRequest({ id,
                          aSearch.m_chat.m_customer,
@@ -93,7 +94,8 @@
 // The upstream's last known window, shared by the daemons that may also have to
 // do without an owner; one where no window is known.
 std::uint32_t
-PermitDesk::SelfPermitLimit(const ServicePlacement& aService, const UpstreamId& aUpstream) const
+PermitDesk::SelfPermitLimit(const ServicePlacement& aService,
+                            const UpstreamId& aUpstream) const
 {
   const proto::UpstreamState* state = aService.m_placement.StateOf(aUpstream);
   const std::uint32_t window = state == nullptr ? 1 : state->window();
@@ -139,7 +141,8 @@
 }
 
 void
-PermitDesk::OnPeerMessage(const DaemonId& aFrom, const proto::PeerMessage& aMessage)
+PermitDesk::OnPeerMessage(const DaemonId& aFrom,
+                          const proto::PeerMessage& aMessage)
 {
   PermitClientActions actions;
   const Time now = m_context.m_loop.Now();
@@ -199,7 +202,9 @@
       if (vm.model() != service.model()) {
         continue;
       }
-      PlacementUpstream upstream{ upstreamId, ZoneId(vm.zone()), RegionId(vm.region()) };
+      PlacementUpstream upstream{ upstreamId,
+                                  ZoneId(vm.zone()),
+                                  RegionId(vm.region()) };
       upstream.m_leaving = vm.leaving();
       upstream.m_zoneOut = IsZoneOut(config, vm.zone());
       upstreams.push_back(std::move(upstream));
@@ -253,7 +258,8 @@
     } else if (const auto* ready = std::get_if<PermitReady>(&action)) {
       HandOver(*ready);
     } else if (const auto* refused = std::get_if<PermitRefused>(&action)) {
-      Report(refused->m_request, { refused->m_code, refused->m_retryAfter, {}, {} });
+      Report(refused->m_request,
+             { refused->m_code, refused->m_retryAfter, {}, {} });
     }
   }
 }
@@ -268,13 +274,15 @@
   const FleetView* fleet = m_context.m_fleet->Peek();
   std::optional<net::Endpoint> endpoint;
   if (fleet != nullptr && fleet->Upstreams().contains(aReady.m_upstream)) {
-    endpoint = net::Endpoint::Parse(fleet->Upstreams().at(aReady.m_upstream).address());
+    endpoint =
+      net::Endpoint::Parse(fleet->Upstreams().at(aReady.m_upstream).address());
   }
   if (!endpoint) {
     Unreachable(aReady.m_request);
     return;
   }
-  Report(aReady.m_request, { ResultCode::Ok, Duration::zero(), aReady.m_upstream, *endpoint });
+  Report(aReady.m_request,
+         { ResultCode::Ok, Duration::zero(), aReady.m_upstream, *endpoint });
 }
 
 // The search stays known after Ok, until Finish.
--- a/daemon/permit_desk.h
+++ b/daemon/permit_desk.h
@@ -1,8 +1,8 @@
 #ifndef WALNUTWING_DAEMON_PERMIT_DESK_H_
 #define WALNUTWING_DAEMON_PERMIT_DESK_H_
 
-// Finds an upstream for each request: ranks the service's upstreams for its chat
-// and asks their owners for a permit.
+// Finds an upstream for each request: ranks the service's upstreams for its
+// chat and asks their owners for a permit.
 
 #include <functional>
 #include <map>
--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -21,14 +21,16 @@
 constexpr std::size_t kMaxOrderAnswerBytes = std::size_t{ 1024 } * 1024;
 // How long a detached order may still run before its outcome counts as unknown.
 constexpr Duration kDetachedLimit = std::chrono::minutes(5);
-constexpr std::array<std::string_view, 6> kHopByHop = { "connection",        "transfer-encoding",
-                                                        "content-length",    "keep-alive",
-                                                        "x-request-id",      "server" };
+constexpr std::array<std::string_view, 6> kHopByHop = {
+  "connection", "transfer-encoding", "content-length",
+  "keep-alive", "x-request-id",      "server"
+};
 
 bool
 IsHopByHop(std::string_view aName)
 {
-  return std::find(kHopByHop.begin(), kHopByHop.end(), aName) != kHopByHop.end();
+  return std::find(kHopByHop.begin(), kHopByHop.end(), aName) !=
+         kHopByHop.end();
 }
 
 AnswerOptions
@@ -46,12 +48,14 @@
   AnswerHead head;
   head.m_status = aStatus;
   head.m_requestId = aHeaders.Get("x-request-id");
-  head.m_eventStream = aHeaders.Get("content-type").starts_with("text/event-stream");
+  head.m_eventStream =
+    aHeaders.Get("content-type").starts_with("text/event-stream");
   head.m_chunked = aHeaders.Get("transfer-encoding") == "chunked";
   head.m_completionId = aHeaders.Get("x-completion-id");
   if (const auto length = aHeaders.Find("content-length")) {
     std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(length->data(), length->data() + length->size(), value);
+    const auto [end, error] =
+      std::from_chars(length->data(), length->data() + length->size(), value);
     if (error == std::errc() && end == length->data() + length->size()) {
       head.m_contentLength = value;
     }
@@ -62,14 +66,19 @@
 } // namespace
 
 void
-RespondWithError(net::Exchange& aExchange, ResultCode aCode, Duration aRetryAfter)
+RespondWithError(net::Exchange& aExchange,
+                 ResultCode aCode,
+                 Duration aRetryAfter)
 {
   const ResultCodeRow& row = RowOf(aCode);
   net::Headers headers = { { "content-type", "application/json" },
-                           { "walnutwing-code", std::to_string(static_cast<int>(aCode)) } };
+                           { "walnutwing-code",
+                             std::to_string(static_cast<int>(aCode)) } };
   if (row.m_repeat == Repeat::AfterDelay || row.m_repeat == Repeat::SameKey) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aRetryAfter).count();
-    headers.Add("retry-after", std::to_string(std::max<std::int64_t>(1, seconds)));
+    const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(aRetryAfter).count();
+    headers.Add("retry-after",
+                std::to_string(std::max<std::int64_t>(1, seconds)));
   }
   aExchange.Respond(row.m_httpStatus, std::move(headers), ErrorBody(aCode));
 }
@@ -86,10 +95,13 @@
   , m_deadline(aContext.m_loop)
   , m_startedAt(aContext.m_loop.Now())
 {
-  m_requestSpan = m_context.m_tracer.Begin(
-    IsOrder() ? "order" : "request", m_request.m_trace, m_context.m_loop.WallNow());
-  m_requestSpan->m_attributes.emplace_back("service", m_request.m_chat.m_service.Value());
-  m_requestSpan->m_attributes.emplace_back("customer", m_request.m_chat.m_customer.Value());
+  m_requestSpan = m_context.m_tracer.Begin(IsOrder() ? "order" : "request",
+                                           m_request.m_trace,
+                                           m_context.m_loop.WallNow());
+  m_requestSpan->m_attributes.emplace_back("service",
+                                           m_request.m_chat.m_service.Value());
+  m_requestSpan->m_attributes.emplace_back("customer",
+                                           m_request.m_chat.m_customer.Value());
 }
 
 void
@@ -107,7 +119,8 @@
       self->m_call->Resume();
     }
   });
-  m_deadline.After(m_request.m_deadline - m_context.m_loop.Now(), [this] { OnDeadline(); });
+  m_deadline.After(m_request.m_deadline - m_context.m_loop.Now(),
+                   [this] { OnDeadline(); });
   if (IsOrder()) {
     SubmitOrder();
   } else {
@@ -147,11 +160,13 @@
 RequestFlow::SearchUpstream()
 {
   const std::weak_ptr<RequestFlow> weak = weak_from_this();
-  m_permitSpan =
-    m_context.m_tracer.Begin("permit", m_requestSpan->m_context, m_context.m_loop.WallNow());
-  const PermitSearch search = {
-    m_request.m_chat, m_request.m_hint, m_request.m_priority, m_request.m_deadline, m_avoid
-  };
+  m_permitSpan = m_context.m_tracer.Begin(
+    "permit", m_requestSpan->m_context, m_context.m_loop.WallNow());
+  const PermitSearch search = { m_request.m_chat,
+                                m_request.m_hint,
+                                m_request.m_priority,
+                                m_request.m_deadline,
+                                m_avoid };
   const bool searching = m_context.m_permits->Call([&](PermitDesk& aPermits) {
     m_search = aPermits.Search(search, [weak](const PermitResult& aResult) {
       if (const Self self = weak.lock()) {
@@ -209,38 +224,41 @@
   ++m_attempts;
   m_attempt = AttemptId(m_context.m_settings.m_id.Value() + "-" +
                         std::to_string(m_context.m_incarnation) + "-" +
-                        m_requestSpan->m_context.m_spanId + "-" + std::to_string(m_attempts));
+                        m_requestSpan->m_context.m_spanId + "-" +
+                        std::to_string(m_attempts));
   m_upstreamCold = false;
   if (IsOrder()) {
-    m_answer = AnswerStream(OptionsOf(m_request)); // the attempt before was not sent
+    m_answer =
+      AnswerStream(OptionsOf(m_request)); // the attempt before was not sent
     m_orderBody.clear();
   }
   AnswerActions actions;
   m_answer.OnAttemptStarted(m_attempt, actions);
   CarryOut(actions);
-  m_attemptSpan =
-    m_context.m_tracer.Begin("upstream", m_requestSpan->m_context, m_context.m_loop.WallNow());
-  m_attemptSpan->m_attributes.emplace_back("upstream", m_permit.m_upstream.Value());
+  m_attemptSpan = m_context.m_tracer.Begin(
+    "upstream", m_requestSpan->m_context, m_context.m_loop.WallNow());
+  m_attemptSpan->m_attributes.emplace_back("upstream",
+                                           m_permit.m_upstream.Value());
 
   const std::weak_ptr<RequestFlow> weak = weak_from_this();
   const AttemptId attempt = m_attempt;
-  m_call =
-    m_context.m_http.Start(UpstreamRequest(),
-                           { [weak, attempt](int aStatus, const net::Headers& aHeaders) {
-                              if (const Self self = weak.lock()) {
-                                self->OnHead(attempt, aStatus, aHeaders);
-                              }
-                            },
-                             [weak, attempt](std::string_view aPiece) {
-                               if (const Self self = weak.lock()) {
-                                 self->OnPiece(attempt, aPiece);
-                               }
-                             },
-                             [weak, attempt](const net::CallEnd& aEnd) {
-                               if (const Self self = weak.lock()) {
-                                 self->OnCallEnd(attempt, aEnd);
-                               }
-                             } });
+  m_call = m_context.m_http.Start(
+    UpstreamRequest(),
+    { [weak, attempt](int aStatus, const net::Headers& aHeaders) {
+       if (const Self self = weak.lock()) {
+         self->OnHead(attempt, aStatus, aHeaders);
+       }
+     },
+      [weak, attempt](std::string_view aPiece) {
+        if (const Self self = weak.lock()) {
+          self->OnPiece(attempt, aPiece);
+        }
+      },
+      [weak, attempt](const net::CallEnd& aEnd) {
+        if (const Self self = weak.lock()) {
+          self->OnCallEnd(attempt, aEnd);
+        }
+      } });
 }
 
 net::CallRequest
@@ -256,9 +274,11 @@
   request.m_headers.Add("x-request-id", m_attempt.Value());
   request.m_headers.Add("traceparent", m_attemptSpan->m_context.ToHeader());
   request.m_headers.Add("walnutwing-chat", m_request.m_chat.m_chat.Value());
-  request.m_headers.Add("walnutwing-priority", std::to_string(m_request.m_priority));
+  request.m_headers.Add("walnutwing-priority",
+                        std::to_string(m_request.m_priority));
   const auto content = original.m_headers.Find("content-type");
-  request.m_headers.Add("content-type", std::string(content.value_or("application/json")));
+  request.m_headers.Add("content-type",
+                        std::string(content.value_or("application/json")));
   if (IsOrder()) {
     request.m_headers.Add("idempotency-key", m_request.m_orderKey.Value());
   }
@@ -269,7 +289,9 @@
 }
 
 void
-RequestFlow::OnHead(const AttemptId& aAttempt, int aStatus, const net::Headers& aHeaders)
+RequestFlow::OnHead(const AttemptId& aAttempt,
+                    int aStatus,
+                    const net::Headers& aHeaders)
 {
   m_upstreamStatus = aStatus;
   m_upstreamHeaders = aHeaders;
@@ -285,7 +307,8 @@
   AnswerActions actions;
   m_answer.OnPiece(aAttempt, aPiece, actions);
   CarryOut(actions);
-  if (!m_detached && m_call != nullptr && m_exchange->PendingBytes() > kMaxPendingBytes) {
+  if (!m_detached && m_call != nullptr &&
+      m_exchange->PendingBytes() > kMaxPendingBytes) {
     m_call->Pause();
   }
 }
@@ -300,13 +323,15 @@
     if (IsOrder()) {
       // Nothing left: the order is still unsent, and the next upstream may try.
       m_permitHeld = false;
-      m_context.m_permits->Call([&](PermitDesk& aPermits) { aPermits.Unreachable(*m_search); });
+      m_context.m_permits->Call(
+        [&](PermitDesk& aPermits) { aPermits.Unreachable(*m_search); });
       return;
     }
   }
-  const AttemptEnd end = aEnd.m_stage == net::CallStage::Complete  ? AttemptEnd::Whole
-                         : aEnd.m_stage == net::CallStage::NotSent ? AttemptEnd::NotSent
-                                                                   : AttemptEnd::Broken;
+  const AttemptEnd end =
+    aEnd.m_stage == net::CallStage::Complete  ? AttemptEnd::Whole
+    : aEnd.m_stage == net::CallStage::NotSent ? AttemptEnd::NotSent
+                                              : AttemptEnd::Broken;
   AnswerActions actions;
   m_answer.OnEnd(aAttempt, end, actions);
   CarryOut(actions);
@@ -324,7 +349,8 @@
       }
       return;
     }
-    RespondWithError(*m_exchange, ResultCode::DeadlinePassed, std::chrono::seconds(1));
+    RespondWithError(
+      *m_exchange, ResultCode::DeadlinePassed, std::chrono::seconds(1));
     OnCallerGone();
     return;
   }
@@ -353,7 +379,8 @@
     return;
   }
   if (m_order) {
-    m_context.m_orders->Call([&](OrderDesk& aOrders) { aOrders.Abandon(*m_order); });
+    m_context.m_orders->Call(
+      [&](OrderDesk& aOrders) { aOrders.Abandon(*m_order); });
   }
   if (m_attempts == 0) {
     End(ResultCode::CallerGone);
@@ -437,7 +464,8 @@
 void
 RequestFlow::ForwardHeadToCaller(const ForwardHead& aHead)
 {
-  m_context.m_metrics.Latency("first_byte_seconds").Record(m_context.m_loop.Now() - m_startedAt);
+  m_context.m_metrics.Latency("first_byte_seconds")
+    .Record(m_context.m_loop.Now() - m_startedAt);
   if (!IsOrder()) {
     m_exchange->Start(aHead.m_status, AnswerHeaders());
   }
@@ -459,7 +487,8 @@
   ++m_context.m_metrics.Counter("attempts_resumed_total");
   m_resumeAfter = aResume.m_afterOffset;
   bool allowed = false;
-  m_context.m_permits->Call([&](PermitDesk& aPermits) { allowed = aPermits.TryRetry(); });
+  m_context.m_permits->Call(
+    [&](PermitDesk& aPermits) { allowed = aPermits.TryRetry(); });
   if (!allowed) {
     AnswerActions actions;
     m_answer.OnAttemptRefused(ResultCode::RetryBudgetSpent, actions);
@@ -480,7 +509,8 @@
 {
   ++m_context.m_metrics.Counter("attempts_repeated_total");
   bool allowed = false;
-  m_context.m_permits->Call([&](PermitDesk& aPermits) { allowed = aPermits.TryRetry(); });
+  m_context.m_permits->Call(
+    [&](PermitDesk& aPermits) { allowed = aPermits.TryRetry(); });
   m_avoid.insert(m_permit.m_upstream);
   EndPermit(true);
   if (!allowed) {
@@ -518,8 +548,9 @@
   m_context.m_orders->Call([&](OrderDesk& aOrders) {
     if (aCode != ResultCode::Ok) {
       aOrders.OnUpstreamUnknown(*m_order,
-                                RowOf(aCode).m_ran == Ran::Unknown ? aCode
-                                                                   : ResultCode::UpstreamFailed);
+                                RowOf(aCode).m_ran == Ran::Unknown
+                                  ? aCode
+                                  : ResultCode::UpstreamFailed);
       return;
     }
     OrderResult result;
@@ -546,10 +577,12 @@
     return;
   }
   const OrderResult& result = *aAnswer.m_result;
-  net::Headers headers = { { "content-type", result.m_contentType },
-                           { "walnutwing-code", "0" },
-                           { "walnutwing-repeated", aAnswer.m_repeated ? "1" : "0" },
-                           { "traceparent", m_requestSpan->m_context.ToHeader() } };
+  net::Headers headers = {
+    { "content-type", result.m_contentType },
+    { "walnutwing-code", "0" },
+    { "walnutwing-repeated", aAnswer.m_repeated ? "1" : "0" },
+    { "traceparent", m_requestSpan->m_context.ToHeader() }
+  };
   if (result.m_bodyTooLarge) {
     headers.Add("walnutwing-body", "not kept");
   }
@@ -598,10 +631,13 @@
   EndSpan(m_permitSpan, "given up");
   EndSpan(m_attemptSpan, std::string(RowOf(aCode).m_name));
   EndSpan(m_requestSpan, std::string(RowOf(aCode).m_name));
-  m_context.m_metrics.Latency("request_seconds").Record(m_context.m_loop.Now() - m_startedAt);
-  ++m_context.m_metrics.Counter("requests_total",
-                                "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
-  m_context.m_loop.After(Duration::zero(), [onEnd = std::move(m_onEnd), aCode] { onEnd(aCode); });
+  m_context.m_metrics.Latency("request_seconds")
+    .Record(m_context.m_loop.Now() - m_startedAt);
+  ++m_context.m_metrics.Counter(
+    "requests_total",
+    "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
+  m_context.m_loop.After(Duration::zero(),
+                         [onEnd = std::move(m_onEnd), aCode] { onEnd(aCode); });
 }
 
 } // namespace walnutwing
--- a/daemon/request_flow.h
+++ b/daemon/request_flow.h
@@ -60,7 +60,9 @@
   void OnNoPermit(const PermitResult& aResult);
   void StartAttempt();
   net::CallRequest UpstreamRequest() const;
-  void OnHead(const AttemptId& aAttempt, int aStatus, const net::Headers& aHeaders);
+  void OnHead(const AttemptId& aAttempt,
+              int aStatus,
+              const net::Headers& aHeaders);
   void OnPiece(const AttemptId& aAttempt, std::string_view aPiece);
   void OnCallEnd(const AttemptId& aAttempt, const net::CallEnd& aEnd);
   void OnDeadline();
@@ -88,7 +90,8 @@
   net::OwnedTimer m_deadline;
 
   std::optional<RequestId> m_order;
-  std::optional<RequestId> m_search; // the search for a permit, or the permit held
+  std::optional<RequestId>
+    m_search; // the search for a permit, or the permit held
   bool m_permitHeld = false;
   PermitResult m_permit;
   std::set<UpstreamId> m_avoid;
@@ -100,8 +103,8 @@
   net::Headers m_upstreamHeaders;
   int m_upstreamStatus = 0;
   bool m_upstreamCold = false;
-  std::string m_orderBody;   // an order's answer is kept whole until recorded
-  bool m_detached = false;   // the caller has its answer or is gone
+  std::string m_orderBody; // an order's answer is kept whole until recorded
+  bool m_detached = false; // the caller has its answer or is gone
   bool m_ended = false;
 
   std::optional<Span> m_requestSpan;
@@ -113,7 +116,9 @@
 // Answers with a numbered error: its status, `walnutwing-code`, Retry-After and
 // the error as JSON.
 void
-RespondWithError(net::Exchange& aExchange, ResultCode aCode, Duration aRetryAfter);
+RespondWithError(net::Exchange& aExchange,
+                 ResultCode aCode,
+                 Duration aRetryAfter);
 
 } // namespace walnutwing
 
