--- a/daemon/context.h
+++ b/daemon/context.h
@@ -6,6 +6,7 @@
 // through their Child, so that one that fails takes no other with it.
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -17,6 +18,7 @@
 #include "net/http_client.h"
 #include "walnutwing/config/settings.h"
 #include "walnutwing/membership/byte_budget.h"
+#include "walnutwing/placement/chat_hint.h"
 
 namespace walnutwing {
 
@@ -51,6 +53,9 @@
   Child<OrderDesk>* m_orders = nullptr;
   Child<Front>* m_front = nullptr;
 
+  // Signs the hints that callers carry; none without a fleet key.
+  std::optional<HintSigner> m_hints = std::nullopt;
+
   bool m_stopping = false;
 };
 
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -61,6 +61,9 @@
     , m_stopCheck(m_loop)
     , m_stopLimit(m_loop)
   {
+    if (!m_settings.m_curveSecretKeyFile.empty()) {
+      m_context.m_hints.emplace(std::vector{ ReadFleetSecret(m_settings) });
+    }
     AddComponents();
   }
 
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -203,6 +203,15 @@
   if (flow.m_chat.m_chat.Value().size() > kMaxChatIdBytes) {
     return Refusal{ ResultCode::BadRequest };
   }
+  if (flow.m_chat.m_chat.Empty()) {
+    // A request of no chat goes anywhere, and not all of them to one upstream.
+    flow.m_chat.m_chat =
+      ChatId("request " + std::to_string(m_context.m_random()));
+  } else if (m_context.m_hints) {
+    flow.m_hint = m_context.m_hints->Verify(aRequest.m_headers.Get(kHintHeader),
+                                            flow.m_chat,
+                                            m_context.m_loop.WallNow());
+  }
   if (const std::optional<ResultCode> code = CheckOrder(aRequest, flow)) {
     return Refusal{ *code };
   }
--- a/daemon/peer_link.cc
+++ b/daemon/peer_link.cc
@@ -26,16 +26,22 @@
   net::PeerBusOptions options;
   options.m_listen = net::Endpoint::Parse(aSettings.m_peerListen).value();
   if (!aSettings.m_curvePublicKey.empty()) {
-    std::string secret = ReadTextFile(aSettings.m_curveSecretKeyFile);
-    secret.erase(secret.find_last_not_of(" \r\n\t") + 1);
     options.m_keys =
-      net::PeerKeys{ aSettings.m_curvePublicKey, std::move(secret) };
+      net::PeerKeys{ aSettings.m_curvePublicKey, ReadFleetSecret(aSettings) };
   }
   return options;
 }
 
 } // namespace
 
+std::string
+ReadFleetSecret(const DaemonSettings& aSettings)
+{
+  std::string secret = ReadTextFile(aSettings.m_curveSecretKeyFile);
+  secret.erase(secret.find_last_not_of(" \r\n\t") + 1);
+  return secret;
+}
+
 PeerLink::PeerLink(Context& aContext)
   : m_context(aContext)
   , m_bus(aContext.m_loop,
--- a/daemon/peer_link.h
+++ b/daemon/peer_link.h
@@ -16,6 +16,11 @@
 
 namespace walnutwing {
 
+// The fleet's secret key from the file that the settings name, without white
+// space around it. Throws SettingsError.
+std::string
+ReadFleetSecret(const DaemonSettings& aSettings);
+
 class PeerLink
 {
 public:
--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -272,6 +272,7 @@
   request.m_body = original.m_body;
   request.m_freshConnection = IsOrder();
   request.m_headers.Add("x-request-id", m_attempt.Value());
+  request.m_headers.Add("x-completion-id", m_requestSpan->m_context.m_spanId);
   request.m_headers.Add("traceparent", m_attemptSpan->m_context.ToHeader());
   request.m_headers.Add("walnutwing-chat", m_request.m_chat.m_chat.Value());
   request.m_headers.Add("walnutwing-priority",
@@ -458,6 +459,12 @@
   headers.Add("walnutwing-code", "0");
   headers.Add("walnutwing-upstream", m_permit.m_upstream.Value());
   headers.Add("traceparent", m_requestSpan->m_context.ToHeader());
+  if (m_context.m_hints) {
+    headers.Add(std::string(kHintHeader),
+                m_context.m_hints->Encode(m_request.m_chat,
+                                          m_permit.m_upstream,
+                                          m_context.m_loop.WallNow()));
+  }
   return headers;
 }
 
