Peers connect ahead of the first message; plain services have no cold start

Cause: a daemon whose first pings were dropped as 'not connected' stayed alone for its seed period, took itself for the owner of its whole zone, and every daemon that asked it timed out.

--- a/daemon/fleet_view.cc
+++ b/daemon/fleet_view.cc
@@ -161,6 +161,10 @@
   m_daemonsUp.clear();
   for (const MemberView& member : m_membership->View()) {
     m_addresses[member.m_daemon] = member.m_peerAddress;
+    if (member.m_daemon != m_context.m_settings.m_id) {
+      m_context.m_peers->Call(
+        [&](PeerLink& aPeers) { aPeers.Connect(member.m_peerAddress); });
+    }
     if (member.m_up || member.m_daemon == m_context.m_settings.m_id) {
       m_daemonsUp[member.m_zone].push_back(member.m_daemon);
     }
--- a/daemon/owner_host.cc
+++ b/daemon/owner_host.cc
@@ -135,7 +135,9 @@
   const UpstreamId id(aUpstream.id());
   const proto::FleetConfig& config = *m_context.m_config->Peek()->Current();
   const proto::UpstreamState* last = m_context.m_fleet->Peek()->StateOf(id);
-  const bool cold = last == nullptr || last->temperature() == proto::COLD;
+  // A plain service has no cold start; an engine is cold until known to be warm.
+  const bool cold = aUpstream.kind() == proto::VmEntry::ENGINE &&
+                    (last == nullptr || last->temperature() == proto::COLD);
   UpstreamOwner owner(id,
                       OptionsOf(*PresetOfModel(config, aUpstream.model())),
                       m_context.NextIncarnation(),
@@ -185,7 +187,8 @@
   if (aLeaving) {
     aOwned.m_owner.OnLeaving(m_context.m_loop.Now(), actions);
   } else {
-    aOwned.m_owner.OnReturned(true, m_context.m_loop.Now(), actions);
+    const bool cold = aOwned.m_vm.kind() == proto::VmEntry::ENGINE;
+    aOwned.m_owner.OnReturned(cold, m_context.m_loop.Now(), actions);
   }
   CarryOut(actions);
 }
--- a/daemon/peer_link.cc
+++ b/daemon/peer_link.cc
@@ -53,6 +53,18 @@
   , m_rideTimer(aContext.m_loop)
   , m_selfTimer(aContext.m_loop)
 {
+  for (const std::string& seed : m_context.m_settings.m_peerSeeds) {
+    Connect(seed);
+  }
+}
+
+void
+PeerLink::Connect(const std::string& aAddress)
+{
+  if (const std::optional<net::Endpoint> endpoint =
+        net::Endpoint::Parse(aAddress)) {
+    m_bus.Connect(*endpoint);
+  }
 }
 
 void
--- a/daemon/peer_link.h
+++ b/daemon/peer_link.h
@@ -40,6 +40,9 @@
   void SendCharged(const std::string& aAddress,
                    const std::vector<proto::PeerMessage>& aMessages);
 
+  // Opens the connection to a peer, so that the first message is not dropped.
+  void Connect(const std::string& aAddress);
+
   const net::PeerBusCounters& Counters() const { return m_bus.Counters(); }
 
 private:
@@ -50,6 +53,7 @@
                 std::uint64_t aIncarnation,
                 const proto::PeerMessage& aMessage);
   std::string Encode(std::vector<proto::PeerMessage> aMessages) const;
+  // The bytes charged, or 0 when the message was dropped.
   std::size_t Transmit(const std::string& aAddress,
                        std::vector<proto::PeerMessage> aMessages);
 
