--- a/walnutwing/orders/append_queue.cc
+++ b/walnutwing/orders/append_queue.cc
@@ -40,11 +40,10 @@
 }
 
 bool
-AppendQueue::IsDue(Time aNow, bool aWithClaims) const
+AppendQueue::IsDue(Time aNow) const
 {
-  if (aWithClaims && !m_claims.empty() &&
-      (m_claims.front().m_due <= aNow ||
-       m_claims.size() >= m_options.m_maxBatchRecords)) {
+  if (!m_claims.empty() && (m_claims.front().m_due <= aNow ||
+                            m_claims.size() >= m_options.m_maxBatchRecords)) {
     return true;
   }
   if (m_records.size() >= m_options.m_maxBatchRecords &&
@@ -58,13 +57,13 @@
 }
 
 std::optional<AppendQueue::Batch>
-AppendQueue::TakeBatch(Time aNow, bool aWithClaims)
+AppendQueue::TakeBatch(Time aNow)
 {
-  if (m_underWay || !IsDue(aNow, aWithClaims)) {
+  if (m_underWay || !IsDue(aNow)) {
     return std::nullopt;
   }
   Batch batch;
-  while (aWithClaims && !m_claims.empty() &&
+  while (!m_claims.empty() &&
          batch.m_records.size() < m_options.m_maxBatchRecords) {
     batch.m_claims.push_back(m_claims.front().m_request);
     batch.m_records.push_back(std::move(m_claims.front().m_record));
--- a/walnutwing/orders/append_queue.h
+++ b/walnutwing/orders/append_queue.h
@@ -50,15 +50,14 @@
   // Adds an outcome or a void.
   void AddRecord(proto::OrderRecord aRecord, Time aNow);
 
-  // The next batch, if one is due and none is under way. Claims take part only
-  // with aWithClaims. The batch is under way until Finish.
-  std::optional<Batch> TakeBatch(Time aNow, bool aWithClaims);
+  // The next batch, if one is due and none is under way. It is under way until
+  // Finish.
+  std::optional<Batch> TakeBatch(Time aNow);
 
   // The batch under way has ended. If it failed, its outcomes and voids wait
   // for another attempt. Returns how many were given up.
   std::size_t Finish(bool aSucceeded, Time aNow);
 
-  bool HasClaims() const { return !m_claims.empty(); }
   bool Empty() const
   {
     return m_claims.empty() && m_records.empty() && !m_underWay;
@@ -79,7 +78,7 @@
     Time m_giveUpAt;
   };
 
-  bool IsDue(Time aNow, bool aWithClaims) const;
+  bool IsDue(Time aNow) const;
 
   AppendQueueOptions m_options;
   std::deque<Claim> m_claims;
--- /dev/null
+++ b/walnutwing/orders/fault_history_test.cc
@@ -0,0 +1,55 @@
+#include "walnutwing/orders/fault_history.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing {
+namespace {
+
+constexpr std::uint64_t kSeeds = 3000;
+constexpr std::uint64_t kBrokenSeeds = 1000;
+
+TEST(FaultHistory, NoOrderRunsTwiceAndNoNotRunIsFalse)
+{
+  const auto result = RunFaultHistories<SoundProtocol>(1, kSeeds);
+  EXPECT_EQ(0, result.m_doubled);
+  EXPECT_EQ(0, result.m_falseNotRun);
+  EXPECT_EQ(0, result.m_wrongAnswers);
+  EXPECT_EQ(0, result.m_unanswered);
+  EXPECT_EQ(0, result.m_doubleAnswers);
+  EXPECT_GT(result.m_runs, static_cast<int>(kSeeds));
+  EXPECT_GT(result.m_faultsMade, static_cast<int>(kSeeds));
+}
+
+// The checks catch each broken protocol.
+TEST(FaultHistory, BrokenProtocolsAreCaught)
+{
+  EXPECT_GT(RunFaultHistories<LeaseClaims>(1, kBrokenSeeds).m_doubled, 0);
+  EXPECT_GT(RunFaultHistories<SendOnAck>(1, kBrokenSeeds).m_doubled, 0);
+  EXPECT_GT(RunFaultHistories<NoIssueTime>(1, kBrokenSeeds).m_doubled, 0);
+  EXPECT_GT(RunFaultHistories<NotRunWhenLost>(1, kBrokenSeeds).m_falseNotRun,
+            0);
+}
+
+// Without faults, the fleet answers as the naive router does: one run for each
+// key that was not too old, and its result for each repeat that comes after it.
+TEST(FaultHistory, WithoutFaultsAgreesWithTheNaiveRouter)
+{
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    FaultHistoryOptions options;
+    options.m_seed = seed;
+    options.m_faults = false;
+    options.m_span = std::chrono::seconds(30);
+    const auto result = FaultHistory<SoundProtocol>(options).Run();
+    EXPECT_EQ(0, result.m_doubled + result.m_wrongAnswers) << seed;
+    EXPECT_EQ(0, result.m_falseNotRun + result.m_unanswered) << seed;
+    EXPECT_EQ(result.m_keysOrdered, result.m_keysRun) << seed;
+    for (const auto& [code, count] : result.m_codes) {
+      EXPECT_TRUE(code == ResultCode::Ok || code == ResultCode::OrderRunning ||
+                  code == ResultCode::OrderKeyReused)
+        << RowOf(code).m_name << " x " << count << ", seed " << seed;
+    }
+  }
+}
+
+} // namespace
+} // namespace walnutwing
--- a/walnutwing/orders/order_book.cc
+++ b/walnutwing/orders/order_book.cc
@@ -1,7 +1,8 @@
-// The life of a request: Queued (its claim waits for a batch), Appended (the
-// claim left and was not read back), Sent (it was read back as the holder).
-// Each step is taken once. A request that leaves before Sent is never sent; if
-// its claim may be in the log, a void follows.
+// The life of a request: Checking (its partition is read first, since another
+// claim may hold the key or hold it no longer), Queued (its claim waits for a
+// batch), Appended (the claim left and was not read back), Sent (it was read
+// back as the holder). Each step is taken once. A request that leaves before
+// Sent is never sent; if its claim may be in the log, a void follows.
 //
 // Nothing here trusts the answer to an append. Acknowledged or lost, a claim
 // counts only when it is read back, since the log's order alone says which of
@@ -25,6 +26,7 @@
 
 enum class Stage
 {
+  Checking,
   Queued,
   Appended,
   Sent,
@@ -35,8 +37,9 @@
   OrderRequest m_order;
   ClaimId m_claim;
   PartitionId m_partition = 0;
-  Stage m_stage = Stage::Queued;
-  Time m_giveUpAt; // if its claim was not read back by then
+  Stage m_stage = Stage::Checking;
+  std::uint64_t m_checkingRead = 0; // the read after which Checking ends
+  Time m_giveUpAt;                  // if its claim was not read back by then
   WallTime m_wallDeadline;
   bool m_abandoned = false;
 };
@@ -101,6 +104,15 @@
   return record;
 }
 
+// Whether a claim or another request with the same key is for the same work.
+template<typename Other>
+bool
+SameOrder(const Other& aOther, const OrderRequest& aOrder)
+{
+  return aOther.m_bodySha256 == aOrder.m_bodySha256 &&
+         aOther.m_service == aOrder.m_service;
+}
+
 void
 RequireRan(ResultCode aCode, Ran aRan)
 {
@@ -168,6 +180,7 @@
 
   std::optional<Verdict> VerdictWithoutClaim(const OrderRequest& aOrder,
                                              const OrderPartition& aPartition);
+  std::optional<ResultCode> Refusal(const OrderRequest& aOrder) const;
   Verdict VerdictOfHolder(const OrderPartition& aPartition,
                           const HeldClaim& aHolder,
                           const OrderRequest& aOrder) const;
@@ -179,12 +192,14 @@
   void Answer(RequestId aId, ResultCode aCode) { Answer(aId, { aCode, {} }); }
   void Erase(const Request& aRequest);
 
+  void QueueClaim(OrderPartition* aPartition, Request* aRequest);
   void Settle(OrderPartition* aPartition);
+  void SettleUnclaimed(OrderPartition* aPartition, Request* aRequest);
   void SettleHolder(OrderPartition* aPartition, Request* aRequest);
   void GiveUp(Request* aRequest);
   void Void(const Request& aRequest);
   void RecordResult(const Request& aRequest, OrderResult aResult);
-  void RefuseQueued(ResultCode aCode);
+  void RefuseUnclaimed();
   void ForgetClaims(const std::vector<RequestId>& aClaims);
   void OnAppendFailed();
   void Pump(PartitionId aId, OrderPartition* aPartition);
@@ -242,11 +257,25 @@
   kept.m_giveUpAt = std::min(deadline, m_time.m_now + m_options.m_claimTimeout);
   kept.m_wallDeadline = m_time.m_wallNow + (deadline - m_time.m_now);
   partition.AddLive(aOrder, m_time.m_now);
-  partition.Queue().AddClaim(
-    aOrder.m_id, ClaimRecord(aOrder, kept.m_claim), m_time.m_now);
+  if (partition.CaughtUp() &&
+      partition.Index().Find(aOrder.m_customer, aOrder.m_key) == nullptr) {
+    QueueClaim(&partition, &kept);
+  } else {
+    kept.m_checkingRead = partition.NextRead();
+    partition.ReadSoon(m_time.m_now);
+  }
   Pump(id, &partition);
 }
 
+void
+OrderBook::Impl::QueueClaim(OrderPartition* aPartition, Request* aRequest)
+{
+  const OrderRequest& order = aRequest->m_order;
+  aRequest->m_stage = Stage::Queued;
+  aPartition->Queue().AddClaim(
+    order.m_id, ClaimRecord(order, aRequest->m_claim), m_time.m_now);
+}
+
 // The answer to an order that needs no claim of its own, if there is one.
 std::optional<OrderBook::Impl::Verdict>
 OrderBook::Impl::VerdictWithoutClaim(const OrderRequest& aOrder,
@@ -254,29 +283,41 @@
 {
   const auto live = aPartition.LiveRequest(aOrder.m_customer, aOrder.m_key);
   if (live) {
-    const OrderRequest& other = m_requests.at(*live).m_order;
-    const bool same = other.m_bodySha256 == aOrder.m_bodySha256 &&
-                      other.m_service == aOrder.m_service;
-    return Verdict{ same ? ResultCode::OrderRunning
-                         : ResultCode::OrderKeyReused,
+    const Request& other = m_requests.at(*live);
+    const bool reused =
+      other.m_stage == Stage::Sent && !SameOrder(other.m_order, aOrder);
+    return Verdict{ reused ? ResultCode::OrderKeyReused
+                           : ResultCode::OrderRunning,
                     {} };
   }
   const HeldClaim* holder =
     aPartition.Index().Find(aOrder.m_customer, aOrder.m_key);
-  if (holder != nullptr) {
-    return VerdictOfHolder(aPartition, *holder, aOrder);
+  const std::optional<ResultCode> refusal = Refusal(aOrder);
+  if (holder == nullptr) {
+    return refusal ? std::optional(Verdict{ *refusal, {} }) : std::nullopt;
   }
+  const Verdict verdict = VerdictOfHolder(aPartition, *holder, aOrder);
+  const bool final = verdict.m_code == ResultCode::Ok ||
+                     verdict.m_code == ResultCode::OrderKeyReused ||
+                     aPartition.ReadWithin(m_options.m_freshFor, m_time.m_now);
+  return final || refusal ? std::optional(verdict) : std::nullopt;
+}
+
+// Why no order can be taken up now, if so.
+std::optional<ResultCode>
+OrderBook::Impl::Refusal(const OrderRequest& aOrder) const
+{
   if (m_stopping) {
-    return Verdict{ ResultCode::Stopping, {} };
+    return ResultCode::Stopping;
   }
   if (aOrder.m_deadline <= m_time.m_now) {
-    return Verdict{ ResultCode::DeadlineTooShort, {} };
+    return ResultCode::DeadlineTooShort;
   }
   if (!m_reads.MayTry(m_time.m_now) || !m_appends.MayTry(m_time.m_now)) {
-    return Verdict{ ResultCode::ClaimsUnavailable, {} };
+    return ResultCode::ClaimsUnavailable;
   }
   if (m_requests.size() >= m_options.m_maxRequests) {
-    return Verdict{ ResultCode::QueueFull, {} };
+    return ResultCode::QueueFull;
   }
   return std::nullopt;
 }
@@ -286,8 +327,7 @@
                                  const HeldClaim& aHolder,
                                  const OrderRequest& aOrder) const
 {
-  if (aHolder.m_bodySha256 != aOrder.m_bodySha256 ||
-      aHolder.m_service != aOrder.m_service) {
+  if (!SameOrder(aHolder, aOrder)) {
     return { ResultCode::OrderKeyReused, {} };
   }
   const auto result = aPartition.ResultOf(aOrder.m_customer, aOrder.m_key);
@@ -316,6 +356,9 @@
   if (keyCode == ResultCode::OrderKeyExpired) {
     return { keyCode, {} };
   }
+  if (m_stopping) {
+    return { ResultCode::Stopping, {} };
+  }
   const bool failing = m_reads.Failing() || m_appends.Failing();
   return { failing ? ResultCode::ClaimsUnavailable : ResultCode::OrderVoided,
            {} };
@@ -400,7 +443,7 @@
 {
   m_appends.OnFailure(m_time.m_now);
   if (m_appends.Down()) {
-    RefuseQueued(ResultCode::ClaimsUnavailable);
+    RefuseUnclaimed();
   }
 }
 
@@ -424,7 +467,7 @@
   m_partitions.at(aPartition).OnReadFailed(m_time.m_now);
   m_reads.OnFailure(m_time.m_now);
   if (m_reads.Down()) {
-    RefuseQueued(ResultCode::ClaimsUnavailable);
+    RefuseUnclaimed();
   }
 }
 
@@ -434,16 +477,10 @@
 OrderBook::Impl::Settle(OrderPartition* aPartition)
 {
   for (const RequestId id : aPartition->LiveRequests()) {
-    const Request& request = m_requests.at(id);
-    const OrderRequest& order = request.m_order;
-    const HeldClaim* holder =
-      aPartition->Index().Find(order.m_customer, order.m_key);
-    if (request.m_stage != Stage::Queued || holder == nullptr) {
-      continue;
+    Request& request = m_requests.at(id);
+    if (request.m_stage < Stage::Appended) {
+      SettleUnclaimed(aPartition, &request);
     }
-    aPartition->Queue().RemoveClaim(id);
-    Answer(id, VerdictOfHolder(*aPartition, *holder, order));
-    Erase(request);
   }
   const std::set<RequestId> awaiting = aPartition->AwaitingRead();
   for (const RequestId id : awaiting) {
@@ -463,6 +500,26 @@
   }
 }
 
+// A request whose claim has not left: the key may be held by now, or free.
+void
+OrderBook::Impl::SettleUnclaimed(OrderPartition* aPartition, Request* aRequest)
+{
+  const OrderRequest& order = aRequest->m_order;
+  const bool checking = aRequest->m_stage == Stage::Checking;
+  if (checking && aPartition->EndRead() < aRequest->m_checkingRead) {
+    return;
+  }
+  const HeldClaim* holder =
+    aPartition->Index().Find(order.m_customer, order.m_key);
+  if (holder != nullptr) {
+    aPartition->Queue().RemoveClaim(order.m_id);
+    Answer(order.m_id, VerdictOfHolder(*aPartition, *holder, order));
+    Erase(*aRequest);
+  } else if (checking) {
+    QueueClaim(aPartition, aRequest);
+  }
+}
+
 // The only place that sends. Both clocks must say that there is time left: the
 // process may have been frozen, or its VM suspended, since the last event.
 void
@@ -484,7 +541,7 @@
 OrderBook::Impl::GiveUp(Request* aRequest)
 {
   OrderPartition& partition = m_partitions.at(aRequest->m_partition);
-  if (aRequest->m_stage == Stage::Queued) {
+  if (aRequest->m_stage < Stage::Appended) {
     partition.Queue().RemoveClaim(aRequest->m_order.m_id);
   } else {
     Void(*aRequest);
@@ -502,20 +559,18 @@
     .AddRecord(VoidRecord(aRequest), m_time.m_now);
 }
 
+// Ends the requests whose claims have not left.
 void
-OrderBook::Impl::RefuseQueued(ResultCode aCode)
+OrderBook::Impl::RefuseUnclaimed()
 {
-  std::vector<RequestId> queued;
+  std::vector<RequestId> unclaimed;
   for (const auto& [id, request] : m_requests) {
-    if (request.m_stage == Stage::Queued) {
-      queued.push_back(id);
+    if (request.m_stage < Stage::Appended) {
+      unclaimed.push_back(id);
     }
   }
-  for (const RequestId id : queued) {
-    const Request& request = m_requests.at(id);
-    m_partitions.at(request.m_partition).Queue().RemoveClaim(id);
-    Answer(id, aCode);
-    Erase(request);
+  for (const RequestId id : unclaimed) {
+    GiveUp(&m_requests.at(id));
   }
 }
 
@@ -624,7 +679,7 @@
 OrderBook::Impl::OnStop()
 {
   m_stopping = true;
-  RefuseQueued(ResultCode::Stopping);
+  RefuseUnclaimed();
   OnTick();
 }
 
@@ -660,8 +715,7 @@
   if (!m_appends.MayTry(m_time.m_now)) {
     return;
   }
-  auto batch =
-    aPartition->Queue().TakeBatch(m_time.m_now, aPartition->CaughtUp());
+  auto batch = aPartition->Queue().TakeBatch(m_time.m_now);
   if (!batch) {
     return;
   }
@@ -673,7 +727,7 @@
   }
   ++m_counters.m_appends;
   m_counters.m_records += batch->m_records.size();
-  m_batches[id] = { aId, std::move(batch->m_claims) };
+  m_batches.emplace(id, AppendUnderWay{ aId, std::move(batch->m_claims) });
   m_actions->push_back(AppendRecords{ id, aId, std::move(batch->m_records) });
 }
 
@@ -683,7 +737,11 @@
   OrderStatus status;
   OrderPartition& partition = GetOrCreate(PartitionOf(aCustomer, aKey));
   partition.Touch(m_time.m_now);
-  status.m_current = partition.Current(m_time.m_now);
+  status.m_current =
+    partition.ReadWithin(m_options.m_tailInterval, m_time.m_now);
+  if (!partition.ReadWithin(m_options.m_freshFor, m_time.m_now)) {
+    partition.ReadSoon(m_time.m_now);
+  }
   const HeldClaim* holder = partition.Index().Find(aCustomer, aKey);
   if (holder == nullptr) {
     const ResultCode keyCode =
--- a/walnutwing/orders/order_book.h
+++ b/walnutwing/orders/order_book.h
@@ -64,9 +64,11 @@
   Duration m_maxDeadline = std::chrono::minutes(5);
 
   // Pause between two reads of a partition while a claim is awaited, and
-  // otherwise.
+  // otherwise. A repeat whose outcome is not known reads the partition first if
+  // that was not done for m_freshFor, so the tail need not be read often.
   Duration m_readInterval = std::chrono::milliseconds(50);
-  Duration m_tailInterval = std::chrono::seconds(1);
+  Duration m_tailInterval = std::chrono::seconds(10);
+  Duration m_freshFor = std::chrono::milliseconds(200);
   // A partition that had no order for this long is no longer read, and its
   // index is dropped; the next order reads it anew.
   Duration m_partitionIdle = std::chrono::minutes(30);
@@ -164,7 +166,8 @@
   ServiceId m_service;
   WallTime m_claimedAt;
   std::shared_ptr<const OrderResult> m_result;
-  // False when the partition has not been read to its end yet, or not lately.
+  // False when the partition was not read to its end within the tail interval:
+  // ask again after a while.
   bool m_current = false;
 };
 
@@ -250,8 +253,8 @@
   // False while orders that need a claim are refused as ClaimsUnavailable.
   bool LogAvailable() const;
 
-  // What is known of an order. Starts to read its partition if it is not read
-  // yet (with the next OnTick); m_current then says false.
+  // What is known of an order. The next OnTick reads its partition, if that was
+  // not done for m_freshFor; ask again for what it brings.
   OrderStatus StatusOf(const CustomerId& aCustomer,
                        const OrderKey& aKey,
                        const OrderTime& aTime);
--- a/walnutwing/orders/order_partition.cc
+++ b/walnutwing/orders/order_partition.cc
@@ -20,7 +20,7 @@
                                 aOptions.m_recordRetryDelay,
                                 aOptions.m_recordRetryFor,
                                 aOptions.m_maxBatchRecords })
-  , m_nextRead(aNow)
+  , m_nextReadAt(aNow)
   , m_lastUsed(aNow)
 {
 }
@@ -28,18 +28,19 @@
 std::optional<LogOffset>
 OrderPartition::TakeRead(Time aNow)
 {
-  if (m_reading || aNow < m_nextRead) {
+  if (m_reading || aNow < m_nextReadAt) {
     return std::nullopt;
   }
   m_reading = true;
   m_readAgain = false;
+  ++m_readsStarted;
   return LogOffset(m_nextOffset);
 }
 
 void
 OrderPartition::ReadSoon(Time aNow)
 {
-  m_nextRead = aNow;
+  m_nextReadAt = aNow;
   m_readAgain = m_reading;
 }
 
@@ -68,15 +69,15 @@
   m_reading = false;
   const bool more = m_nextOffset < aResponse.next_offset();
   if (!more) {
-    m_caughtUp = true;
-    m_caughtUpAt = aNow;
+    m_endRead = m_readsStarted;
+    m_endReadAt = aNow;
   }
   if (more || m_readAgain) {
-    m_nextRead = aNow;
+    m_nextReadAt = aNow;
     return true;
   }
   const bool awaited = !m_awaitingRead.empty();
-  m_nextRead =
+  m_nextReadAt =
     aNow + (awaited ? m_options.m_readInterval : m_options.m_tailInterval);
   return true;
 }
@@ -85,13 +86,13 @@
 OrderPartition::OnReadFailed(Time aNow)
 {
   m_reading = false;
-  m_nextRead = aNow + m_options.m_readInterval;
+  m_nextReadAt = aNow + m_options.m_readInterval;
 }
 
 bool
-OrderPartition::Current(Time aNow) const
+OrderPartition::ReadWithin(Duration aAge, Time aNow) const
 {
-  return m_caughtUp && m_caughtUpAt + 2 * m_options.m_tailInterval >= aNow;
+  return CaughtUp() && m_endReadAt + aAge >= aNow;
 }
 
 std::optional<RequestId>
--- a/walnutwing/orders/order_partition.h
+++ b/walnutwing/orders/order_partition.h
@@ -44,9 +44,14 @@
   bool OnRecords(const proto::ReadResponse& aResponse, Time aNow);
   void OnReadFailed(Time aNow);
 
-  // The partition has been read to its end at least once; and lately.
-  bool CaughtUp() const { return m_caughtUp; }
-  bool Current(Time aNow) const;
+  // The partition has been read to its end at least once; and within aAge.
+  bool CaughtUp() const { return m_endRead > 0; }
+  bool ReadWithin(Duration aAge, Time aNow) const;
+
+  // Reads are numbered from 1. The number of the next one to start, and of the
+  // latest one that came to the end of the partition.
+  std::uint64_t NextRead() const { return m_readsStarted + 1; }
+  std::uint64_t EndRead() const { return m_endRead; }
 
   // This daemon's requests that are not answered yet, by key. One at a time
   // for each key.
@@ -85,10 +90,11 @@
   AppendQueue m_queue;
   std::uint64_t m_nextOffset = 1;
   bool m_reading = false;
-  bool m_readAgain = false;
-  bool m_caughtUp = false;
-  Time m_nextRead;
-  Time m_caughtUpAt{};
+  bool m_readAgain = false; // as soon as the one under way has ended
+  std::uint64_t m_readsStarted = 0;
+  std::uint64_t m_endRead = 0;
+  Time m_endReadAt{};
+  Time m_nextReadAt;
   Time m_lastUsed;
   std::map<KeyName, RequestId> m_live;
   std::set<RequestId> m_awaitingRead;
