The follower against faults, on a paused clock

Fake links (delay, loss, the sender's byte budget) and a fake log (down, slow, behind, doubled appends, retention) join up to 390 followers. First red: with 8 daemons and 20% loss version 2 was not everywhere after 3 s, since a lost pull waited for the next offer.

--- a/walnutwing/config/config_follower.cc
+++ b/walnutwing/config/config_follower.cc
@@ -53,6 +53,7 @@
     Read(aNow, aActions);
   }
   RenewSnapshot(aNow, aWallNow, aActions);
+  RetryPull(aNow, aActions);
   if (!IsDue(aNow, m_lastOffer, m_options.m_offerInterval)) {
     return;
   }
@@ -130,6 +131,11 @@
 {
   m_lastHeard = aNow;
   if (aVersion > m_state.Version()) {
+    if (aVersion > m_offeredVersion) {
+      m_offeredVersion = aVersion;
+      m_offeredBy = aFrom;
+      m_pullsLeft = m_options.m_pullRetries;
+    }
     Pull(aNow, aFrom, aActions);
     return;
   }
@@ -227,6 +233,18 @@
   aActions->emplace_back(std::move(send));
 }
 
+// Asks again when a pull or its answer got lost.
+void
+ConfigFollower::RetryPull(Time aNow, ConfigActions* aActions)
+{
+  if (m_pullsLeft == 0 || m_offeredVersion <= m_state.Version() ||
+      !IsDue(aNow, m_pullSince, m_options.m_pullTimeout)) {
+    return;
+  }
+  --m_pullsLeft;
+  Pull(aNow, m_offeredBy, aActions);
+}
+
 void
 ConfigFollower::Offer(const DaemonId& aTo, ConfigActions* aActions)
 {
--- a/walnutwing/config/config_follower.h
+++ b/walnutwing/config/config_follower.h
@@ -43,8 +43,9 @@
   Duration m_silence = std::chrono::seconds(10);
   Duration m_failedPollLimit = std::chrono::seconds(5); // longest retry delay
   Duration m_readTimeout = std::chrono::seconds(5); // then the answer is lost
-  Duration m_offerInterval = std::chrono::seconds(2);
-  Duration m_pullTimeout = std::chrono::seconds(1);
+  Duration m_offerInterval = std::chrono::seconds(1);
+  Duration m_pullTimeout = std::chrono::milliseconds(500);
+  unsigned m_pullRetries = 3;         // of the same peer, after an offer
   std::size_t m_fanout = 3;           // peers offered to at each move forward
   std::size_t m_keptEntries = 64;     // accepted changes kept for peers
   std::size_t m_maxPushBytes = 16384; // of changes; more is sent as a whole
@@ -158,6 +159,7 @@
   void Read(Time aNow, ConfigActions* aActions);
   void RenewSnapshot(Time aNow, WallTime aWallNow, ConfigActions* aActions);
   void Pull(Time aNow, const DaemonId& aFrom, ConfigActions* aActions);
+  void RetryPull(Time aNow, ConfigActions* aActions);
   void Offer(const DaemonId& aTo, ConfigActions* aActions);
   void MovedForward(ConfigActions* aActions);
   void Keep(proto::ConfigLogEntry aEntry);
@@ -182,6 +184,9 @@
   Duration m_pollJitter{ 0 };
   unsigned m_failedReads = 0; // in a row
   std::optional<Time> m_pullSince;
+  ConfigVersion m_offeredVersion = 0; // by m_offeredBy, newer than ours then
+  DaemonId m_offeredBy;
+  unsigned m_pullsLeft = 0; // that the offer is still worth
   std::optional<Time> m_lastOffer;
 
   std::int64_t m_snapshotAtMs = 0; // newest in the log, as far as is known
--- /dev/null
+++ b/walnutwing/config/config_follower_test.cc
@@ -0,0 +1,251 @@
+#include "walnutwing/config/config_follower.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "walnutwing/config/fake_fleet.h"
+
+namespace walnutwing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kToday = 3s; // the aim for 8 daemons
+constexpr Duration kLarge = 9s; // the aim for 390
+
+// A fleet with TestConfig() in force everywhere.
+FakeFleet
+StartedFleet(FakeFleetOptions aOptions = {})
+{
+  FakeFleet fleet(aOptions);
+  fleet.Change(ReplaceAll(TestConfig()));
+  fleet.Run(10s);
+  EXPECT_TRUE(fleet.InForceEverywhere(1));
+  return fleet;
+}
+
+testing::AssertionResult
+InForceWithin(FakeFleet& aFleet, ConfigVersion aVersion, Duration aLimit)
+{
+  const Duration took =
+    aFleet.RunUntil([&] { return aFleet.InForceEverywhere(aVersion); }, aLimit);
+  if (aFleet.InForceEverywhere(aVersion) && aFleet.Counters().m_reverts == 0) {
+    return testing::AssertionSuccess();
+  }
+  return testing::AssertionFailure()
+         << "version " << aVersion << " after " << took.count() << " ms, "
+         << aFleet.Counters().m_reverts << " reverts";
+}
+
+TEST(ConfigFollower, ChangeReachesEverybody)
+{
+  const struct
+  {
+    std::size_t m_daemons;
+    std::size_t m_zones;
+    unsigned m_loss;
+    Duration m_limit;
+  } cases[] = { { 1, 1, 0, kToday },
+                { 8, 3, 0, kToday },
+                { 8, 3, 20, kToday },
+                { 56, 7, 5, kLarge },
+                { 390, 7, 5, kLarge } };
+  for (const auto& test : cases) {
+    FakeFleetOptions options;
+    options.m_daemons = test.m_daemons;
+    options.m_zones = test.m_zones;
+    options.m_lossPercent = test.m_loss;
+    FakeFleet fleet = StartedFleet(options);
+    EXPECT_TRUE(
+      InForceWithin(fleet, fleet.Change(SwitchPreset("night")), test.m_limit))
+      << test.m_daemons << " daemons";
+  }
+}
+
+TEST(ConfigFollower, WithoutConfigurationNoneIsMadeUp)
+{
+  FakeFleet fleet({});
+  fleet.Change(SwitchPreset("night")); // of nothing
+  fleet.Run(30s);
+  EXPECT_TRUE(fleet.InForceEverywhere(0));
+  fleet.SetLogDown(true);
+  fleet.Replace(0);
+  fleet.Run(30s);
+  EXPECT_TRUE(fleet.InForceEverywhere(0));
+}
+
+TEST(ConfigFollower, StartsFromPeersWhileTheLogIsDown)
+{
+  FakeFleet fleet = StartedFleet();
+  fleet.SetLogDown(true);
+  for (std::size_t i = 0; i < 8; ++i) {
+    fleet.Replace(i);
+    EXPECT_TRUE(InForceWithin(fleet, 1, kToday)) << i;
+  }
+  fleet.SetLogDown(false);
+  EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneOut("a")), kLarge));
+}
+
+TEST(ConfigFollower, FrozenDaemonCatchesUp)
+{
+  FakeFleet fleet = StartedFleet();
+  fleet.Freeze(7, true);
+  for (int i = 0; i < 100; ++i) {
+    fleet.Change(i % 2 == 0 ? SwitchPreset("night") : SwitchPreset("ordinary"));
+    fleet.Run(500ms);
+  }
+  EXPECT_EQ(1U, fleet.VersionOf(7));
+  fleet.Freeze(7, false);
+  EXPECT_TRUE(InForceWithin(fleet, 101, kToday));
+}
+
+TEST(ConfigFollower, CutZoneKeepsWhatItHasAndCatchesUp)
+{
+  FakeFleet fleet = StartedFleet();
+  fleet.CutZone(1, true);
+  const std::uint64_t version = fleet.Change(ZoneOut("zone-1"));
+  EXPECT_TRUE(InForceWithin(fleet, version, kToday));
+  fleet.Replace(4); // its zone still has a daemon that knows
+  fleet.Run(5min);
+  EXPECT_EQ(1U, fleet.VersionOf(1));
+  EXPECT_EQ(1U, fleet.VersionOf(4));
+  fleet.CutZone(1, false);
+  EXPECT_TRUE(InForceWithin(fleet, version, kLarge));
+}
+
+TEST(ConfigFollower, DeadReaderDelaysNobody)
+{
+  FakeFleet fleet = StartedFleet();
+  fleet.Kill(0);
+  EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneOut("a")), kToday));
+  fleet.Kill(1);
+  fleet.Kill(2); // now no zone has a reader, until that is noticed
+  EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneBack("a")), kLarge));
+}
+
+TEST(ConfigFollower, LogThatIsBehindOrSlowTakesNothingBack)
+{
+  FakeFleet fleet = StartedFleet();
+  const std::uint64_t version = fleet.Change(ZoneOut("a"));
+  EXPECT_TRUE(InForceWithin(fleet, version, kToday));
+  fleet.SetLogBehind(1);
+  fleet.Run(1min);
+  EXPECT_TRUE(InForceWithin(fleet, version, kToday));
+  fleet.SetLogBehind(100); // as if it were empty
+  fleet.Run(1min);
+  EXPECT_TRUE(InForceWithin(fleet, version, kToday));
+  fleet.SetLogBehind(0);
+  fleet.SetLogDelay(1s);
+  EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneBack("a")), kLarge));
+}
+
+TEST(ConfigFollower, SnapshotsOutliveTheRetention)
+{
+  for (const bool doubled : { false, true }) {
+    FakeFleetOptions options;
+    options.m_follower.m_retention = 20min;
+    options.m_follower.m_slowPoll = 10s;
+    FakeFleet fleet = StartedFleet(options);
+    fleet.SetRetention(20min);
+    fleet.SetAppendsDoubled(doubled);
+    ConfigVersion version = 1;
+    for (int hour = 0; hour < 3; ++hour) {
+      // A change that races with the snapshots of this hour.
+      version = fleet.Change(hour % 2 == 0 ? SwitchPreset("night")
+                                           : SwitchPreset("ordinary"));
+      fleet.Run(1h);
+      EXPECT_TRUE(InForceWithin(fleet, version, kToday));
+    }
+    EXPECT_LT(version, fleet.FirstOffset());
+    // Readers renew in turn: at most one append each for each half retention,
+    // and no more than twice as many when all append at once.
+    EXPECT_GE(2U * 3 * 3 * 6, fleet.Counters().m_appends);
+    // Nothing but the log is left to start from.
+    for (std::size_t i = 0; i < 8; ++i) {
+      fleet.Kill(i);
+    }
+    fleet.Replace(0);
+    EXPECT_TRUE(InForceWithin(fleet, version, kToday)) << doubled;
+    EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneOut("a")), kToday));
+  }
+}
+
+TEST(ConfigFollower, WhenNoSnapshotIsLeftAnOverrideBeginsAnew)
+{
+  FakeFleet fleet = StartedFleet();
+  fleet.SetLogDown(true);
+  fleet.SetRetention(1h);
+  fleet.Run(2h);
+  fleet.SetLogDown(false);
+  fleet.Change(ZoneOut("a")); // expires the start, has a base nobody new knows
+  for (std::size_t i = 1; i < 8; ++i) {
+    fleet.Kill(i);
+  }
+  fleet.Replace(0);
+  fleet.Run(1min);
+  EXPECT_EQ(0U, fleet.VersionOf(0));
+  EXPECT_FALSE(fleet.Follower(0).State().Anchored());
+  EXPECT_TRUE(InForceWithin(
+    fleet, fleet.Change(ReplaceAll(TestConfig(3), true)), kToday));
+}
+
+TEST(ConfigFollower, RacingOperatorsAndRandomFaultsNeverRevert)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FakeFleetOptions options;
+    options.m_seed = seed;
+    options.m_lossPercent = 10;
+    options.m_follower.m_retention = 2min;
+    FakeFleet fleet = StartedFleet(options);
+    fleet.SetRetention(10min);
+    std::mt19937_64 random(seed);
+    std::vector<proto::FleetConfig> seen = { fleet.Truth().Config() };
+    for (int step = 0; step < 60; ++step) {
+      const std::size_t daemon = random() % 8;
+      switch (random() % 10) {
+        case 0:
+          fleet.Kill(daemon);
+          break;
+        case 1:
+          fleet.Replace(daemon);
+          break;
+        case 2:
+          fleet.Freeze(daemon, random() % 2 == 0);
+          break;
+        case 3:
+          fleet.CutZone(random() % 3, random() % 2 == 0);
+          break;
+        case 4:
+          fleet.SetLogDown(random() % 2 == 0);
+          break;
+        case 5:
+          fleet.SetLogBehind(random() % 3);
+          break;
+        default: // an operator whose view is up to four changes old
+          fleet.Append(
+            Signed(seen[seen.size() - 1 -
+                        random() % std::min<std::size_t>(4, seen.size())],
+                   std::to_string(random()),
+                   random() % 2 == 0 ? SwitchPreset("night")
+                                     : SwitchPreset("ordinary")));
+          seen.push_back(fleet.Truth().Config());
+          break;
+      }
+      fleet.Run(Duration(random() % 5000));
+    }
+    fleet.SetLogDown(false);
+    fleet.SetLogBehind(0);
+    for (std::size_t i = 0; i < 8; ++i) {
+      fleet.CutZone(i % 3, false);
+      fleet.Freeze(i, false);
+      fleet.Replace(i);
+    }
+    EXPECT_TRUE(InForceWithin(fleet, fleet.Truth().Version(), 60s))
+      << "seed " << seed;
+  }
+}
+
+} // namespace
+} // namespace walnutwing
--- a/walnutwing/config/config_log_test.cc
+++ b/walnutwing/config/config_log_test.cc
@@ -246,26 +246,27 @@
       continue;
     }
     auto zones = result.m_zonesOut;
+    std::string active = result.m_active;
+    bool sound = record.has_replace_all() || result.m_version > 0;
     if (record.has_replace_all()) {
-      result.m_active = record.replace_all().active_preset();
+      active = record.replace_all().active_preset();
       zones = { record.replace_all().zones_out().begin(),
                 record.replace_all().zones_out().end() };
-    } else if (result.m_version == 0) {
-      continue; // a part of nothing is not a configuration
     } else if (record.has_switch_preset()) {
-      if (record.switch_preset() == "peak") {
-        continue; // no such preset
-      }
-      result.m_active = record.switch_preset();
+      active = record.switch_preset();
+      sound = sound && active != "peak"; // there is no such preset
     } else if (record.has_zone_out()) {
-      if (std::count(zones.begin(), zones.end(), record.zone_out()) > 0) {
-        continue;
-      }
+      sound =
+        sound && std::count(zones.begin(), zones.end(), record.zone_out()) == 0;
       zones.push_back(record.zone_out());
-    } else if (std::erase(zones, record.zone_back()) == 0) {
+    } else {
+      sound = std::erase(zones, record.zone_back()) > 0 && sound;
+    }
+    if (!sound) {
       continue;
     }
     std::sort(zones.begin(), zones.end());
+    result.m_active = active;
     result.m_zonesOut = zones;
     result.m_version = i + 1;
   }
--- a/walnutwing/config/fleet_config_test.cc
+++ b/walnutwing/config/fleet_config_test.cc
@@ -25,46 +25,66 @@
     std::function<void(FleetConfig&)> m_break;
   } cases[] = {
     { FindingKind::BadName,
-      [](FleetConfig& c) { c.mutable_customers(0)->set_name("a b"); } },
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_customers(0)->set_name("a b");
+      } },
+    { FindingKind::BadName,
+      [](FleetConfig& aConfig) { aConfig.mutable_services(0)->set_name(""); } },
     { FindingKind::BadName,
-      [](FleetConfig& c) { c.mutable_services(0)->set_name(""); } },
-    { FindingKind::BadName, [](FleetConfig& c) { c.add_zones_out("x]"); } },
+      [](FleetConfig& aConfig) { aConfig.add_zones_out("x]"); } },
     { FindingKind::DuplicateName,
-      [](FleetConfig& c) { *c.add_services() = c.services(0); } },
+      [](FleetConfig& aConfig) {
+        *aConfig.add_services() = aConfig.services(0);
+      } },
     { FindingKind::DuplicateName,
-      [](FleetConfig& c) { *c.add_presets() = c.presets(0); } },
+      [](FleetConfig& aConfig) {
+        *aConfig.add_presets() = aConfig.presets(0);
+      } },
     { FindingKind::DuplicateKey,
-      [](FleetConfig& c) {
-        c.mutable_customers(1)->set_key_sha256(c.customers(0).key_sha256());
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_customers(1)->set_key_sha256(
+          aConfig.customers(0).key_sha256());
       } },
     { FindingKind::BadKeyDigest,
-      [](FleetConfig& c) { c.mutable_customers(0)->set_key_sha256("short"); } },
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_customers(0)->set_key_sha256("short");
+      } },
     { FindingKind::BadShare,
-      [](FleetConfig& c) { c.mutable_customers(0)->set_share(0); } },
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_customers(0)->set_share(0);
+      } },
     { FindingKind::BadPriority,
-      [](FleetConfig& c) { c.mutable_customers(0)->set_priority(10); } },
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_customers(0)->set_priority(10);
+      } },
     { FindingKind::BadDeadline,
-      [](FleetConfig& c) {
-        c.mutable_services(0)->set_default_deadline_ms(0);
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_services(0)->set_default_deadline_ms(0);
       } },
     { FindingKind::PresetWithoutServices,
-      [](FleetConfig& c) { c.mutable_presets(1)->clear_services(); } },
+      [](FleetConfig& aConfig) {
+        aConfig.mutable_presets(1)->clear_services();
+      } },
     { FindingKind::UnknownService,
-      [&](FleetConfig& c) { service(c)->set_service("valves"); } },
+      [&](FleetConfig& aConfig) { service(aConfig)->set_service("valves"); } },
     { FindingKind::NoModel,
-      [&](FleetConfig& c) { service(c)->clear_model(); } },
+      [&](FleetConfig& aConfig) { service(aConfig)->clear_model(); } },
     { FindingKind::BadLoadBound,
-      [&](FleetConfig& c) { service(c)->set_load_bound_percent(99); } },
+      [&](FleetConfig& aConfig) {
+        service(aConfig)->set_load_bound_percent(99);
+      } },
     { FindingKind::BadSlots,
-      [&](FleetConfig& c) { service(c)->set_engine_slots(0); } },
+      [&](FleetConfig& aConfig) { service(aConfig)->set_engine_slots(0); } },
     { FindingKind::BadSlots,
-      [&](FleetConfig& c) { service(c)->set_cold_slots(33); } },
+      [&](FleetConfig& aConfig) { service(aConfig)->set_cold_slots(33); } },
     { FindingKind::BadQueueLimit,
-      [&](FleetConfig& c) { service(c)->set_queue_limit(10'001); } },
+      [&](FleetConfig& aConfig) {
+        service(aConfig)->set_queue_limit(10'001);
+      } },
     { FindingKind::NoActivePreset,
-      [](FleetConfig& c) { c.clear_active_preset(); } },
+      [](FleetConfig& aConfig) { aConfig.clear_active_preset(); } },
     { FindingKind::UnknownPreset,
-      [](FleetConfig& c) { c.set_active_preset("peak"); } },
+      [](FleetConfig& aConfig) { aConfig.set_active_preset("peak"); } },
   };
   EXPECT_TRUE(Validate(TestConfig()).empty());
   for (const auto& test : cases) {
--- a/walnutwing/config/fleet_text.cc
+++ b/walnutwing/config/fleet_text.cc
@@ -511,7 +511,9 @@
       const std::string before = ValueOr(old->second, key);
       const std::string after = ValueOr(values, key);
       if (before != after) {
-        lines.push_back(section + " " + key + ": " + before + " -> " + after);
+        std::string line = section;
+        line.append(" ").append(key).append(": ").append(before);
+        lines.push_back(line.append(" -> ").append(after));
       }
     }
   }
