--- a/walnutwing/relay/answer_stream.cc
+++ b/walnutwing/relay/answer_stream.cc
@@ -72,6 +72,7 @@
   m_head = {};
   m_parser = SseParser(m_options.m_parser);
   m_plainBody.clear();
+  m_confirmed = !m_headForwarded;
   m_lastChunkOurs = true;
   m_state = State::AwaitHead;
   if (!m_headForwarded) {
@@ -222,9 +223,10 @@
 {
   if (aOffset < m_nextOffset) {
     ++m_counters.m_duplicates;
+    m_confirmed |= aOffset + 1 == m_nextOffset;
     return Verdict::Drop;
   }
-  if (aOffset > m_nextOffset) {
+  if (aOffset > m_nextOffset || !m_confirmed) {
     ++m_counters.m_gaps;
     return Verdict::GiveUp;
   }
@@ -234,6 +236,10 @@
 AnswerStream::Verdict
 AnswerStream::JudgeDone(std::uint64_t aOffset)
 {
+  if (aOffset < m_nextOffset) {
+    ++m_counters.m_duplicates;
+    return Verdict::Drop;
+  }
   const Verdict verdict = JudgeOffset(aOffset);
   if (verdict != Verdict::Forward) {
     return verdict;
@@ -399,9 +405,12 @@
   const bool here = m_resumesHere < m_options.m_sameUpstream;
   m_resumesHere = here ? m_resumesHere + 1 : 0;
   ++m_counters.m_resumes;
-  aActions.emplace_back(ResumeAttempt{ m_nextOffset - 1,
-                                       here ? AttemptPlace::SameUpstream
-                                            : AttemptPlace::Elsewhere });
+  ResumeAttempt resume;
+  resume.m_place = here ? AttemptPlace::SameUpstream : AttemptPlace::Elsewhere;
+  if (m_nextOffset >= 2) {
+    resume.m_afterOffset = m_nextOffset - 2;
+  }
+  aActions.emplace_back(resume);
 }
 
 // What the caller is told when the last attempt ended with aCode.
--- a/walnutwing/relay/answer_stream.h
+++ b/walnutwing/relay/answer_stream.h
@@ -96,11 +96,13 @@
   std::string m_bytes;
 };
 
-// Start an attempt with `Last-Event-ID: m_afterOffset`. Report OnAttemptStarted
-// or OnAttemptRefused.
+// Start an attempt with `Last-Event-ID: m_afterOffset`, or without that header
+// when there is none. Report OnAttemptStarted or OnAttemptRefused. The last
+// event that was forwarded is asked for once more: it shows that the attempt
+// goes on with the same answer.
 struct ResumeAttempt
 {
-  std::uint64_t m_afterOffset = 0;
+  std::optional<std::uint64_t> m_afterOffset;
   AttemptPlace m_place = AttemptPlace::SameUpstream;
 };
 
@@ -241,6 +243,7 @@
   // The current attempt.
   AttemptId m_current;
   bool m_currentAlive = false;
+  bool m_confirmed = true;     // it has shown that it goes on with this answer
   bool m_lastChunkOurs = true; // its last chunk was of this completion
   AnswerHead m_head;
   SseParser m_parser;
