--- a/walnutwing/placement/chat_placement_test.cc
+++ b/walnutwing/placement/chat_placement_test.cc
@@ -73,7 +73,7 @@
     for (std::uint64_t chat = 0; chat < 50; ++chat) {
       std::vector<PlacementUpstream> upstreams = NineUpstreams();
       const auto usual = Placement(upstreams).Rank(Chat(chat));
-      const UpstreamId gone = usual.front();
+      const UpstreamId& gone = usual.front();
       for (PlacementUpstream& upstream : upstreams) {
         if (upstream.m_id == gone) {
           test.m_change(upstream);
--- a/walnutwing/placement/permit_client_test.cc
+++ b/walnutwing/placement/permit_client_test.cc
@@ -13,7 +13,7 @@
 
 // Upstreams e1.. in this order, each owned by the daemon of its number.
 PermitAsk
-Ask(std::vector<std::string> aOwners, std::uint32_t aSelfPermitLimit = 0)
+Ask(const std::vector<std::string>& aOwners, std::uint32_t aSelfPermitLimit = 0)
 {
   PermitAsk ask;
   ask.m_request = kRequest;
--- a/walnutwing/placement/rendezvous_test.cc
+++ b/walnutwing/placement/rendezvous_test.cc
@@ -87,6 +87,7 @@
 TEST(Rendezvous, OwnersDependOnTheMembersAlone)
 {
   std::vector<DaemonId> members;
+  members.reserve(8);
   for (int i = 0; i < 8; ++i) {
     members.emplace_back("daemon-" + std::to_string(i));
   }
