Stand-ins over HTTP and the load tool; note on timers in net/event_loop.cc

What a timer's callback writes or connects then stands in h2o's list of pending callbacks, and the next h2o_evloop_run polls for its whole wait (up to kLongestTurn, 1 s) before it runs that list. Seen with the load tool, engine alone, 5 requests one after the other: whole_answer_p50 1003 ms. Ruled out: Nagle, the engine's own timer (its tokens are 6 ms apart). Also: Exchange::Abort before Start does nothing, so a connection can't be closed without a head; the stand-ins send a bare 500 head and break off.

--- /dev/null
+++ b/standin/caller.cc
@@ -0,0 +1,227 @@
+// A closed loop: a slot starts its next request when the one before has ended,
+// from a later turn of the loop, since a call must not be replaced within its
+// own callback.
+
+#include "standin/caller.h"
+
+#include <array>
+
+namespace walnutwing::standin {
+
+namespace {
+
+constexpr std::size_t kLargestAnswer = 64U << 20U;
+constexpr std::size_t kKeptWrongAnswers = 10;
+constexpr Duration kGrace{ 5000 }; // over the deadline of a request
+constexpr std::array<Outcome, 7> kOutcomes = {
+  Outcome::Whole,  Outcome::Refused,     Outcome::Failed, Outcome::Unnumbered,
+  Outcome::Broken, Outcome::Unreachable, Outcome::Wrong
+};
+
+std::chrono::microseconds
+Micros(std::chrono::steady_clock::duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration);
+}
+
+} // namespace
+
+Caller::Caller(net::EventLoop& aLoop,
+               net::HttpClient& aClient,
+               Options aOptions,
+               std::function<void()> aDone)
+  : m_loop(aLoop)
+  , m_client(aClient)
+  , m_options(std::move(aOptions))
+  , m_done(std::move(aDone))
+{
+}
+
+void
+Caller::Start()
+{
+  m_end = m_loop.Now() + m_options.m_timeLimit;
+  m_startedAt = Clock::now();
+  m_slots.resize(m_options.m_concurrency);
+  m_running = m_options.m_concurrency;
+  for (std::size_t slot = 0; slot < m_slots.size(); ++slot) {
+    StartNext(slot);
+  }
+}
+
+void
+Caller::StartNext(std::size_t aSlot)
+{
+  m_slots[aSlot].reset();
+  if (m_started == m_options.m_requests || m_loop.Now() >= m_end) {
+    if (--m_running == 0) {
+      m_endedAt = Clock::now();
+      m_done();
+    }
+    return;
+  }
+  const std::uint64_t number = m_started++;
+  auto attempt = std::make_unique<Attempt>();
+  attempt->m_request =
+    MakeRequest(m_options.m_request, number, m_loop.WallNow());
+  attempt->m_request.m_endpoint =
+    m_options.m_targets[number % m_options.m_targets.size()];
+  attempt->m_start = Clock::now();
+  attempt->m_lastToken = attempt->m_start;
+  m_slots[aSlot] = std::move(attempt);
+  if (m_options.m_request.m_scenario == Scenario::Chats) {
+    StartStream(aSlot);
+  } else {
+    StartWhole(aSlot);
+  }
+}
+
+void
+Caller::StartStream(std::size_t aSlot)
+{
+  Attempt& attempt = *m_slots[aSlot];
+  attempt.m_check = std::make_unique<StreamCheck>(attempt.m_request.m_body);
+  net::CallCallbacks callbacks;
+  callbacks.m_onHead = [&attempt](int aStatus, const net::Headers& aHeaders) {
+    attempt.m_status = aStatus;
+    attempt.m_headers = aHeaders;
+  };
+  callbacks.m_onBody = [this, &attempt](std::string_view aPiece) {
+    TakePiece(attempt, aPiece);
+  };
+  callbacks.m_onEnd = [this, aSlot, &attempt](const net::CallEnd& aEnd) {
+    const int code = attempt.m_status == 200 ? attempt.m_check->ErrorCode()
+                                             : ErrorCodeIn(attempt.m_errorBody);
+    Finish(aSlot, JudgeStream(attempt, aEnd), code);
+  };
+  attempt.m_call = m_client.Start(attempt.m_request, std::move(callbacks));
+}
+
+void
+Caller::TakePiece(Attempt& aAttempt, std::string_view aPiece)
+{
+  if (aAttempt.m_status != 200) {
+    aAttempt.m_errorBody += aPiece;
+    return;
+  }
+  const std::size_t before = aAttempt.m_check->Tokens();
+  aAttempt.m_check->Feed(aPiece);
+  const std::size_t tokens = aAttempt.m_check->Tokens();
+  if (tokens == before) {
+    return;
+  }
+  const Clock::time_point now = Clock::now();
+  LatencyHistogram& histogram = before == 0 ? m_firstToken : m_betweenTokens;
+  histogram.Add(Micros(now - aAttempt.m_lastToken));
+  aAttempt.m_lastToken = now;
+  m_tokens += tokens - before;
+}
+
+Outcome
+Caller::JudgeStream(const Attempt& aAttempt, const net::CallEnd& aEnd) const
+{
+  if (aEnd.m_stage == net::CallStage::NotSent) {
+    return Outcome::Unreachable;
+  }
+  const bool complete = aEnd.m_stage == net::CallStage::Complete;
+  if (aAttempt.m_status != 200) {
+    return complete ? JudgeError(aAttempt.m_headers, aAttempt.m_errorBody)
+                    : Outcome::Broken;
+  }
+  switch (aAttempt.m_check->Result()) {
+    case Verdict::Whole:
+      return Outcome::Whole;
+    case Verdict::NumberedError:
+      return Outcome::Failed;
+    case Verdict::Wrong:
+      return Outcome::Wrong;
+    case Verdict::Unfinished:
+      // An end that looks regular hides that the answer is short.
+      return complete ? Outcome::Wrong : Outcome::Broken;
+  }
+  return Outcome::Wrong;
+}
+
+void
+Caller::StartWhole(std::size_t aSlot)
+{
+  Attempt& attempt = *m_slots[aSlot];
+  attempt.m_call =
+    FetchWhole(m_client,
+               m_loop,
+               attempt.m_request,
+               m_options.m_request.m_deadline + kGrace,
+               kLargestAnswer,
+               [this, aSlot, &attempt](const net::WholeAnswer& aAnswer) {
+                 const Outcome outcome = JudgeWhole(
+                   m_options.m_request.m_scenario, attempt.m_request, aAnswer);
+                 const int code =
+                   aAnswer.m_status == 200 ? 0 : ErrorCodeIn(aAnswer.m_body);
+                 Finish(aSlot, outcome, code);
+               });
+}
+
+void
+Caller::Finish(std::size_t aSlot, Outcome aOutcome, int aCode)
+{
+  const Attempt& attempt = *m_slots[aSlot];
+  ++m_outcomes[aOutcome];
+  if (aCode != 0) {
+    ++m_codes[aCode];
+  }
+  if (aOutcome == Outcome::Whole) {
+    m_whole.Add(Micros(Clock::now() - attempt.m_start));
+  }
+  if (aOutcome == Outcome::Wrong && m_wrong.size() < kKeptWrongAnswers) {
+    const std::string reason =
+      attempt.m_check ? attempt.m_check->Reason() : std::string();
+    m_wrong.push_back(attempt.m_request.m_body + ": " +
+                      (reason.empty() ? "short or another's answer" : reason));
+  }
+  m_loop.After(Duration(0), [this, aSlot] { StartNext(aSlot); });
+}
+
+std::uint64_t
+Caller::Count(Outcome aOutcome) const
+{
+  const auto found = m_outcomes.find(aOutcome);
+  return found == m_outcomes.end() ? 0 : found->second;
+}
+
+void
+Caller::Print(std::ostream& aStream) const
+{
+  const std::string_view variant = NameOf(m_options.m_request.m_scenario);
+  const auto line =
+    [&](std::string_view aMeasure, auto aValue, std::string_view aUnit) {
+      aStream << aMeasure << ',' << variant << ',' << aValue << ',' << aUnit
+              << '\n';
+    };
+  const auto latencies = [&](const std::string& aName,
+                             const LatencyHistogram& aHistogram) {
+    if (aHistogram.Count() == 0) {
+      return;
+    }
+    line(aName + "_p50", aHistogram.QuantileMs(0.50), "ms");
+    line(aName + "_p95", aHistogram.QuantileMs(0.95), "ms");
+    line(aName + "_p99", aHistogram.QuantileMs(0.99), "ms");
+  };
+  aStream << "measure,variant,value,unit\n";
+  for (const Outcome outcome : kOutcomes) {
+    line(NameOf(outcome), Count(outcome), "requests");
+  }
+  for (const auto& [code, count] : m_codes) {
+    line("code_" + std::to_string(code), count, "requests");
+  }
+  line("tokens", m_tokens, "tokens");
+  const std::chrono::duration<double> elapsed = m_endedAt - m_startedAt;
+  line("elapsed", elapsed.count(), "s");
+  latencies("first_token", m_firstToken);
+  latencies("between_tokens", m_betweenTokens);
+  latencies("whole_answer", m_whole);
+  for (const std::string& wrong : m_wrong) {
+    aStream << "# wrong: " << wrong << '\n';
+  }
+}
+
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/caller.h
@@ -0,0 +1,98 @@
+#ifndef WALNUTWING_STANDIN_CALLER_H_
+#define WALNUTWING_STANDIN_CALLER_H_
+
+// The load tool: a fixed number of callers, each with one request at a time,
+// until a number of requests has been made or the time is up. Every answer is
+// checked.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "standin/answer_check.h"
+#include "standin/caller_request.h"
+#include "standin/latency_histogram.h"
+
+namespace walnutwing::standin {
+
+class Caller
+{
+public:
+  struct Options
+  {
+    RequestOptions m_request;
+    std::vector<net::Endpoint> m_targets; // taken in turn
+    std::uint64_t m_requests = 100;
+    std::size_t m_concurrency = 10;
+    Duration m_timeLimit{ 60'000 }; // no request starts later
+  };
+
+  // aDone is called once, when the last request has ended.
+  Caller(net::EventLoop& aLoop,
+         net::HttpClient& aClient,
+         Options aOptions,
+         std::function<void()> aDone);
+
+  void Start();
+
+  std::uint64_t Count(Outcome aOutcome) const;
+  // Result codes of refusals and errors, and how often each came.
+  const std::map<int, std::uint64_t>& Codes() const { return m_codes; }
+  // The first answers that were wrong, and why.
+  const std::vector<std::string>& WrongAnswers() const { return m_wrong; }
+
+  // CSV lines "measure,variant,value,unit"; the variant is the scenario.
+  void Print(std::ostream& aStream) const;
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  // One request in progress.
+  struct Attempt
+  {
+    net::CallRequest m_request;
+    std::unique_ptr<net::Call> m_call;
+    std::unique_ptr<StreamCheck> m_check; // of a streamed answer
+    int m_status = 0;
+    net::Headers m_headers;
+    std::string m_errorBody;
+    Clock::time_point m_start;
+    Clock::time_point m_lastToken;
+  };
+
+  void StartNext(std::size_t aSlot);
+  void StartStream(std::size_t aSlot);
+  void StartWhole(std::size_t aSlot);
+  void TakePiece(Attempt& aAttempt, std::string_view aPiece);
+  Outcome JudgeStream(const Attempt& aAttempt, const net::CallEnd& aEnd) const;
+  void Finish(std::size_t aSlot, Outcome aOutcome, int aCode);
+
+  net::EventLoop& m_loop;
+  net::HttpClient& m_client;
+  Options m_options;
+  std::function<void()> m_done;
+  std::vector<std::unique_ptr<Attempt>> m_slots;
+  std::uint64_t m_started = 0;
+  std::size_t m_running = 0;
+  Time m_end;
+  Clock::time_point m_startedAt;
+  Clock::time_point m_endedAt;
+  std::map<Outcome, std::uint64_t> m_outcomes;
+  std::map<int, std::uint64_t> m_codes;
+  std::vector<std::string> m_wrong;
+  std::uint64_t m_tokens = 0;
+  LatencyHistogram m_firstToken; // of streams
+  LatencyHistogram m_betweenTokens;
+  LatencyHistogram m_whole; // of whole answers, streamed or not
+};
+
+} // namespace walnutwing::standin
+
+#endif // WALNUTWING_STANDIN_CALLER_H_
--- /dev/null
+++ b/standin/engine_server.cc
@@ -0,0 +1,427 @@
+// EngineModel decides when which token is due; this file turns its outputs into
+// server-sent events and shows the faults. The text of a token comes from the
+// request's body, so nothing but an index has to be kept for each answer.
+
+#include "standin/engine_server.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include "standin/http_reply.h"
+
+namespace walnutwing::standin {
+
+namespace {
+
+constexpr Duration kClosedCallersPeriod{ 50 };
+constexpr std::string_view kStateHeader = "walnutwing-engine-state";
+constexpr std::string_view kOtherRequest = "another-request";
+constexpr std::string_view kOtherBody = R"({"max_tokens":1000000})";
+
+std::string
+ChunkOf(const std::string& aRequestId, std::size_t aToken, std::string aText)
+{
+  const nlohmann::json chunk = {
+    { "id", aRequestId },
+    { "object", "chat.completion.chunk" },
+    { "choices",
+      { { { "index", 0 }, { "delta", { { "content", std::move(aText) } } } } } }
+  };
+  return "id: " + std::to_string(aToken) + "\ndata: " + chunk.dump() + "\n\n";
+}
+
+std::string
+CompletionOf(const std::string& aRequestId, const std::string& aText)
+{
+  const nlohmann::json completion = {
+    { "id", aRequestId },
+    { "object", "chat.completion" },
+    { "choices",
+      { { { "index", 0 },
+          { "finish_reason", "stop" },
+          { "message", { { "role", "assistant" }, { "content", aText } } } } } }
+  };
+  return completion.dump() + "\n";
+}
+
+// The number of tokens that the caller has already; 0 when it says nothing.
+// Last-Event-ID names the last of them, and the first has id 0.
+std::size_t
+TokensBefore(const SeenCall& aSeen)
+{
+  const std::string& text = aSeen.m_resumedAfter;
+  std::size_t last = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), last);
+  return error == std::errc() && end != text.data() ? last + 1 : 0;
+}
+
+SeenCall
+ReadCall(const net::HttpRequest& aRequest, const ChatRequest& aChat)
+{
+  SeenCall seen;
+  seen.m_requestId = aRequest.m_headers.Get("x-request-id");
+  seen.m_orderKey = aRequest.m_headers.Get("idempotency-key");
+  seen.m_chat = aRequest.m_headers.Get("walnutwing-chat");
+  if (seen.m_chat.empty()) {
+    seen.m_chat = aChat.m_user;
+  }
+  seen.m_resumedAfter = aRequest.m_headers.Get("last-event-id");
+  seen.m_bodyHash = XXH64(aRequest.m_body.data(), aRequest.m_body.size(), 0);
+  return seen;
+}
+
+} // namespace
+
+EngineServer::EngineServer(net::EventLoop& aLoop,
+                           net::HttpClient& aClient,
+                           const Options& aOptions)
+  : m_loop(aLoop)
+  , m_model(aOptions.m_engine, aOptions.m_seed, aLoop.Now())
+  , m_registration(aLoop, aClient, aOptions.m_platform, aOptions.m_entry)
+  , m_coldTime(std::max(aOptions.m_engine.m_coldTime, Duration(1000)))
+  , m_server(aLoop, aOptions.m_listen, {}, [this](const Exchange& aExchange) {
+    Handle(aExchange);
+  })
+{
+  m_loop.Every(kClosedCallersPeriod, [this] { DropClosedCallers(); });
+}
+
+void
+EngineServer::Handle(const Exchange& aExchange)
+{
+  const std::string& path = aExchange->Request().m_path;
+  if (path == "/v1/chat/completions") {
+    HandleChat(aExchange);
+  } else if (path == "/load") {
+    HandleLoad(*aExchange);
+  } else if (path == "/cache_events") {
+    HandleCacheEvents(*aExchange);
+  } else if (path == "/order") {
+    HandleOrder(aExchange);
+  } else if (path == "/fault") {
+    HandleFault(aExchange);
+  } else if (path == "/record") {
+    ReplyJson(*aExchange, 200, m_record.ToJson() + "\n");
+  } else if (path == "/stats") {
+    HandleStats(*aExchange);
+  } else if (path == "/leave" || path == "/stay") {
+    m_registration.SetLeaving(path == "/leave");
+    ReplyJson(*aExchange, 200, "{}\n");
+  } else if (path == "/healthz") {
+    aExchange->Respond(200, {}, "ok\n");
+  } else {
+    ReplyError(*aExchange, 404, "no such path");
+  }
+}
+
+void
+EngineServer::HandleChat(const Exchange& aExchange)
+{
+  const net::HttpRequest& request = aExchange->Request();
+  const ChatRequest chat = ParseChatRequest(request.m_body);
+  SeenCall seen = ReadCall(request, chat);
+  const std::uint64_t call = m_record.Enter(seen);
+  if (request.m_method != "POST" || !chat.m_valid) {
+    ReplyError(*aExchange, 400, "not a chat completion request");
+    return;
+  }
+  const EngineFault fault = m_faults.Take();
+  if (fault == EngineFault::Refuse) {
+    Refuse(*aExchange, Submitted::RefusedFull);
+    return;
+  }
+  if (fault == EngineFault::Cold) {
+    m_model.TurnCold(m_coldTime, m_loop.Now());
+    Refuse(*aExchange, Submitted::RefusedCold);
+    return;
+  }
+  const bool own = fault != EngineFault::WrongId;
+  Answer answer(aExchange, own ? request.m_body : std::string(kOtherBody));
+  answer.m_requestId = own ? seen.m_requestId : std::string(kOtherRequest);
+  const auto completion = request.m_headers.Find("x-completion-id");
+  answer.m_completionId =
+    own && completion ? std::string(*completion) : answer.m_requestId;
+  answer.m_fault = fault;
+  answer.m_streams = chat.m_stream;
+  answer.m_call = call;
+  EngineJob job;
+  job.m_id = ++m_lastJob;
+  job.m_chat = seen.m_chat;
+  job.m_priority = chat.m_priority;
+  job.m_length = chat.m_maxTokens;
+  job.m_next = std::min(TokensBefore(seen), job.m_length);
+  const Submitted submitted =
+    m_model.Submit(job, m_loop.Now(), answer.m_cached);
+  if (submitted != Submitted::Accepted) {
+    Refuse(*aExchange, submitted);
+    return;
+  }
+  Accept(job.m_id, std::move(answer));
+  ScheduleStep();
+}
+
+void
+EngineServer::Accept(JobId aJob, Answer aAnswer)
+{
+  m_record.SetState(aAnswer.m_call, CallState::Running);
+  const Exchange exchange = aAnswer.m_exchange;
+  exchange->OnCallerGone([this, aJob] { Cancel(aJob); });
+  if (aAnswer.m_streams && aAnswer.m_fault != EngineFault::Silent) {
+    exchange->Start(200,
+                    { { "content-type", "text/event-stream" },
+                      { "cache-control", "no-cache" },
+                      { "x-request-id", aAnswer.m_requestId },
+                      { "x-completion-id", aAnswer.m_completionId },
+                      { "walnutwing-cached", aAnswer.m_cached ? "1" : "0" } });
+  }
+  m_answers.emplace(aJob, std::move(aAnswer));
+}
+
+void
+EngineServer::Refuse(net::Exchange& aExchange, Submitted aReason)
+{
+  const bool cold = aReason == Submitted::RefusedCold;
+  const std::string requestId(
+    aExchange.Request().m_headers.Get("x-request-id"));
+  aExchange.Respond(
+    503,
+    { { "content-type", "application/json" },
+      { "x-request-id", requestId },
+      { "retry-after", "1" },
+      { std::string(kStateHeader), cold ? "cold" : "full" } },
+    R"({"error":{"message":"the engine takes no more requests"}})");
+}
+
+void
+EngineServer::ScheduleStep()
+{
+  if (m_stepScheduled || !m_model.Busy()) {
+    return;
+  }
+  m_stepScheduled = true;
+  const Duration wait =
+    std::max(Duration(0), m_model.NextStep() - m_loop.Now());
+  m_loop.After(wait, [this] {
+    m_stepScheduled = false;
+    RunSteps();
+    ScheduleStep();
+  });
+}
+
+void
+EngineServer::RunSteps()
+{
+  m_outputs.clear();
+  m_model.Step(m_loop.Now(), m_outputs);
+  const std::vector<EngineOutput> outputs = m_outputs;
+  for (const EngineOutput& output : outputs) {
+    Deliver(output);
+  }
+}
+
+void
+EngineServer::Deliver(const EngineOutput& aOutput)
+{
+  const auto found = m_answers.find(aOutput.m_job);
+  if (found == m_answers.end()) {
+    return;
+  }
+  Answer& answer = found->second;
+  if (answer.m_fault == EngineFault::Silent) {
+    return;
+  }
+  const bool cut = answer.m_fault == EngineFault::BreakMidway ||
+                   answer.m_fault == EngineFault::Truncate;
+  if (cut && aOutput.m_token >= answer.m_text.Length() / 2) {
+    Cut(aOutput.m_job, answer);
+    return;
+  }
+  if (aOutput.m_finished) {
+    // Taken out first: ending the answer may report that its caller is gone.
+    Answer finished = std::move(answer);
+    m_answers.erase(found);
+    Finish(finished);
+    return;
+  }
+  WriteToken(answer, aOutput.m_token);
+}
+
+void
+EngineServer::WriteToken(Answer& aAnswer, std::size_t aToken)
+{
+  if (!aAnswer.m_streams) {
+    return; // Finish writes the whole text
+  }
+  const std::string chunk =
+    ChunkOf(aAnswer.m_completionId, aToken, aAnswer.m_text.Token(aToken));
+  const Exchange exchange = aAnswer.m_exchange;
+  if (aAnswer.m_fault == EngineFault::Reorder && aAnswer.m_held.empty()) {
+    aAnswer.m_held = chunk;
+    return;
+  }
+  const std::string held = std::exchange(aAnswer.m_held, {});
+  const bool twice = aAnswer.m_fault == EngineFault::Duplicate;
+  exchange->Write(chunk + (twice ? chunk : "") + held);
+}
+
+void
+EngineServer::Finish(Answer& aAnswer)
+{
+  m_record.SetState(aAnswer.m_call, CallState::Completed);
+  net::Exchange& exchange = *aAnswer.m_exchange;
+  if (aAnswer.m_streams) {
+    exchange.Write(aAnswer.m_held +
+                   "id: " + std::to_string(aAnswer.m_text.Length()) +
+                   "\ndata: [DONE]\n\n");
+    exchange.End();
+    return;
+  }
+  exchange.Respond(
+    200,
+    { { "content-type", "application/json" },
+      { "x-request-id", aAnswer.m_requestId },
+      { "walnutwing-cached", aAnswer.m_cached ? "1" : "0" } },
+    CompletionOf(aAnswer.m_completionId, aAnswer.m_text.Whole()));
+}
+
+void
+EngineServer::Cut(JobId aJob, Answer& aAnswer)
+{
+  const Answer cut = std::move(aAnswer);
+  m_answers.erase(aJob);
+  m_model.Cancel(aJob, m_loop.Now());
+  m_record.SetState(cut.m_call, CallState::Broken);
+  if (!cut.m_streams) {
+    CloseWithoutAnswer(*cut.m_exchange);
+  } else if (cut.m_fault == EngineFault::Truncate) {
+    cut.m_exchange->End();
+  } else {
+    cut.m_exchange->Abort();
+  }
+}
+
+void
+EngineServer::DropClosedCallers()
+{
+  std::vector<JobId> closed;
+  for (const auto& [job, answer] : m_answers) {
+    if (answer.m_exchange->CallerClosed()) {
+      closed.push_back(job);
+    }
+  }
+  for (const JobId job : closed) {
+    Cancel(job);
+  }
+}
+
+void
+EngineServer::Cancel(JobId aJob)
+{
+  const auto found = m_answers.find(aJob);
+  if (found == m_answers.end()) {
+    return;
+  }
+  const Answer answer = std::move(found->second);
+  m_answers.erase(found);
+  m_record.SetState(answer.m_call, CallState::Cancelled);
+  m_model.Cancel(aJob, m_loop.Now());
+  if (answer.m_streams && answer.m_fault != EngineFault::Silent) {
+    answer.m_exchange->Abort();
+  } else {
+    CloseWithoutAnswer(*answer.m_exchange);
+  }
+}
+
+void
+EngineServer::HandleLoad(net::Exchange& aExchange)
+{
+  const EngineLoad load = m_model.Load(m_loop.Now());
+  const WallTime asOf = m_loop.WallNow() - (m_loop.Now() - load.m_asOf);
+  const nlohmann::json json = { { "running", load.m_running },
+                                { "waiting", load.m_waiting },
+                                { "slots", m_model.Options().m_slots },
+                                { "cold", load.m_cold },
+                                { "as_of_ms",
+                                  asOf.time_since_epoch().count() } };
+  ReplyJson(aExchange, 200, json.dump() + "\n");
+}
+
+void
+EngineServer::HandleCacheEvents(net::Exchange& aExchange)
+{
+  const std::uint64_t from =
+    QueryNumber(aExchange.Request().m_query, "from", 1);
+  nlohmann::json events = nlohmann::json::array();
+  for (const PrefixCache::Event& event :
+       m_model.Cache().Events(from, m_loop.Now())) {
+    events.push_back({ { "sequence", event.m_sequence },
+                       { "kind", event.m_stored ? "stored" : "evicted" },
+                       { "chat", event.m_chat } });
+  }
+  ReplyJson(
+    aExchange, 200, nlohmann::json{ { "events", events } }.dump() + "\n");
+}
+
+void
+EngineServer::HandleOrder(const Exchange& aExchange)
+{
+  const nlohmann::json order =
+    nlohmann::json::parse(aExchange->Request().m_body, nullptr, false);
+  if (!order.is_object() || !order.contains("fencing") ||
+      !order["fencing"].is_number_unsigned()) {
+    ReplyError(*aExchange, 400, "an order needs a fencing number");
+    return;
+  }
+  const auto fencing = order["fencing"].get<std::uint64_t>();
+  if (m_registration.Entry().checks_fencing() && fencing < m_fencing) {
+    ++m_ordersRefused;
+    ReplyError(*aExchange, 409, "old fencing number");
+    return;
+  }
+  m_fencing = std::max(m_fencing, fencing);
+  ++m_ordersTaken;
+  if (order.contains("model") && order["model"].is_string()) {
+    m_model.TurnCold(m_coldTime, m_loop.Now());
+    m_registration.SetModel(order["model"].get<std::string>());
+  }
+  ReplyJson(*aExchange, 200, "{}\n");
+}
+
+void
+EngineServer::HandleFault(const Exchange& aExchange)
+{
+  const std::string& query = aExchange->Request().m_query;
+  const auto fault = ParseEngineFault(QueryText(query, "kind"));
+  if (!fault) {
+    ReplyError(*aExchange, 400, "no such fault");
+    return;
+  }
+  m_faults.Set(*fault, QueryNumber(query, "count", 0));
+  ReplyJson(*aExchange, 200, "{}\n");
+}
+
+void
+EngineServer::HandleStats(net::Exchange& aExchange)
+{
+  const EngineStats& stats = m_model.Stats();
+  const nlohmann::json json = { { "accepted", stats.m_accepted },
+                                { "refused_cold", stats.m_refusedCold },
+                                { "refused_full", stats.m_refusedFull },
+                                { "cached_starts", stats.m_cachedStarts },
+                                { "uncached_starts", stats.m_uncachedStarts },
+                                { "tokens", stats.m_tokens },
+                                { "cancelled", stats.m_cancelled },
+                                { "peak_jobs", stats.m_peakJobs },
+                                { "peak_cold_jobs", stats.m_peakColdJobs },
+                                { "model", m_registration.Entry().model() },
+                                { "fencing", m_fencing },
+                                { "orders_taken", m_ordersTaken },
+                                { "orders_refused", m_ordersRefused } };
+  ReplyJson(aExchange, 200, json.dump() + "\n");
+}
+
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/engine_server.h
@@ -0,0 +1,106 @@
+#ifndef WALNUTWING_STANDIN_ENGINE_SERVER_H_
+#define WALNUTWING_STANDIN_ENGINE_SERVER_H_
+
+// The stand-in engine over HTTP. docs/STANDINS.md lists its paths, headers and
+// faults.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "standin/answer_text.h"
+#include "standin/call_faults.h"
+#include "standin/call_record.h"
+#include "standin/engine_model.h"
+#include "standin/registration.h"
+
+namespace walnutwing::standin {
+
+class EngineServer
+{
+public:
+  struct Options
+  {
+    net::Endpoint m_listen;
+    std::optional<net::Endpoint> m_platform;
+    proto::VmEntry m_entry;
+    EngineOptions m_engine;
+    std::uint64_t m_seed = 1;
+  };
+
+  EngineServer(net::EventLoop& aLoop,
+               net::HttpClient& aClient,
+               const Options& aOptions);
+
+private:
+  using Exchange = std::shared_ptr<net::Exchange>;
+
+  // One answer in progress.
+  struct Answer
+  {
+    Answer(Exchange aExchange, std::string_view aBody)
+      : m_exchange(std::move(aExchange))
+      , m_text(aBody)
+    {
+    }
+
+    Exchange m_exchange;
+    AnswerText m_text;
+    std::string m_requestId;    // as it is echoed in the head
+    std::string m_completionId; // as it is written in the chunks
+    EngineFault m_fault = EngineFault::None;
+    bool m_streams = false;
+    bool m_cached = false;
+    std::uint64_t m_call = 0; // in the record
+    std::string m_held;       // a chunk that Reorder keeps back
+  };
+
+  void Handle(const Exchange& aExchange);
+  void HandleChat(const Exchange& aExchange);
+  void HandleOrder(const Exchange& aExchange);
+  void HandleFault(const Exchange& aExchange);
+  void HandleLoad(net::Exchange& aExchange);
+  void HandleCacheEvents(net::Exchange& aExchange);
+  void HandleStats(net::Exchange& aExchange);
+
+  // Refuses a call that a fault or the model turns away.
+  void Refuse(net::Exchange& aExchange, Submitted aReason);
+
+  void Accept(JobId aJob, Answer aAnswer);
+  void RunSteps();
+  void Deliver(const EngineOutput& aOutput);
+  void WriteToken(Answer& aAnswer, std::size_t aToken);
+  void Finish(Answer& aAnswer);
+  // Ends an answer before its time, as its fault says.
+  void Cut(JobId aJob, Answer& aAnswer);
+  void ScheduleStep();
+  // Cancels the jobs whose callers have closed their connections. Writing finds
+  // these too, but a job that waits or is silent writes nothing.
+  void DropClosedCallers();
+  void Cancel(JobId aJob);
+
+  net::EventLoop& m_loop;
+  EngineModel m_model;
+  Registration m_registration;
+  Duration m_coldTime; // of a cold start that an order or a fault causes
+  CallFaults<EngineFault> m_faults;
+  CallRecord m_record;
+  std::map<JobId, Answer> m_answers;
+  JobId m_lastJob = 0;
+  std::vector<EngineOutput> m_outputs; // of one step
+  bool m_stepScheduled = false;
+  std::uint64_t m_fencing = 0; // the highest that was seen
+  std::uint64_t m_ordersTaken = 0;
+  std::uint64_t m_ordersRefused = 0;
+  net::HttpServer m_server;
+};
+
+} // namespace walnutwing::standin
+
+#endif // WALNUTWING_STANDIN_ENGINE_SERVER_H_
--- /dev/null
+++ b/standin/latency_histogram.cc
@@ -0,0 +1,43 @@
+// A quantile is read by adding up the bins from the lowest on.
+
+#include "standin/latency_histogram.h"
+
+namespace walnutwing::standin {
+
+namespace {
+
+constexpr unsigned kBins = 2083; // 9 decades in steps of 1%
+constexpr double kSmallestMs = 0.001;
+constexpr double kLargestMs = 1'000'000;
+
+} // namespace
+
+LatencyHistogram::LatencyHistogram()
+  : m_histogram(boost::histogram::make_histogram(
+      Axis(kBins, kSmallestMs, kLargestMs, "ms")))
+{
+}
+
+void
+LatencyHistogram::Add(std::chrono::microseconds aLatency)
+{
+  m_histogram(static_cast<double>(aLatency.count()) / 1000.0);
+  ++m_count;
+}
+
+double
+LatencyHistogram::QuantileMs(double aQuantile) const
+{
+  const double wanted = aQuantile * static_cast<double>(m_count);
+  double seen = 0;
+  for (const auto& bin : boost::histogram::indexed(
+         m_histogram, boost::histogram::coverage::all)) {
+    seen += static_cast<double>(*bin);
+    if (*bin > 0 && seen >= wanted) {
+      return bin.bin().upper();
+    }
+  }
+  return 0;
+}
+
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/platform_server.h
@@ -0,0 +1,74 @@
+#ifndef WALNUTWING_STANDIN_PLATFORM_SERVER_H_
+#define WALNUTWING_STANDIN_PLATFORM_SERVER_H_
+
+// The stand-in platform over HTTP: log, VM list, weight store. docs/STANDINS.md
+// lists its paths and its faults.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "standin/platform_faults.h"
+#include "standin/platform_log.h"
+#include "standin/token_bucket.h"
+#include "standin/vm_list.h"
+
+namespace walnutwing::standin {
+
+class PlatformServer
+{
+public:
+  struct Options
+  {
+    net::Endpoint m_listen;
+    PlatformLog::Options m_log;
+    Duration m_listLag{ 0 };
+    std::uint32_t m_appendsPerSecond = 0; // calls; 0: no limit
+    std::uint32_t m_weightsPerSecond = 0; // calls; 0: no limit
+    std::size_t m_weightBytes = 1U << 16U;
+  };
+
+  PlatformServer(net::EventLoop& aLoop, const Options& aOptions);
+
+private:
+  using Exchange = std::shared_ptr<net::Exchange>;
+
+  void Handle(const Exchange& aExchange);
+  void HandleLog(const Exchange& aExchange, const std::string& aStream);
+  void Append(const Exchange& aExchange, const std::string& aStream);
+  void Read(const Exchange& aExchange, const std::string& aStream);
+  void HandleVms(const Exchange& aExchange);
+  void HandleWeights(const Exchange& aExchange);
+  void HandleFault(const Exchange& aExchange);
+  void HandleStats(const Exchange& aExchange);
+
+  // Calls aFunction after aDelay; Duration 0 means now.
+  void Later(Duration aDelay, std::function<void()> aFunction);
+
+  std::optional<ActiveFault> Hit(PlatformFault aKind,
+                                 const net::Exchange& aExchange,
+                                 const std::string& aStream);
+
+  net::EventLoop& m_loop;
+  Options m_options;
+  PlatformLog m_log;
+  VmList m_vms;
+  PlatformFaults m_faults;
+  std::map<std::string, std::uint64_t> m_staleEnds; // stream -> next offset
+  TokenBucket m_appendLimit;
+  TokenBucket m_weightLimit;
+  std::uint64_t m_vmReads = 0;
+  std::uint64_t m_weightReads = 0;
+  std::uint64_t m_limited = 0; // answered 429
+  std::uint64_t m_faulted = 0; // calls that a fault hit
+  net::HttpServer m_server;
+};
+
+} // namespace walnutwing::standin
+
+#endif // WALNUTWING_STANDIN_PLATFORM_SERVER_H_
--- /dev/null
+++ b/standin/standin_test.cc
@@ -0,0 +1,328 @@
+// The stand-ins over HTTP in one loop: each fault does what its name says, and
+// the load tool tells a wrong answer from a right one.
+
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "standin/caller.h"
+#include "standin/engine_server.h"
+#include "standin/platform_server.h"
+#include "standin/service_server.h"
+
+namespace walnutwing::standin {
+namespace {
+
+constexpr Duration kPatience{ 60'000 };
+
+// All stand-ins on an address of this test process's own.
+struct World
+{
+  World()
+  {
+    PlatformServer::Options platform;
+    platform.m_listen = At(9000);
+    platform.m_appendsPerSecond = 50;
+    platform.m_weightsPerSecond = 1;
+    m_platform = std::make_unique<PlatformServer>(m_loop, platform);
+    EngineServer::Options engine;
+    engine.m_listen = At(9001);
+    engine.m_platform = At(9000);
+    engine.m_entry.set_id("e1");
+    engine.m_entry.set_checks_fencing(true);
+    engine.m_engine.m_stepTime = Duration(1);
+    m_engine = std::make_unique<EngineServer>(m_loop, m_client, engine);
+    ServiceServer::Options service;
+    service.m_listen = At(9002);
+    service.m_platform = At(9000);
+    service.m_entry.set_id("s1");
+    m_service = std::make_unique<ServiceServer>(m_loop, m_client, service);
+  }
+
+  static net::Endpoint At(std::uint16_t aPort)
+  {
+    return { "127.31.7.1", aPort };
+  }
+
+  void TurnUntil(const std::function<bool()>& aCondition)
+  {
+    const Time end = m_loop.Now() + kPatience;
+    while (!aCondition() && m_loop.Now() < end) {
+      m_loop.RunOnce(Duration(1));
+    }
+    ASSERT_TRUE(aCondition());
+  }
+
+  net::WholeAnswer Fetch(std::uint16_t aPort,
+                         std::string aMethod,
+                         std::string aTarget,
+                         std::string aBody = "",
+                         net::Headers aHeaders = {})
+  {
+    net::CallRequest request;
+    request.m_endpoint = At(aPort);
+    request.m_method = std::move(aMethod);
+    request.m_target = std::move(aTarget);
+    request.m_body = std::move(aBody);
+    request.m_headers = std::move(aHeaders);
+    net::WholeAnswer answer;
+    bool done = false;
+    const auto call = FetchWhole(m_client,
+                                 m_loop,
+                                 std::move(request),
+                                 kPatience,
+                                 1U << 24U,
+                                 [&](net::WholeAnswer aAnswer) {
+                                   answer = std::move(aAnswer);
+                                   done = true;
+                                 });
+    TurnUntil([&] { return done; });
+    return answer;
+  }
+
+  void SetFault(std::uint16_t aPort, const std::string& aQuery)
+  {
+    ASSERT_EQ(Fetch(aPort, "POST", "/fault?" + aQuery).m_status, 200);
+  }
+
+  nlohmann::json Record(std::uint16_t aPort)
+  {
+    return nlohmann::json::parse(Fetch(aPort, "GET", "/record").m_body);
+  }
+
+  net::WholeAnswer Append(const std::string& aBody, const std::string& aZone)
+  {
+    proto::AppendRequest request;
+    request.add_bodies(aBody);
+    return Fetch(9000,
+                 "POST",
+                 "/log/s",
+                 request.SerializeAsString(),
+                 { { "walnutwing-zone", aZone } });
+  }
+
+  std::vector<std::string> ReadLog()
+  {
+    proto::ReadResponse response;
+    response.ParseFromString(Fetch(9000, "GET", "/log/s?from=1").m_body);
+    std::vector<std::string> bodies;
+    for (const proto::LogRecord& record : response.records()) {
+      bodies.push_back(record.body());
+    }
+    return bodies;
+  }
+
+  net::EventLoop m_loop;
+  net::HttpClient m_client{ m_loop };
+  std::unique_ptr<PlatformServer> m_platform;
+  std::unique_ptr<EngineServer> m_engine;
+  std::unique_ptr<ServiceServer> m_service;
+};
+
+World&
+TheWorld()
+{
+  static World world; // servers last as long as their process
+  return world;
+}
+
+TEST(Platform, ShowsItsFaults)
+{
+  struct Case
+  {
+    const char* m_fault;
+    int m_status; // 0: no whole answer
+    bool m_takesEffect;
+  };
+  constexpr Case kCases[] = {
+    { "kind=down&count=1", 0, false },
+    { "kind=down&count=1&zone=other", 200, true },
+    { "kind=down&count=1&stream=other", 200, true },
+    { "kind=lose_answers&count=1", 0, true },
+    { "kind=slow&count=1&delay_ms=5", 200, true },
+    { "kind=late&count=1&delay_ms=5", 503, true },
+  };
+  World& world = TheWorld();
+  std::vector<std::string> expected = world.ReadLog();
+  for (const Case& test : kCases) {
+    world.SetFault(9000, test.m_fault);
+    const net::WholeAnswer answer = world.Append(test.m_fault, "z1");
+    const bool whole = answer.m_end.m_stage == net::CallStage::Complete;
+    EXPECT_EQ(whole ? answer.m_status : 0, test.m_status) << test.m_fault;
+    world.SetFault(9000, "kind=none");
+    if (test.m_takesEffect) {
+      expected.emplace_back(test.m_fault);
+    }
+    world.TurnUntil([&] { return world.ReadLog() == expected; });
+  }
+  world.SetFault(9000, "kind=stale&count=1");
+  EXPECT_EQ(world.Append("unseen", "z1").m_status, 200);
+  EXPECT_EQ(world.ReadLog(), expected);
+  EXPECT_EQ(world.ReadLog().back(), "unseen");
+  EXPECT_EQ(world.Fetch(9000, "POST", "/fault?kind=melted").m_status, 400);
+}
+
+TEST(Platform, LimitsTheWeightStoreAndListsVms)
+{
+  World& world = TheWorld();
+  const int first = world.Fetch(9000, "GET", "/weights/m1").m_status;
+  const int second = world.Fetch(9000, "GET", "/weights/m1").m_status;
+  EXPECT_EQ(first, 200);
+  EXPECT_EQ(second, 429);
+  proto::VmList list;
+  world.TurnUntil([&] {
+    list.ParseFromString(world.Fetch(9000, "GET", "/vms").m_body);
+    return list.vms_size() == 2;
+  });
+  EXPECT_EQ(world.Fetch(9001, "POST", "/leave").m_status, 200);
+  world.TurnUntil([&] {
+    list.ParseFromString(world.Fetch(9000, "GET", "/vms").m_body);
+    return list.vms(0).leaving();
+  });
+  EXPECT_EQ(world.Fetch(9001, "POST", "/stay").m_status, 200);
+}
+
+// Runs the load tool against aPort and returns how many of aOutcome it saw.
+std::uint64_t
+Load(std::uint16_t aPort, Scenario aScenario, Outcome aOutcome)
+{
+  World& world = TheWorld();
+  Caller::Options options;
+  options.m_request.m_scenario = aScenario;
+  options.m_request.m_maxTokens = 8;
+  options.m_targets = { World::At(aPort) };
+  options.m_requests = 4;
+  options.m_concurrency = 2;
+  bool done = false;
+  Caller caller(
+    world.m_loop, world.m_client, options, [&done] { done = true; });
+  caller.Start();
+  world.TurnUntil([&] { return done; });
+  EXPECT_EQ(caller.Count(Outcome::Whole) + caller.Count(aOutcome),
+            aOutcome == Outcome::Whole ? 8 : 4);
+  return caller.Count(aOutcome);
+}
+
+TEST(Caller, SeesEveryFaultOfAnEngine)
+{
+  struct Case
+  {
+    const char* m_fault;
+    Outcome m_streamed;
+    Outcome m_whole;
+  };
+  constexpr Case kCases[] = {
+    { "none", Outcome::Whole, Outcome::Whole },
+    { "break_midway", Outcome::Broken, Outcome::Broken },
+    { "wrong_id", Outcome::Wrong, Outcome::Wrong },
+    { "truncate", Outcome::Wrong, Outcome::Broken },
+    { "duplicate", Outcome::Wrong, Outcome::Whole },
+    { "reorder", Outcome::Wrong, Outcome::Whole },
+    { "refuse", Outcome::Unnumbered, Outcome::Unnumbered },
+  };
+  World& world = TheWorld();
+  for (const Case& test : kCases) {
+    const std::string fault = std::string("kind=") + test.m_fault + "&count=1";
+    const auto expected = [](Outcome aOutcome) {
+      return aOutcome == Outcome::Whole ? 4U : 1U;
+    };
+    world.SetFault(9001, fault);
+    EXPECT_EQ(Load(9001, Scenario::Chats, test.m_streamed),
+              expected(test.m_streamed))
+      << test.m_fault;
+    world.SetFault(9001, fault);
+    EXPECT_EQ(Load(9001, Scenario::Lookups, test.m_whole),
+              expected(test.m_whole))
+      << test.m_fault;
+  }
+}
+
+TEST(Engine, ResumesAnAnswerAndCancelsOne)
+{
+  World& world = TheWorld();
+  const std::string body = R"({"stream":true,"max_tokens":6})";
+  const AnswerText text(body);
+  const net::WholeAnswer rest =
+    world.Fetch(9001,
+                "POST",
+                "/v1/chat/completions",
+                body,
+                { { "last-event-id", "4" }, { "x-request-id", "a1" } });
+  EXPECT_EQ(rest.m_headers.Get("x-request-id"), "a1");
+  EXPECT_EQ(rest.m_body.find("id: 5\n"), 0U);
+  EXPECT_EQ(rest.m_body.find(text.Token(3)), std::string::npos);
+  EXPECT_NE(rest.m_body.find(text.Token(4)), std::string::npos);
+  EXPECT_NE(rest.m_body.find(text.Token(5)), std::string::npos);
+
+  const std::uint64_t before = world.Record(9001)["cancelled"];
+  net::CallRequest request;
+  request.m_endpoint = World::At(9001);
+  request.m_method = "POST";
+  request.m_target = "/v1/chat/completions";
+  request.m_body = R"({"stream":true,"max_tokens":1000000})";
+  request.m_freshConnection = true;
+  bool began = false;
+  net::CallCallbacks callbacks;
+  callbacks.m_onHead = [&](int, const net::Headers&) { began = true; };
+  callbacks.m_onBody = [](std::string_view) {};
+  callbacks.m_onEnd = [](const net::CallEnd&) {};
+  auto call = world.m_client.Start(request, callbacks);
+  world.TurnUntil([&] { return began; });
+  call.reset();
+  world.TurnUntil(
+    [&] { return world.Record(9001)["cancelled"] == before + 1; });
+}
+
+TEST(Engine, RefusesAnOldFencingNumberAndTurnsCold)
+{
+  World& world = TheWorld();
+  const auto order = [&](const char* aBody) {
+    return world.Fetch(9001, "POST", "/order", aBody).m_status;
+  };
+  EXPECT_EQ(order(R"({"model":"m2"})"), 400);
+  EXPECT_EQ(order(R"({"role":"decode","fencing":7})"), 200);
+  EXPECT_EQ(order(R"({"role":"prefill","fencing":6})"), 409);
+  world.SetFault(9001, "kind=cold&count=1");
+  const net::WholeAnswer answer =
+    world.Fetch(9001, "POST", "/v1/chat/completions", "{}");
+  EXPECT_EQ(answer.m_status, 503);
+  EXPECT_EQ(answer.m_headers.Get("walnutwing-engine-state"), "cold");
+}
+
+TEST(Service, RunsOnceForEachCallAndKeepsCount)
+{
+  World& world = TheWorld();
+  const auto call = [&] {
+    const net::WholeAnswer answer =
+      world.Fetch(9002, "POST", "/call", "{}", { { "idempotency-key", "k1" } });
+    const bool whole = answer.m_end.m_stage == net::CallStage::Complete;
+    return whole && answer.m_status == 200;
+  };
+  EXPECT_TRUE(call());
+  world.SetFault(9002, "kind=refuse&count=1");
+  EXPECT_FALSE(call());
+  EXPECT_EQ(world.Record(9002)["runs"]["k1"], 1);
+  world.SetFault(9002, "kind=lose_answer&count=1");
+  EXPECT_FALSE(call());
+  EXPECT_EQ(world.Record(9002)["runs"]["k1"], 2);
+  EXPECT_EQ(world.Record(9002)["most_runs_of_a_key"], 2);
+}
+
+TEST(LatencyHistogram, GivesQuantilesWithinOnePercent)
+{
+  LatencyHistogram histogram;
+  EXPECT_EQ(histogram.QuantileMs(0.5), 0);
+  for (int i = 1; i <= 1000; ++i) {
+    histogram.Add(std::chrono::milliseconds(i));
+  }
+  for (const double quantile : { 0.5, 0.95, 0.99, 1.0 }) {
+    EXPECT_NEAR(
+      histogram.QuantileMs(quantile), 1000 * quantile, 10 * quantile + 0.001);
+  }
+}
+
+} // namespace
+} // namespace walnutwing::standin
