--- a/daemon/owner_host.cc
+++ b/daemon/owner_host.cc
@@ -135,7 +135,8 @@
   const UpstreamId id(aUpstream.id());
   const proto::FleetConfig& config = *m_context.m_config->Peek()->Current();
   const proto::UpstreamState* last = m_context.m_fleet->Peek()->StateOf(id);
-  // A plain service has no cold start; an engine is cold until known to be warm.
+  // A plain service has no cold start; an engine is cold until known to be
+  // warm.
   const bool cold = aUpstream.kind() == proto::VmEntry::ENGINE &&
                     (last == nullptr || last->temperature() == proto::COLD);
   UpstreamOwner owner(id,
--- a/net/event_loop.cc
+++ b/net/event_loop.cc
@@ -108,23 +108,29 @@
   }
 }
 
+// What a timer's callback writes or connects stands in h2o's list of pending
+// callbacks, which h2o runs only after it has polled; so it polls without
+// waiting after a timer has fired.
 void
 EventLoop::RunOnce(Duration aLongest)
 {
   Duration wait = aLongest;
-  if (!m_schedule.empty()) {
+  if (FireDueTimers()) {
+    wait = Duration::zero();
+  } else if (!m_schedule.empty()) {
     wait =
       std::clamp(m_schedule.begin()->first - Now(), Duration::zero(), aLongest);
   }
   h2o_evloop_run(m_loop, static_cast<std::int32_t>(wait.count()));
-  FireDueTimers();
 }
 
-void
+bool
 EventLoop::FireDueTimers()
 {
   const Time now = Now();
+  bool fired = false;
   while (!m_schedule.empty() && m_schedule.begin()->first <= now) {
+    fired = true;
     const TimerId timer = m_schedule.begin()->second;
     m_schedule.erase(m_schedule.begin());
     Timer& entry = m_timers.at(timer);
@@ -140,6 +146,7 @@
     const std::function<void()> callback = entry.m_callback;
     callback();
   }
+  return fired;
 }
 
 } // namespace walnutwing::net
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -58,7 +58,7 @@
   void Run();
   void Stop() { m_stopping = true; }
 
-  // One turn: waits for events for aLongest at most, then fires due timers.
+  // One turn: fires due timers, then waits for events for aLongest at most.
   void RunOnce(Duration aLongest);
 
   // h2o's own loop, for the adapters in this directory.
@@ -72,7 +72,8 @@
     std::function<void()> m_callback;
   };
   TimerId Add(Time aDue, Duration aPeriod, std::function<void()> aCallback);
-  void FireDueTimers();
+  // Whether any timer fired.
+  bool FireDueTimers();
 
   SteadyClock m_clock;
   st_h2o_evloop_t* m_loop;
--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -7,6 +7,11 @@
 #include <system_error>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 namespace walnutwing::net {
@@ -245,6 +250,48 @@
   EXPECT_EQ(written, received);
 }
 
+// Sends a request from outside the loop, so that nothing but the server's own
+// work can wake the loop.
+int
+ConnectAndAsk(std::uint16_t aPort)
+{
+  const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(
+    0, connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+  const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+  EXPECT_EQ(static_cast<ssize_t>(request.size()),
+            send(client, request.data(), request.size(), 0));
+  return client;
+}
+
+// A turn may wait for ten minutes here: if what a timer has written had to wait
+// for the end of a turn, this test would not end.
+TEST(EventLoop, WhatATimerWritesLeavesAtOnce)
+{
+  EventLoop loop;
+  std::shared_ptr<Exchange> exchange;
+  bool written = false;
+  HttpServer server(
+    loop, Loopback(0), {}, [&](const std::shared_ptr<Exchange>& aExchange) {
+      exchange = aExchange;
+      loop.After(Duration(2), [&] {
+        exchange->Start(200, {});
+        exchange->Write("first");
+        exchange->Write("second, which waits until h2o has taken the first");
+        written = true;
+      });
+    });
+  const int client = ConnectAndAsk(server.Port());
+  while (!written || exchange->PendingBytes() > 0) {
+    loop.RunOnce(std::chrono::minutes(10));
+  }
+  close(client);
+}
+
 TEST(EventLoop, CancelledTimersDoNotFire)
 {
   EventLoop loop;
