--- a/walnutwing/config/config_follower_test.cc
+++ b/walnutwing/config/config_follower_test.cc
@@ -78,14 +78,22 @@
 
 TEST(ConfigFollower, StartsFromPeersWhileTheLogIsDown)
 {
-  FakeFleet fleet = StartedFleet();
-  fleet.SetLogDown(true);
-  for (std::size_t i = 0; i < 8; ++i) {
-    fleet.Replace(i);
-    EXPECT_TRUE(InForceWithin(fleet, 1, kToday)) << i;
+  // With more changes than peers keep, a fresh daemon is sent the whole.
+  for (const int changes : { 0, 100 }) {
+    FakeFleet fleet = StartedFleet();
+    for (int i = 0; i < changes; ++i) {
+      fleet.Change(i % 2 == 0 ? ZoneOut("b") : ZoneBack("b"));
+    }
+    fleet.Run(5s);
+    const ConfigVersion version = fleet.Truth().Version();
+    fleet.SetLogDown(true);
+    for (std::size_t i = 0; i < 8; ++i) {
+      fleet.Replace(i);
+      EXPECT_TRUE(InForceWithin(fleet, version, kToday)) << i;
+    }
+    fleet.SetLogDown(false);
+    EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneOut("a")), kLarge));
   }
-  fleet.SetLogDown(false);
-  EXPECT_TRUE(InForceWithin(fleet, fleet.Change(ZoneOut("a")), kLarge));
 }
 
 TEST(ConfigFollower, FrozenDaemonCatchesUp)
