--- a/walnutwing/relay/answer_stream_test.cc
+++ b/walnutwing/relay/answer_stream_test.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <functional>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -59,5 +61,242 @@
             0U);
 }
 
+// One line of a scripted exchange: an event, and the actions it must cause.
+struct Step
+{
+  std::function<void(AnswerStream&, AnswerActions&)> m_event;
+  std::string m_expected;
+};
+
+std::string
+Describe(const AnswerActions& aActions)
+{
+  std::string text;
+  for (const AnswerAction& action : aActions) {
+    if (const auto* head = std::get_if<ForwardHead>(&action)) {
+      text += "head " + std::to_string(head->m_status) + "; ";
+    } else if (const auto* forward = std::get_if<Forward>(&action)) {
+      text += "bytes " + std::to_string(forward->m_bytes.size()) + "; ";
+    } else if (const auto* resume = std::get_if<ResumeAttempt>(&action)) {
+      const bool same = resume->m_place == AttemptPlace::SameUpstream;
+      text += same ? "resume same " : "resume elsewhere ";
+      text +=
+        resume->m_afterOffset ? std::to_string(*resume->m_afterOffset) : "-";
+      text += "; ";
+    } else if (std::holds_alternative<RetryAttempt>(action)) {
+      text += "retry; ";
+    } else if (std::holds_alternative<FinishWhole>(action)) {
+      text += "whole; ";
+    } else if (const auto* error = std::get_if<FinishWithError>(&action)) {
+      text += std::string(RowOf(error->m_code).m_name) +
+              (error->m_inStream ? " in stream; " : "; ");
+    } else {
+      text +=
+        "cancel " + std::get<CancelAttempt>(action).m_attempt.Value() + "; ";
+    }
+  }
+  return text;
+}
+
+Step
+Started(const std::string& aAttempt, std::string aExpected = "")
+{
+  return { [=](AnswerStream& aStream, AnswerActions& aActions) {
+            aStream.OnAttemptStarted(AttemptId(aAttempt), aActions);
+          },
+           std::move(aExpected) };
+}
+
+Step
+Head(const std::string& aAttempt, int aStatus, std::string aExpected = "")
+{
+  return { [=](AnswerStream& aStream, AnswerActions& aActions) {
+            AnswerHead head;
+            head.m_status = aStatus;
+            head.m_requestId = aAttempt;
+            head.m_eventStream = aStatus == 200;
+            head.m_contentLength = 4;
+            aStream.OnHead(AttemptId(aAttempt), head, aActions);
+          },
+           std::move(aExpected) };
+}
+
+Step
+Piece(const std::string& aAttempt,
+      const std::string& aBytes,
+      std::string aExpected = "")
+{
+  return { [=](AnswerStream& aStream, AnswerActions& aActions) {
+            aStream.OnPiece(AttemptId(aAttempt), aBytes, aActions);
+          },
+           std::move(aExpected) };
+}
+
+// 24 bytes for offsets of one digit.
+Step
+Chunk(const std::string& aAttempt, int aOffset, std::string aExpected = "")
+{
+  return Piece(aAttempt,
+               "id: " + std::to_string(aOffset) + "\ndata: {\"id\":\"c\"}\n\n",
+               std::move(aExpected));
+}
+
+Step
+End(const std::string& aAttempt, AttemptEnd aEnd, std::string aExpected = "")
+{
+  return { [=](AnswerStream& aStream, AnswerActions& aActions) {
+            aStream.OnEnd(AttemptId(aAttempt), aEnd, aActions);
+          },
+           std::move(aExpected) };
+}
+
+Step
+Refused(ResultCode aCode, std::string aExpected)
+{
+  return { [=](AnswerStream& aStream, AnswerActions& aActions) {
+            aStream.OnAttemptRefused(aCode, aActions);
+          },
+           std::move(aExpected) };
+}
+
+Step
+Deadline(std::string aExpected)
+{
+  return { [](AnswerStream& aStream, AnswerActions& aActions) {
+            aStream.OnDeadline(aActions);
+          },
+           std::move(aExpected) };
+}
+
+TEST(AnswerStream, DoesAsTheTableSays)
+{
+  using enum AttemptEnd;
+  struct Case
+  {
+    std::string m_name;
+    bool m_idempotent;
+    std::vector<Step> m_steps;
+  };
+  const std::string done1 = "id: 1\ndata: [DONE]\n\n";
+  const std::vector<Case> cases = {
+    { "the first event waits for the second",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Chunk("a", 0),
+        Chunk("a", 1, "head 200; bytes 48; ") } },
+    { "without [DONE] a whole HTTP answer is no whole answer",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Chunk("a", 0),
+        Chunk("a", 1, "head 200; bytes 48; "),
+        End("a", Whole, "resume same 0; "),
+        Started("b"),
+        End("b", Broken, "resume elsewhere 0; "),
+        Refused(ResultCode::NoUpstream, "stream_broken in stream; ") } },
+    { "a resumption goes on where the caller's bytes end",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Chunk("a", 0),
+        Chunk("a", 1, "head 200; bytes 48; "),
+        End("a", Broken, "resume same 0; "),
+        Started("b"),
+        Head("b", 200),
+        Chunk("b", 1),
+        Chunk("a", 2),
+        Chunk("b", 2, "bytes 24; "),
+        Piece("b", "id: 3\ndata: [DONE]\n\n", "bytes 20; whole; "),
+        Chunk("b", 4) } },
+    { "a gap gives the attempt up",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Chunk("a", 0),
+        Chunk("a", 2, "cancel a; retry; ") } },
+    { "not sent is not run, also at the deadline",
+      true,
+      { Started("a"),
+        End("a", NotSent, "retry; "),
+        Deadline("deadline_too_short; ") } },
+    { "one attempt that may have run makes every refusal unknown",
+      true,
+      { Started("a"),
+        Head("a", 503, "cancel a; retry; "),
+        Refused(ResultCode::RetryBudgetSpent, "upstream_failed; ") } },
+    { "the driver's refusal passes where nothing ran",
+      true,
+      { Started("a"),
+        End("a", NotSent, "retry; "),
+        Refused(ResultCode::RetryBudgetSpent, "retry_budget_spent; ") } },
+    { "a deadline in mid-stream is told in the stream",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Chunk("a", 0),
+        Chunk("a", 1, "head 200; bytes 48; "),
+        Deadline("cancel a; deadline_passed in stream; ") } },
+    { "a call that may not be repeated has one attempt",
+      false,
+      { Started("a"), Head("a", 500), End("a", Broken, "upstream_failed; ") } },
+    { "its own error answer is passed on whole",
+      false,
+      { Started("a"),
+        Head("a", 500),
+        Piece("a", "oops"),
+        End("a", Whole, "head 500; bytes 4; whole; ") } },
+    { "a plain answer shorter than its length is not whole",
+      true,
+      { Started("a"),
+        Head("a", 404),
+        Piece("a", "oo"),
+        End("a", Whole, "retry; ") } },
+    { "a second attempt ends the first",
+      true,
+      { Started("a"),
+        Head("a", 200),
+        Started("b", "cancel a; "),
+        Chunk("a", 0),
+        Head("b", 200),
+        Chunk("b", 0),
+        Piece("b", done1, "head 200; bytes 44; whole; "),
+        Started("c", "cancel c; ") } },
+  };
+  for (const Case& row : cases) {
+    AnswerOptions options;
+    options.m_idempotent = row.m_idempotent;
+    AnswerStream stream(options);
+    for (std::size_t i = 0; i < row.m_steps.size(); ++i) {
+      AnswerActions actions;
+      row.m_steps[i].m_event(stream, actions);
+      EXPECT_EQ(row.m_steps[i].m_expected, Describe(actions))
+        << row.m_name << ", step " << i;
+    }
+  }
+}
+
+TEST(AnswerStream, AttemptsAreBounded)
+{
+  AnswerStream stream;
+  AnswerActions actions;
+  int started = 0;
+  do {
+    stream.OnAttemptStarted(AttemptId(std::to_string(started)), actions);
+    stream.OnEnd(
+      AttemptId(std::to_string(started++)), AttemptEnd::Broken, actions);
+  } while (!stream.Finished());
+  EXPECT_EQ(static_cast<int>(AnswerOptions().m_maxAttempts), started);
+}
+
+TEST(ErrorEvent, NamesTheCodeAndWhetherItRan)
+{
+  EXPECT_EQ(
+    "event: error\ndata: {\"error\":{\"code\":3005,\"name\":\"stream_broken\","
+    "\"ran\":\"unknown\",\"repeat\":\"after delay\",\"message\":"
+    "\"the answer broke off and could not be resumed\"}}\n\n",
+    ErrorEvent(ResultCode::StreamBroken));
+}
+
 } // namespace
 } // namespace walnutwing
--- a/walnutwing/relay/chunk_scanner.cc
+++ b/walnutwing/relay/chunk_scanner.cc
@@ -13,12 +13,11 @@
 namespace {
 
 constexpr std::size_t kMaxDepth = 64;
-constexpr std::string_view kSpace = " \t\r\n";
 
 bool
 IsSpace(char aByte)
 {
-  return kSpace.find(aByte) != std::string_view::npos;
+  return aByte == ' ' || aByte == '\t' || aByte == '\r' || aByte == '\n';
 }
 
 class Scanner
@@ -85,17 +84,32 @@
   {
     const std::size_t start = ++m_position;
     while (m_position < m_text.size()) {
-      const char byte = m_text[m_position];
-      if (byte == '"') {
-        aValue = m_text.substr(start, m_position - start);
-        ++m_position;
+      const char* from = m_text.data() + m_position;
+      const void* found = std::memchr(from, '"', m_text.size() - m_position);
+      if (found == nullptr) {
+        return false;
+      }
+      const auto quote = static_cast<std::size_t>(
+        static_cast<const char*>(found) - m_text.data());
+      m_position = quote + 1;
+      if (!IsEscaped(start, quote)) {
+        aValue = m_text.substr(start, quote - start);
         return true;
       }
-      m_position += byte == '\\' ? 2 : 1;
     }
     return false;
   }
 
+  // Whether an odd number of backslashes stands before the quote.
+  bool IsEscaped(std::size_t aStart, std::size_t aQuote) const
+  {
+    std::size_t position = aQuote;
+    while (position > aStart && m_text[position - 1] == '\\') {
+      --position;
+    }
+    return (aQuote - position) % 2 == 1;
+  }
+
   bool TakeString()
   {
     std::string_view key;
--- a/walnutwing/relay/sse_parser.cc
+++ b/walnutwing/relay/sse_parser.cc
@@ -134,7 +134,7 @@
     end = carriage;
   }
   const std::size_t eventEnd =
-    end == std::string_view::npos ? buffer.size() : m_scanned + end;
+    end == std::string_view::npos ? buffer.size() : m_scanned + end + 1;
   if (eventEnd - m_eventStart > m_options.m_maxEventBytes) {
     m_error = SseError::EventTooLarge;
     return false;
