--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -250,11 +250,11 @@
                 "POST",
                 "/v1/chat/completions",
                 body,
-                { { "last-event-id", "4" }, { "x-request-id", "a1" } });
+                { { "last-event-id", "3" }, { "x-request-id", "a1" } });
   EXPECT_EQ(rest.m_headers.Get("x-request-id"), "a1");
-  EXPECT_EQ(rest.m_body.find("id: 5\n"), 0U);
+  EXPECT_EQ(rest.m_body.find("id: 4\n"), 0U) << rest.m_body;
   EXPECT_EQ(rest.m_body.find(text.Token(3)), std::string::npos);
-  EXPECT_NE(rest.m_body.find(text.Token(4)), std::string::npos);
+  EXPECT_NE(rest.m_body.find(text.Token(4)), std::string::npos) << rest.m_body;
   EXPECT_NE(rest.m_body.find(text.Token(5)), std::string::npos);
 
   const std::uint64_t before = world.Record(9001)["cancelled"];
