Orders end truthfully when a component fails meanwhile or the caller leaves early

An order that the book had released but that still searched an upstream was dropped when its caller left, and its key stayed 'running' for ever; now the book is told that it was not sent. A flow whose book or permit desk restarted ends after its deadline. Search ids outlive a restart, so that an owner never sees one twice.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build test demo bench deps format lint models generate
+.PHONY: all build test demo bench deps format lint models generate sanitize
 
 all: build
 
@@ -20,7 +20,7 @@
 	@$(BUILD)/standin/walnutwing-demo --bin=$(BUILD)
 
 bench: build
-	@$(BUILD)/bench/walnutwing-bench
+	@tools/run-benches $(BUILD)
 
 format:
 	@tools/check-format
@@ -33,3 +33,9 @@
 
 generate:
 	@tools/generate-protobuf
+
+# The tests again under AddressSanitizer and UBSan.
+sanitize: deps
+	@cmake -S . -B build-sanitize -G Ninja -DWALNUTWING_SANITIZE=ON --log-level=WARNING > /dev/null
+	@cmake --build build-sanitize -j $(JOBS)
+	@cd build-sanitize && ctest --output-on-failure -j 4
--- a/daemon/context.h
+++ b/daemon/context.h
@@ -45,6 +45,9 @@
   std::uint64_t m_incarnation;
   std::uint64_t NextIncarnation() { return ++m_incarnation; }
 
+  // Ids of searches for permits; unique in this process, whatever restarts.
+  std::uint64_t m_lastSearch = 0;
+
   Child<PeerLink>* m_peers = nullptr;
   Child<FleetView>* m_fleet = nullptr;
   Child<ConfigFeed>* m_config = nullptr;
--- a/daemon/order_desk.cc
+++ b/daemon/order_desk.cc
@@ -132,7 +132,10 @@
     } else if (const auto* send = std::get_if<SendOrder>(&action)) {
       const auto found = m_orders.find(send->m_request);
       if (found != m_orders.end()) {
-        m_context.m_loop.After(Duration::zero(), found->second.m_send);
+        // At once: a caller that goes away between now and a later turn would
+        // leave an order that counts as sent and is not.
+        const std::function<void()> callback = found->second.m_send;
+        callback();
       }
     } else if (const auto* answer = std::get_if<AnswerOrder>(&action)) {
       const auto found = m_orders.find(answer->m_request);
--- a/daemon/order_desk.h
+++ b/daemon/order_desk.h
@@ -18,8 +18,8 @@
 
 struct OrderCallbacks
 {
-  std::function<void()> m_send; // send it now, and once
-  std::function<void(const AnswerOrder&)> m_answer;
+  std::function<void()> m_send; // send it now, and once; may call the desk
+  std::function<void(const AnswerOrder&)> m_answer; // from a later turn
 };
 
 class OrderDesk
@@ -27,8 +27,7 @@
 public:
   explicit OrderDesk(Context& aContext);
 
-  // Submits an order (its m_id is set here) and returns its id. Callbacks come
-  // from later turns of the loop.
+  // Submits an order (its m_id is set here) and returns its id.
   RequestId Submit(OrderRequest aOrder, OrderCallbacks aCallbacks);
 
   // How a sent order ended; see OrderBook.
--- a/daemon/permit_desk.cc
+++ b/daemon/permit_desk.cc
@@ -47,7 +47,7 @@
 RequestId
 PermitDesk::Search(const PermitSearch& aSearch, Done aDone)
 {
-  const RequestId id(++m_lastSearch);
+  const RequestId id(++m_context.m_lastSearch);
   m_retries.OnRequest();
   m_searches.emplace(id, std::move(aDone));
   std::vector<PermitTarget> targets = TargetsFor(aSearch);
--- a/daemon/permit_desk.h
+++ b/daemon/permit_desk.h
@@ -97,7 +97,6 @@
   std::unordered_map<RequestId, Done> m_searches;
   net::OwnedTimer m_tick;
   net::OwnedTimer m_report;
-  std::uint64_t m_lastSearch = 0;
 };
 
 } // namespace walnutwing
--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxOrderAnswerBytes = std::size_t{ 1024 } * 1024;
 // How long a detached order may still run before its outcome counts as unknown.
 constexpr Duration kDetachedLimit = std::chrono::minutes(5);
+// After an order's deadline, for the component that was to end it.
+constexpr Duration kOverdueDelay = std::chrono::seconds(5);
 constexpr std::array<std::string_view, 6> kHopByHop = {
   "connection", "transfer-encoding", "content-length",
   "keep-alive", "x-request-id",      "server"
@@ -104,6 +106,19 @@
                                            m_request.m_chat.m_customer.Value());
 }
 
+RequestFlow::~RequestFlow()
+{
+  if (m_ended || m_detached) {
+    return;
+  }
+  if (m_answer.HeadForwarded() && !IsOrder()) {
+    m_exchange->Abort();
+  } else {
+    RespondWithError(
+      *m_exchange, ResultCode::UpstreamFailed, std::chrono::seconds(1));
+  }
+}
+
 void
 RequestFlow::Start()
 {
@@ -142,6 +157,7 @@
     m_order = aOrders.Submit(order,
                              { [weak] {
                                 if (const Self self = weak.lock()) {
+                                  self->m_mayBeSent = true;
                                   self->SearchUpstream();
                                 }
                               },
@@ -343,16 +359,7 @@
 {
   const Self keep = shared_from_this();
   if (IsOrder()) {
-    if (m_attempts == 0 || m_detached) {
-      // Unsent orders are ended by the book; a detached one has run too long.
-      if (m_detached) {
-        FinishOrder(ResultCode::DeadlinePassed);
-      }
-      return;
-    }
-    RespondWithError(
-      *m_exchange, ResultCode::DeadlinePassed, std::chrono::seconds(1));
-    OnCallerGone();
+    OnOrderDeadline();
     return;
   }
   if (m_attempts == 0) {
@@ -364,6 +371,39 @@
   CarryOut(actions);
 }
 
+void
+RequestFlow::OnOrderDeadline()
+{
+  if (m_detached) {
+    FinishOrder(ResultCode::DeadlinePassed); // it has run too long
+    return;
+  }
+  if (m_attempts == 0) {
+    // The book or the permit client ends it by its deadline, unless that
+    // component has failed meanwhile.
+    m_deadline.After(kOverdueDelay, [this] { OnOrderOverdue(); });
+    return;
+  }
+  RespondWithError(
+    *m_exchange, ResultCode::DeadlinePassed, std::chrono::seconds(1));
+  OnCallerGone();
+}
+
+void
+RequestFlow::OnOrderOverdue()
+{
+  const Self keep = shared_from_this();
+  if (m_mayBeSent && m_attempts == 0) {
+    OnNoPermit({ ResultCode::PermitTimeout, std::chrono::seconds(1), {}, {} });
+    m_mayBeSent = false;
+    m_deadline.After(kOverdueDelay, [this] { OnOrderOverdue(); });
+    return;
+  }
+  RespondWithError(
+    *m_exchange, ResultCode::OrderOutcomeUnknown, std::chrono::seconds(1));
+  OnCallerGone();
+}
+
 void
 RequestFlow::OnCallerGone()
 {
--- a/daemon/request_flow.h
+++ b/daemon/request_flow.h
@@ -42,6 +42,12 @@
               std::shared_ptr<net::Exchange> aExchange,
               std::function<void(ResultCode)> aOnEnd);
 
+  // A flow that is dropped midway, because the front failed, still ends its
+  // answer to the caller.
+  ~RequestFlow();
+  RequestFlow(const RequestFlow&) = delete;
+  RequestFlow& operator=(const RequestFlow&) = delete;
+
   void Start();
 
   // The stop limit has passed: ends the request as broken.
@@ -66,6 +72,8 @@
   void OnPiece(const AttemptId& aAttempt, std::string_view aPiece);
   void OnCallEnd(const AttemptId& aAttempt, const net::CallEnd& aEnd);
   void OnDeadline();
+  void OnOrderDeadline();
+  void OnOrderOverdue();
   void OnCallerGone();
 
   void CarryOut(const AnswerActions& aActions);
@@ -90,6 +98,7 @@
   net::OwnedTimer m_deadline;
 
   std::optional<RequestId> m_order;
+  bool m_mayBeSent = false; // the book has said that the order is to be sent
   std::optional<RequestId>
     m_search; // the search for a permit, or the permit held
   bool m_permitHeld = false;
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -68,6 +68,33 @@
   return request;
 }
 
+// The reason phrases of RFC 9110 for the statuses that this project sends.
+const char*
+ReasonOf(int aStatus)
+{
+  constexpr std::pair<int, const char*> kReasons[] = {
+    { 200, "OK" },
+    { 400, "Bad Request" },
+    { 401, "Unauthorized" },
+    { 403, "Forbidden" },
+    { 404, "Not Found" },
+    { 409, "Conflict" },
+    { 413, "Content Too Large" },
+    { 422, "Unprocessable Content" },
+    { 429, "Too Many Requests" },
+    { 500, "Internal Server Error" },
+    { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  for (const auto& [status, reason] : kReasons) {
+    if (status == aStatus) {
+      return reason;
+    }
+  }
+  return "Other";
+}
+
 class ExchangeImpl : public Exchange
 {
 public:
@@ -117,7 +144,7 @@
       return;
     }
     m_request->res.status = aStatus;
-    m_request->res.reason = "-";
+    m_request->res.reason = ReasonOf(aStatus);
     for (const Header& header : aHeaders.All()) {
       const h2o_iovec_t name = h2o_strdup(
         &m_request->pool, header.m_name.data(), header.m_name.size());
