--- /dev/null
+++ b/cli/log_view.h
@@ -0,0 +1,176 @@
+#ifndef WALNUTWING_CLI_LOG_VIEW_H_
+#define WALNUTWING_CLI_LOG_VIEW_H_
+
+// The operators' view of the configuration log: every record that is kept, with
+// the verdict that all readers give it, and the submission of one change.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cli/fleet_access.h"
+#include "walnutwing/base/result_code.h"
+#include "walnutwing/config/config_log.h"
+
+namespace walnutwing {
+
+struct LogEntry
+{
+  std::int64_t m_atMs = 0;
+  proto::ConfigRecord m_record;
+  ConfigVerdict m_verdict;
+};
+
+class LogView
+{
+public:
+  // aKeys holds the operator's own key; others' signatures cannot be checked
+  // here and are left to the daemons.
+  explicit LogView(OperatorKeys aKeys)
+    : m_state(std::move(aKeys))
+  {
+  }
+
+  // Reads on to the end of the log. False if the log does not answer.
+  template<FleetAccess Access>
+  bool Update(Access& aAccess)
+  {
+    while (true) {
+      const auto response = aAccess.ReadLog(m_state.Next());
+      if (!response) {
+        return false;
+      }
+      const std::uint64_t before = m_state.Next();
+      Take(*response);
+      const bool atEnd = m_state.Next() >= response->next_offset();
+      if (atEnd || m_state.Next() == before) {
+        return true;
+      }
+    }
+  }
+
+  const ConfigState& State() const { return m_state; }
+  const std::map<std::uint64_t, LogEntry>& Entries() const { return m_entries; }
+
+  // The first record with that change id, or nullptr.
+  const LogEntry* Find(const std::string& aChangeId) const
+  {
+    for (const auto& [offset, entry] : m_entries) {
+      if (entry.m_record.change_id() == aChangeId) {
+        return &entry;
+      }
+    }
+    return nullptr;
+  }
+
+private:
+  void Take(const proto::ReadResponse& aResponse)
+  {
+    m_state.OnTruncated(aResponse.first_offset());
+    for (const proto::LogRecord& logged : aResponse.records()) {
+      if (logged.offset() != m_state.Next()) {
+        continue;
+      }
+      LogEntry entry;
+      entry.m_atMs = logged.at_ms();
+      if (!entry.m_record.ParseFromString(logged.body())) {
+        entry.m_record.Clear();
+      }
+      std::vector<ConfigVerdict> verdicts;
+      m_state.Apply(logged.offset(), logged.at_ms(), entry.m_record, &verdicts);
+      m_entries[logged.offset()] = std::move(entry);
+      for (ConfigVerdict& verdict : verdicts) {
+        m_entries[verdict.m_offset].m_verdict = std::move(verdict);
+      }
+    }
+  }
+
+  ConfigState m_state;
+  std::map<std::uint64_t, LogEntry> m_entries; // by offset
+};
+
+struct SubmitResult
+{
+  ResultCode m_code = ResultCode::Ok;
+  ConfigVersion m_version = 0; // that the change made, when accepted
+  std::string m_text;          // more on the outcome, may be empty
+};
+
+// What became of the change with that id, made against aBase; nothing while it
+// is open. A change that has not been seen can no longer be accepted once
+// another one was accepted against the same base, even if it lands later.
+inline std::optional<SubmitResult>
+OutcomeOf(const LogView& aView,
+          const std::string& aChangeId,
+          ConfigVersion aBase,
+          bool aOverrides)
+{
+  const LogEntry* own = aView.Find(aChangeId);
+  const auto winner = aView.Entries().find(aView.State().Version());
+  std::string won;
+  if (winner != aView.Entries().end()) {
+    won = "version " + std::to_string(winner->first) + " by ";
+    won += winner->second.m_record.operator_name() + ": ";
+    won += DescribeChange(winner->second.m_record);
+  }
+  if (own == nullptr) {
+    if (aView.State().Version() == aBase || aOverrides) {
+      return std::nullopt;
+    }
+    return SubmitResult{ ResultCode::ConfigBaseStale, 0, won };
+  }
+  switch (own->m_verdict.m_kind) {
+    case VerdictKind::Accepted:
+      return SubmitResult{ ResultCode::Ok, own->m_verdict.m_version, "" };
+    case VerdictKind::RejectedStaleBase:
+      return SubmitResult{ ResultCode::ConfigBaseStale, 0, won };
+    case VerdictKind::RejectedSignature:
+      return SubmitResult{ ResultCode::ConfigUnauthorized, 0, "" };
+    case VerdictKind::RejectedInvalid:
+      return SubmitResult{ ResultCode::ConfigInvalid, 0, "" };
+    default:
+      return std::nullopt;
+  }
+}
+
+// Appends a signed change once and reads the log until its outcome is known or
+// aTimeout has passed. Never appends again.
+template<FleetAccess Access>
+SubmitResult
+SubmitChange(Access& aAccess,
+             LogView& aView,
+             const proto::ConfigRecord& aRecord,
+             Duration aTimeout)
+{
+  constexpr Duration kPoll{ 200 };
+  const Time end = aAccess.Now() + aTimeout;
+  const bool overrides = aRecord.override_base();
+  if (aAccess.Append(aRecord.SerializeAsString()) == AppendOutcome::NotTaken) {
+    return { ResultCode::PlatformUnavailable,
+             0,
+             "the change was not appended" };
+  }
+  while (true) {
+    if (aView.Update(aAccess)) {
+      const auto outcome = OutcomeOf(
+        aView, aRecord.change_id(), aRecord.base_version(), overrides);
+      if (outcome) {
+        return *outcome;
+      }
+    }
+    if (aAccess.Now() >= end) {
+      return { ResultCode::ConfigOutcomeUnknown,
+               0,
+               "look for change " + aRecord.change_id() +
+                 " in `walnutwing config history` before you try again" };
+    }
+    aAccess.Sleep(kPoll);
+  }
+}
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_CLI_LOG_VIEW_H_
--- a/walnutwing/config/config_log.h
+++ b/walnutwing/config/config_log.h
@@ -135,6 +135,8 @@
   const proto::FleetConfig& Config() const { return m_config; }
   ConfigVersion Version() const { return m_config.version(); }
 
+  const OperatorKeys& Keys() const { return m_keys; }
+
   // The offset to read the log from.
   std::uint64_t Next() const { return m_next; }
 
