--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -3,8 +3,10 @@
 
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "cli/run_cli.h"
 #include "daemon/daemon.h"
 #include "walnutwing/base/result_code.h"
 
@@ -45,6 +47,5 @@
   if (!arguments.empty() && arguments[0] == "daemon") {
     return RunDaemonCommand({ arguments.begin() + 1, arguments.end() });
   }
-  std::cerr << "error 5006 command_line: unknown subcommand\n";
-  return walnutwing::ExitStatusOf(walnutwing::ResultCode::CommandLine);
+  return walnutwing::RunCli(arguments, std::cout, std::cerr);
 }
