--- a/walnutwing/orders/fault_history.h
+++ b/walnutwing/orders/fault_history.h
@@ -182,7 +182,8 @@
     bool m_daemonDied = false;
     ResultCode m_code = ResultCode::Ok;
     std::string m_result;
-    bool m_keyRanBefore = false;
+    bool m_keyRanAtArrival = false;
+    bool m_keyRanBefore = false; // its answer
   };
 
   struct UpstreamRun
@@ -548,6 +549,7 @@
       m_callers.push_back({});
       m_callers.back().m_key = KeyText(key);
       m_callers.back().m_body = body;
+      m_callers.back().m_keyRanAtArrival = m_runs.contains(KeyText(key));
       // A frozen or killed daemon takes no new connections.
       if (m_nodes[node].m_frozenUntil > m_now) {
         m_callers.back().m_daemonDied = true;
@@ -663,10 +665,11 @@
       caller.m_result == first && ResultFor(caller) == first;
     m_result.m_wrongAnswers +=
       caller.m_code == ResultCode::Ok && !naiveResult ? 1 : 0;
-    m_result.m_wrongAnswers +=
-      caller.m_code == ResultCode::OrderKeyReused && ResultFor(caller) == first
-        ? 1
-        : 0;
+    m_result.m_wrongAnswers += caller.m_code == ResultCode::OrderKeyReused &&
+                                   caller.m_keyRanAtArrival &&
+                                   ResultFor(caller) == first
+                                 ? 1
+                                 : 0;
     m_result.m_notRunAfterRun += saysNotRun && caller.m_keyRanBefore &&
                                      caller.m_code != ResultCode::OrderKeyReused
                                    ? 1
--- a/walnutwing/orders/order_book.cc
+++ b/walnutwing/orders/order_book.cc
@@ -186,6 +186,8 @@
                           const OrderRequest& aOrder) const;
   Verdict VerdictOfUnsent(const OrderPartition& aPartition,
                           const Request& aRequest) const;
+  Verdict VerdictOfDead(const OrderPartition& aPartition,
+                        const Request& aRequest) const;
   bool SeemsRunning(const HeldClaim& aHolder) const;
 
   void Answer(RequestId aId, const Verdict& aVerdict);
@@ -297,10 +299,16 @@
     return refusal ? std::optional(Verdict{ *refusal, {} }) : std::nullopt;
   }
   const Verdict verdict = VerdictOfHolder(aPartition, *holder, aOrder);
-  const bool final = verdict.m_code == ResultCode::Ok ||
-                     verdict.m_code == ResultCode::OrderKeyReused ||
-                     aPartition.ReadWithin(m_options.m_freshFor, m_time.m_now);
-  return final || refusal ? std::optional(verdict) : std::nullopt;
+  if (aPartition.ResultOf(aOrder.m_customer, aOrder.m_key)) {
+    return verdict; // a claim with a result holds for ever
+  }
+  // Without one the holder may have been voided since, and another claim with
+  // another body may hold the key.
+  if (verdict.m_code == ResultCode::OrderKeyReused) {
+    return refusal ? std::optional(Verdict{ *refusal, {} }) : std::nullopt;
+  }
+  const bool fresh = aPartition.ReadWithin(m_options.m_freshFor, m_time.m_now);
+  return fresh || refusal ? std::optional(verdict) : std::nullopt;
 }
 
 // Why no order can be taken up now, if so.
@@ -349,7 +357,11 @@
   const HeldClaim* holder =
     aPartition.Index().Find(order.m_customer, order.m_key);
   if (holder != nullptr && holder->m_claim != aRequest.m_claim) {
-    return VerdictOfHolder(aPartition, *holder, order);
+    const Verdict verdict = VerdictOfHolder(aPartition, *holder, order);
+    if (verdict.m_code != ResultCode::OrderKeyReused ||
+        aPartition.ResultOf(order.m_customer, order.m_key)) {
+      return verdict;
+    }
   }
   const ResultCode keyCode =
     CheckOrderKey(order.m_key, aPartition.Index().LogTime(), m_options.m_key);
@@ -364,6 +376,18 @@
            {} };
 }
 
+// The answer to a request whose claim has just been read as dead.
+OrderBook::Impl::Verdict
+OrderBook::Impl::VerdictOfDead(const OrderPartition& aPartition,
+                               const Request& aRequest) const
+{
+  const OrderRequest& order = aRequest.m_order;
+  const HeldClaim* holder =
+    aPartition.Index().Find(order.m_customer, order.m_key);
+  return holder != nullptr ? VerdictOfHolder(aPartition, *holder, order)
+                           : VerdictOfUnsent(aPartition, aRequest);
+}
+
 bool
 OrderBook::Impl::SeemsRunning(const HeldClaim& aHolder) const
 {
@@ -490,7 +514,7 @@
       case ClaimState::Unseen:
         continue;
       case ClaimState::Dead:
-        Answer(id, VerdictOfUnsent(*aPartition, request));
+        Answer(id, VerdictOfDead(*aPartition, request));
         Erase(request);
         continue;
       case ClaimState::Holder:
@@ -511,13 +535,21 @@
   }
   const HeldClaim* holder =
     aPartition->Index().Find(order.m_customer, order.m_key);
-  if (holder != nullptr) {
-    aPartition->Queue().RemoveClaim(order.m_id);
-    Answer(order.m_id, VerdictOfHolder(*aPartition, *holder, order));
-    Erase(*aRequest);
-  } else if (checking) {
-    QueueClaim(aPartition, aRequest);
+  if (holder == nullptr) {
+    if (checking) {
+      QueueClaim(aPartition, aRequest);
+    }
+    return;
+  }
+  // Before the end of the log, the holder may be one that was voided later.
+  const Verdict verdict = VerdictOfHolder(*aPartition, *holder, order);
+  if (!checking && verdict.m_code == ResultCode::OrderKeyReused &&
+      !aPartition->ResultOf(order.m_customer, order.m_key)) {
+    return;
   }
+  aPartition->Queue().RemoveClaim(order.m_id);
+  Answer(order.m_id, verdict);
+  Erase(*aRequest);
 }
 
 // The only place that sends. Both clocks must say that there is time left: the
--- a/walnutwing/orders/order_book_test.cc
+++ b/walnutwing/orders/order_book_test.cc
@@ -370,6 +370,30 @@
   EXPECT_EQ(id, m_one.m_answers.size());
 }
 
+// A holder without a result may have been voided since it was read.
+TEST_F(OrderBookTest, CallsNoKeyReusedForAClaimThatMayBeVoid)
+{
+  Take(&m_one, Order(1, "another body"));
+  Pass(&m_one, 10ms);
+  Take(&m_two, Order(1));
+  EXPECT_EQ(OrderKeyReused, CodeOf(m_two, 1));
+  Do(&m_one, [&](OrderActions* aActions) {
+    m_one.m_book->OnUpstreamNotSent(
+      RequestId(1), UpstreamUnreachable, 1s, Now(), aActions);
+  });
+  Pass(&m_one, 60ms);
+  Take(&m_one, Order(2));
+  Pass(&m_one, 10ms);
+  ASSERT_EQ(2U, m_one.m_sent.size());
+
+  m_holdReads = true;
+  Take(&m_two, Order(2));
+  EXPECT_EQ(std::nullopt, CodeOf(m_two, 2));
+  m_holdReads = false;
+  Serve(&m_two, *m_heldRead);
+  EXPECT_EQ(OrderRunning, CodeOf(m_two, 2));
+}
+
 TEST_F(OrderBookTest, RecordsTheOutcomeWhenTheLogComesBack)
 {
   Take(&m_one, Order(1));
