Membership: tests on a fake network in virtual time

Detection, loss, freeze, restart, cut zones, a split zone, flapping, leaving, a stale list, upstream states and the byte budget, and 20 random fault histories compared with the global truth after quiet. Broken variants show that the checks can fail: without time to refute and without indirect pings, 10% loss kills members; without damping a flapping member stays up. A new daemon that trusts a stale list counts the dead VM as up until it pings it; the test says so.

--- a/walnutwing/membership/fake_peer_network.h
+++ b/walnutwing/membership/fake_peer_network.h
@@ -5,12 +5,14 @@
 // daemons that are only a Membership and a budget, and messages in their real
 // encoding that are delayed, lost or cut off as told. Same seed, same run.
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -48,8 +50,8 @@
   double m_loss = 0; // share of messages lost
   Duration m_delay{ 1 };
   Duration m_jitter{ 4 };
-  // Whether a message between two zones gets through.
-  std::function<bool(const ZoneId&, const ZoneId&)> m_passes;
+  // Whether a message from one daemon gets through to another.
+  std::function<bool(const Node&, const Node&)> m_passes;
   // Called for each action of each node.
   std::function<void(Node&, const MembershipAction&)> m_onAction;
 
@@ -89,6 +91,7 @@
     aNode.m_running = true;
     aNode.m_frozen = false;
     aNode.m_up.clear();
+    aNode.m_downs = 0;
     aNode.m_nextTick = m_now + Duration(m_random() % kTick.count());
   }
 
@@ -136,6 +139,66 @@
     }
   }
 
+  // The platform's list of the daemons that run now.
+  proto::VmList List() const
+  {
+    proto::VmList list;
+    for (const auto& node : m_nodes) {
+      if (!node->m_running) {
+        continue;
+      }
+      proto::VmEntry& vm = *list.add_vms();
+      vm.set_id(node->m_self.m_daemon.Value());
+      vm.set_kind(proto::VmEntry::ENTRY);
+      vm.set_zone(node->m_self.m_zone.Value());
+      vm.set_region(node->m_self.m_region.Value());
+      vm.set_peer_address(node->m_self.m_peerAddress);
+    }
+    return list;
+  }
+
+  // Hands a list to all daemons that run.
+  void GiveList(const proto::VmList& aList)
+  {
+    for (const auto& node : m_nodes) {
+      if (!node->m_running || node->m_frozen) {
+        continue;
+      }
+      MembershipActions actions;
+      node->m_membership->OnVmList(aList, m_now, actions);
+      Take(*node, actions);
+    }
+  }
+
+  // Facts on which the views of running daemons differ from the truth: members
+  // missing and members that do not run. Naive, with global knowledge.
+  std::size_t Differences() const
+  {
+    std::size_t differences = 0;
+    for (const auto& viewer : m_nodes) {
+      if (!viewer->m_running || viewer->m_frozen) {
+        continue;
+      }
+      for (const auto& member : m_nodes) {
+        const bool runs = member->m_running && !member->m_frozen;
+        const bool up = viewer->m_up.contains(member->m_self.m_daemon);
+        differences += member != viewer && runs != up ? 1 : 0;
+      }
+    }
+    return differences;
+  }
+
+  // Runs until there are no differences, for aLimit at most. Returns the time
+  // it took, or aLimit.
+  Duration RunUntilAgreed(Duration aLimit)
+  {
+    const Time start = m_now;
+    while (Differences() > 0 && m_now - start < aLimit) {
+      Run(kTick);
+    }
+    return std::min<Duration>(m_now - start, aLimit);
+  }
+
   std::vector<std::unique_ptr<Node>>& Nodes() { return m_nodes; }
   Time Now() const { return m_now; }
   Duration Elapsed() const { return m_now - Time{ std::chrono::hours(1) }; }
@@ -149,7 +212,7 @@
   struct Packet
   {
     Node* m_to = nullptr;
-    ZoneId m_fromZone;
+    Node* m_from = nullptr;
     std::string m_bytes;
     std::size_t m_wireBytes = 0;
   };
@@ -165,7 +228,7 @@
     Packet packet;
     packet.m_bytes = envelope.SerializeAsString();
     packet.m_wireBytes = packet.m_bytes.size() + kPacketOverheadBytes;
-    packet.m_fromZone = aFrom.m_self.m_zone;
+    packet.m_from = &aFrom;
     aFrom.m_sentBytes += packet.m_wireBytes;
     ++aFrom.m_sentMessages;
     const auto to = m_byAddress.find(aSend.m_address);
@@ -199,8 +262,7 @@
     Node& node = *aPacket.m_to;
     const double draw =
       static_cast<double>(m_random() >> 11) / static_cast<double>(1ULL << 53);
-    const bool cut =
-      m_passes && !m_passes(aPacket.m_fromZone, node.m_self.m_zone);
+    const bool cut = m_passes && !m_passes(*aPacket.m_from, node);
     if (!node.m_running || cut || draw < m_loss) {
       return;
     }
--- /dev/null
+++ b/walnutwing/membership/membership_test.cc
@@ -0,0 +1,373 @@
+// Daemons on a fake network in virtual time. Bounds come from the options.
+
+#include "walnutwing/membership/membership.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "walnutwing/membership/fake_peer_network.h"
+
+namespace walnutwing {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Node = FakePeerNetwork::Node;
+
+const MembershipOptions kOptions;
+
+// A member is pinged by someone within three periods, and suspected one later;
+// the death takes two to spread.
+const Duration kDetection = 6 * kOptions.m_period + kOptions.m_suspicionTime;
+
+// Each failed ping costs its timeout and the wait for the next; a first one
+// must come round to the zone.
+Duration
+ZoneDetection(std::size_t aZones)
+{
+  const Duration round = static_cast<int>(aZones) * kOptions.m_zonePeriod;
+  return round +
+         static_cast<int>(kOptions.m_zoneFailures) *
+           (kOptions.m_zoneAckTimeout + 2 * kOptions.m_zonePeriod) +
+         4 * kOptions.m_period;
+}
+
+// After a partition: a lost member is contacted, and the repairs follow.
+const Duration kHealing =
+  3 * kOptions.m_seedPeriod + 10 * kOptions.m_syncInterval;
+
+FakePeerNetwork
+MakeNetwork(std::uint64_t aSeed,
+            int aZones,
+            int aPerZone,
+            MembershipOptions aOptions = {})
+{
+  FakePeerNetwork net(aOptions, {}, aSeed);
+  for (int i = 0; i < aZones * aPerZone; ++i) {
+    net.Add(std::string(1, static_cast<char>('a' + i % aZones)));
+  }
+  net.GiveList(net.List());
+  net.Run(kHealing);
+  return net;
+}
+
+std::uint64_t
+Downs(FakePeerNetwork& aNet)
+{
+  std::uint64_t downs = 0;
+  for (const auto& node : aNet.Nodes()) {
+    downs += node->m_downs;
+  }
+  return downs;
+}
+
+TEST(Membership, DaemonsJoinByTheListOrBySeedsAlone)
+{
+  FakePeerNetwork listed = MakeNetwork(1, 7, 8);
+  EXPECT_EQ(0U, listed.Differences());
+  EXPECT_EQ(0U, Downs(listed));
+
+  FakePeerNetwork seeded({}, {}, 2);
+  for (int i = 0; i < 24; ++i) {
+    seeded.Add(std::string(1, static_cast<char>('a' + i % 3)));
+  }
+  EXPECT_LT(seeded.RunUntilAgreed(minutes(2)), minutes(1));
+  EXPECT_EQ(0U, Downs(seeded));
+}
+
+TEST(Membership, ADeadMemberIsDownEverywhereInTime)
+{
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    FakePeerNetwork net = MakeNetwork(seed, 3, 8);
+    net.Kill(*net.Nodes()[seed]);
+    EXPECT_LT(net.RunUntilAgreed(minutes(1)), kDetection) << "seed " << seed;
+  }
+}
+
+// The share of messages that are lost, and whether the mechanisms that stand
+// against it are there.
+TEST(Membership, LossKillsNobodyWhileSuspectsCanRefute)
+{
+  struct Case
+  {
+    double m_loss;
+    Duration m_suspicion;
+    std::uint32_t m_indirect;
+    bool m_deaths;
+  };
+  const std::vector<Case> cases = {
+    { 0.10, kOptions.m_suspicionTime, kOptions.m_indirectProbes, false },
+    // Broken variant: no time to refute. The check must see deaths.
+    { 0.10, Duration(1), 0, true },
+  };
+  for (const Case& row : cases) {
+    MembershipOptions options;
+    options.m_suspicionTime = row.m_suspicion;
+    options.m_indirectProbes = row.m_indirect;
+    FakePeerNetwork net = MakeNetwork(7, 2, 12, options);
+    net.m_loss = row.m_loss;
+    net.Run(minutes(10));
+    EXPECT_EQ(row.m_deaths, Downs(net) > 0) << "loss " << row.m_loss;
+    if (!row.m_deaths) {
+      EXPECT_EQ(0U, net.Differences());
+    }
+  }
+}
+
+TEST(Membership, AFrozenProcessWakesAccusesNobodyAndRefutes)
+{
+  struct Case
+  {
+    Duration m_freeze;
+    bool m_declaredDead;
+  };
+  const std::vector<Case> cases = {
+    { Duration(1500), false },
+    { kOptions.m_suspicionTime + 10 * kOptions.m_period, true },
+    { minutes(5), true },
+  };
+  for (const Case& row : cases) {
+    FakePeerNetwork net = MakeNetwork(11, 2, 8);
+    Node& frozen = *net.Nodes()[3];
+    net.Freeze(frozen);
+    net.Run(row.m_freeze);
+    EXPECT_EQ(row.m_declaredDead ? 0U : 15U, net.Differences());
+    net.Thaw(frozen);
+    EXPECT_LT(net.RunUntilAgreed(kHealing), kOptions.m_seedPeriod);
+    EXPECT_EQ(0U, frozen.m_downs);
+    EXPECT_EQ(row.m_declaredDead ? 15U : 0U, Downs(net));
+  }
+}
+
+TEST(Membership, ARestartedProcessSupersedesItsPredecessor)
+{
+  FakePeerNetwork net = MakeNetwork(13, 2, 6);
+  Node& restarted = *net.Nodes()[4];
+  const std::uint64_t before = restarted.m_membership->Incarnation();
+  net.Kill(restarted);
+  net.Run(Duration(200));
+  net.Start(restarted);
+  net.Run(seconds(10));
+  EXPECT_EQ(0U, net.Differences());
+  for (const auto& node : net.Nodes()) {
+    EXPECT_EQ(node.get() == &restarted ? 0U : 1U, node->m_downs)
+      << node->m_self.m_daemon;
+    for (const MemberView& member : node->m_membership->View()) {
+      if (member.m_daemon == restarted.m_self.m_daemon) {
+        EXPECT_GT(member.m_incarnation, before);
+      }
+    }
+  }
+}
+
+TEST(Membership, ACutZoneIsDownAndComesBackAndNobodyIsDamped)
+{
+  FakePeerNetwork net = MakeNetwork(17, 3, 6);
+  const ZoneId cut("b");
+  for (int round = 0; round < 4; ++round) {
+    net.m_passes = [&](const Node& aFrom, const Node& aTo) {
+      return (aFrom.m_self.m_zone == cut) == (aTo.m_self.m_zone == cut);
+    };
+    net.Run(ZoneDetection(3));
+    for (const auto& node : net.Nodes()) {
+      const bool inside = node->m_self.m_zone == cut;
+      EXPECT_EQ(inside ? 5U : 11U, node->m_up.size()) << node->m_self.m_daemon;
+      EXPECT_EQ(inside, node->m_membership->ZoneReachable(cut));
+    }
+    net.Run(minutes(1));
+    net.m_passes = nullptr;
+    EXPECT_LT(net.RunUntilAgreed(minutes(2)), kHealing) << "round " << round;
+  }
+}
+
+TEST(Membership, ASplitWithinAZoneHeals)
+{
+  FakePeerNetwork net = MakeNetwork(19, 1, 10);
+  std::map<const Node*, int> side;
+  for (const auto& node : net.Nodes()) {
+    side[node.get()] = static_cast<int>(side.size()) % 2;
+  }
+  net.m_passes = [&](const Node& aFrom, const Node& aTo) {
+    return side[&aFrom] == side[&aTo];
+  };
+  net.Run(minutes(2));
+  for (const auto& node : net.Nodes()) {
+    EXPECT_EQ(4U, node->m_up.size());
+  }
+  net.m_passes = nullptr;
+  EXPECT_LT(net.RunUntilAgreed(minutes(3)), kHealing);
+}
+
+TEST(Membership, AFlappingMemberIsHeldDownUntilItIsQuiet)
+{
+  for (const bool damping : { true, false }) {
+    MembershipOptions options;
+    options.m_flapLimit = damping ? options.m_flapLimit : 1000;
+    FakePeerNetwork net = MakeNetwork(23, 1, 6, options);
+    Node& flapping = *net.Nodes()[2];
+    for (int i = 0; i < 6; ++i) {
+      net.Kill(flapping);
+      net.Run(seconds(1));
+      net.Start(flapping);
+      net.Run(seconds(9));
+    }
+    for (const auto& node : net.Nodes()) {
+      if (node.get() != &flapping) {
+        EXPECT_EQ(!damping, node->m_up.contains(flapping.m_self.m_daemon));
+      }
+    }
+    // Six points at most take log2(6) half-lives to fall below the release.
+    net.Run(3 * options.m_flapHalfLife);
+    EXPECT_EQ(0U, net.Differences());
+  }
+}
+
+TEST(Membership, ALeavingMemberIsKnownEverywhereWithinSeconds)
+{
+  FakePeerNetwork net = MakeNetwork(29, 3, 8);
+  Node& leaving = *net.Nodes()[5];
+  std::size_t told = 0;
+  std::size_t deaths = 0;
+  net.m_onAction = [&](Node&, const MembershipAction& aAction) {
+    told += std::holds_alternative<MemberLeaving>(aAction) ? 1 : 0;
+    deaths += std::holds_alternative<MemberDown>(aAction) ? 1 : 0;
+  };
+  MembershipActions actions;
+  leaving.m_membership->OnStop(net.Now(), actions);
+  net.Take(leaving, actions);
+  net.Run(seconds(3));
+  EXPECT_EQ(23U, told);
+  net.Run(seconds(20)); // it finishes its requests
+  EXPECT_EQ(0U, deaths);
+  net.Kill(leaving);
+  net.Run(kDetection);
+  EXPECT_EQ(23U, deaths);
+}
+
+TEST(Membership, AStaleListNeitherRevivesNorKills)
+{
+  FakePeerNetwork net = MakeNetwork(31, 2, 6);
+  const proto::VmList stale = net.List();
+  net.Kill(*net.Nodes()[3]);
+  net.Run(kDetection);
+  Node& fresh = net.Add("a");
+  for (int i = 0; i < 30; ++i) {
+    net.GiveList(stale);
+    net.Run(seconds(5));
+  }
+  EXPECT_EQ(0U, net.Differences());
+  EXPECT_EQ(11U, fresh.m_up.size());
+  // The others saw one death. The new daemon may have trusted the list until it
+  // pinged the dead member itself.
+  EXPECT_LE(fresh.m_downs, 1U);
+  EXPECT_EQ(11U, Downs(net) - fresh.m_downs);
+}
+
+TEST(Membership, UpstreamStatesAndZoneSumsSpread)
+{
+  FakePeerNetwork net = MakeNetwork(37, 2, 8);
+  std::map<std::string, std::size_t> heard;
+  net.m_onAction = [&](Node& aNode, const MembershipAction& aAction) {
+    const auto* changed = std::get_if<UpstreamChanged>(&aAction);
+    if (changed != nullptr && changed->m_state.leaving()) {
+      ++heard[aNode.m_self.m_zone.Value()];
+    }
+  };
+  Node& owner = *net.Nodes()[0];
+  proto::UpstreamState state;
+  state.set_upstream("engine-1");
+  state.set_window(40);
+  state.set_in_progress(30);
+  owner.m_membership->SetUpstreamState(state, net.Now());
+  owner.m_membership->SetConfigVersion(5);
+  net.Run(seconds(5));
+  state.set_leaving(true);
+  owner.m_membership->SetUpstreamState(state, net.Now());
+  net.Run(seconds(4));
+  EXPECT_EQ(7U, heard["a"]); // all of its zone but the owner
+  EXPECT_EQ(0U, heard["b"]);
+  net.Run(3 * kOptions.m_summaryPeriod);
+  for (const auto& node : net.Nodes()) {
+    const auto& sum = node->m_membership->ZoneSummaries().at(ZoneId("a"));
+    EXPECT_EQ(30U, sum.in_progress());
+    EXPECT_EQ(40U, sum.window());
+    EXPECT_EQ(8U, sum.members());
+    EXPECT_EQ(0U, sum.lowest_config_version()); // seven have none
+  }
+}
+
+// Random faults, then quiet; the views must agree with the truth.
+TEST(Membership, ViewsAgreeWithTheTruthAfterAnyFaults)
+{
+  for (std::uint64_t seed = 100; seed < 120; ++seed) {
+    FakePeerNetwork net = MakeNetwork(seed, 3, 5);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 12; ++i) {
+      Node& node = *net.Nodes()[random() % net.Nodes().size()];
+      const ZoneId zone = node.m_self.m_zone;
+      switch (random() % 6) {
+        case 0:
+          net.Kill(node);
+          break;
+        case 1:
+          node.m_running ? net.Freeze(node) : net.Start(node);
+          break;
+        case 2:
+          net.Thaw(node);
+          break;
+        case 3:
+          net.m_passes = [zone](const Node& aFrom, const Node& aTo) {
+            return aFrom.m_self.m_zone == aTo.m_self.m_zone ||
+                   (aFrom.m_self.m_zone != zone && aTo.m_self.m_zone != zone);
+          };
+          break;
+        case 4:
+          net.m_passes = nullptr;
+          break;
+        default:
+          net.m_loss = static_cast<double>(random() % 4) / 20;
+          break;
+      }
+      net.Run(Duration(random() % 20000));
+    }
+    net.m_passes = nullptr;
+    net.m_loss = 0;
+    for (const auto& node : net.Nodes()) {
+      net.Thaw(*node);
+    }
+    net.GiveList(net.List());
+    // Damped members come back last.
+    EXPECT_LT(net.RunUntilAgreed(minutes(10)),
+              kHealing + 4 * kOptions.m_flapHalfLife)
+      << "seed " << seed << ", " << net.Differences() << " differences";
+  }
+}
+
+TEST(Membership, TheBudgetHoldsForEverySender)
+{
+  const ByteBudgetOptions budget;
+  FakePeerNetwork net({}, budget, 41);
+  for (int i = 0; i < 40; ++i) {
+    net.Add(std::string(1, static_cast<char>('a' + i % 4)));
+  }
+  const auto checkAll = [&](const char* aWhen) {
+    const auto elapsed = static_cast<std::uint64_t>(net.Elapsed().count());
+    for (const auto& node : net.Nodes()) {
+      EXPECT_LE(node->m_sentBytes,
+                budget.m_burstBytes + elapsed * budget.m_bytesPerSecond / 1000)
+        << aWhen;
+    }
+  };
+  net.Run(seconds(60)); // all start at once
+  checkAll("start");
+  for (int i = 0; i < 10; ++i) {
+    net.Kill(*net.Nodes()[static_cast<std::size_t>(i) * 4]);
+  }
+  net.Run(seconds(60)); // a zone is lost
+  checkAll("zone loss");
+}
+
+} // namespace
+} // namespace walnutwing
