--- a/daemon/peer_link.h
+++ b/daemon/peer_link.h
@@ -16,6 +16,11 @@
 
 namespace walnutwing {
 
+// The fleet's secret key from the file that the settings name, without white
+// space around it. Throws SettingsError.
+std::string
+ReadFleetSecret(const DaemonSettings& aSettings);
+
 class PeerLink
 {
 public:
@@ -27,12 +32,17 @@
   // message that is not urgent rides on the next one to the same daemon, or
   // leaves after kRideDelay. To itself, a daemon's messages take the next turn
   // of the loop.
-  void Send(const DaemonId& aTo, const proto::PeerMessage& aMessage, bool aUrgent);
+  void Send(const DaemonId& aTo,
+            const proto::PeerMessage& aMessage,
+            bool aUrgent);
 
   // Sends membership's messages, which have been charged already.
   void SendCharged(const std::string& aAddress,
                    const std::vector<proto::PeerMessage>& aMessages);
 
+  // Opens the connection to a peer, so that the first message is not dropped.
+  void Connect(const std::string& aAddress);
+
   const net::PeerBusCounters& Counters() const { return m_bus.Counters(); }
 
 private:
@@ -43,6 +53,7 @@
                 std::uint64_t aIncarnation,
                 const proto::PeerMessage& aMessage);
   std::string Encode(std::vector<proto::PeerMessage> aMessages) const;
+  // The bytes charged, or 0 when the message was dropped.
   std::size_t Transmit(const std::string& aAddress,
                        std::vector<proto::PeerMessage> aMessages);
 
