--- /dev/null
+++ b/bench/fleet_driver.cc
@@ -0,0 +1,773 @@
+// A queue of events in virtual time. Messages between daemons take 2 ms;
+// owners' states and engines' reports are taken each second and arrive a second
+// later. Daemons of one region and group share a view, which keeps 390 copies
+// of 600 upstreams out of memory; each has its own PermitClient and
+// UpstreamOwners.
+
+#include "bench/fleet_driver.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <stdexcept>
+#include <string>
+
+namespace walnutwing::bench {
+namespace {
+
+constexpr Duration kMessageDelay{ 2 };
+constexpr Duration kTick{ 50 };
+constexpr Duration kSecond = std::chrono::seconds(1);
+constexpr Duration kReportEvery = std::chrono::seconds(30);
+constexpr Duration kDeadline = std::chrono::seconds(30);
+constexpr Duration kLate = std::chrono::seconds(2);
+constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t kGroups = 2; // views in each region
+constexpr std::size_t kSplitEvery = 10;
+constexpr std::uint32_t kPercent = 100;
+
+} // namespace
+
+FleetDriver::FleetDriver(FleetOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_random(m_options.m_seed)
+{
+  for (std::size_t region = 0; region < m_options.m_regions; ++region) {
+    for (std::size_t group = 0; group < kGroups; ++group) {
+      View view;
+      view.m_region = region;
+      view.m_zoneOut.resize(m_options.m_zones);
+      view.m_placement = std::make_unique<ChatPlacement>(
+        ZoneId(), RegionId(std::to_string(region)));
+      m_views.push_back(std::move(view));
+    }
+  }
+  for (std::size_t i = 0; i < m_options.m_engines; ++i) {
+    AddEngine(i % m_options.m_zones, false);
+  }
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
+    AddDaemon(i % m_options.m_zones, i / m_options.m_zones % kGroups);
+  }
+  UpdateAllViews();
+  m_seconds.emplace_back();
+  After(kSecond, [this] { Gossip(); });
+  SeedChats();
+  After(Duration(0), [this] { Arrive(); });
+  if (m_options.m_engineChurn > Duration(0)) {
+    After(m_options.m_engineChurn, [this] { ReplaceEngine(); });
+  }
+  if (m_options.m_daemonChurn > Duration(0)) {
+    After(m_options.m_daemonChurn, [this] { ReplaceDaemon(); });
+  }
+}
+
+void
+FleetDriver::After(Duration aDelay, std::function<void()> aRun)
+{
+  m_events.push({ m_now + aDelay, m_nextNumber++, std::move(aRun) });
+}
+
+Duration
+FleetDriver::Exponential(Duration aMean)
+{
+  std::exponential_distribution<double> draw(
+    1.0 / static_cast<double>(aMean.count()));
+  return Duration(static_cast<std::int64_t>(draw(m_random)) + 1);
+}
+
+void
+FleetDriver::RunTo(Duration aTime)
+{
+  while (!m_events.empty() && m_events.top().m_at <= m_start + aTime) {
+    const Event event = m_events.top();
+    m_events.pop();
+    m_now = event.m_at;
+    event.m_run();
+  }
+  m_now = m_start + aTime;
+}
+
+void
+FleetDriver::AddEngine(std::size_t aZone, bool aCold)
+{
+  Engine engine;
+  engine.m_id = UpstreamId("engine-" + std::to_string(m_engines.size()));
+  engine.m_zone = aZone;
+  engine.m_region = aZone % m_options.m_regions;
+  engine.m_hash = StableHash(engine.m_id.Value());
+  engine.m_coldUntil = aCold ? m_now + m_options.m_coldTime : m_now;
+  m_engineIndex.emplace(engine.m_id, m_engines.size());
+  m_engines.push_back(std::move(engine));
+}
+
+void
+FleetDriver::AddDaemon(std::size_t aZone, std::size_t aGroup)
+{
+  const std::size_t index = m_daemons.size();
+  Daemon daemon;
+  daemon.m_id = DaemonId("daemon-" + std::to_string(index));
+  daemon.m_zone = aZone;
+  daemon.m_view = aZone % m_options.m_regions * kGroups + aGroup;
+  daemon.m_client = std::make_unique<PermitClient>();
+  m_daemonIndex.emplace(daemon.m_id, index);
+  m_daemons.push_back(std::move(daemon));
+}
+
+std::vector<PlacementUpstream>
+FleetDriver::UpstreamsOf(const View& aView) const
+{
+  std::vector<PlacementUpstream> upstreams;
+  for (const Engine& engine : m_engines) {
+    if (!engine.m_alive) {
+      continue;
+    }
+    PlacementUpstream upstream;
+    upstream.m_id = engine.m_id;
+    upstream.m_zone = ZoneId(std::to_string(engine.m_zone));
+    upstream.m_region = RegionId(std::to_string(engine.m_region));
+    upstream.m_zoneOut = aView.m_zoneOut[engine.m_zone];
+    upstreams.push_back(std::move(upstream));
+  }
+  return upstreams;
+}
+
+// Lets a view see the engines, the daemons and the zones that are out; its
+// daemons begin and end to own, and report to new owners.
+void
+FleetDriver::UpdateView(std::size_t aView)
+{
+  View& view = m_views[aView];
+  view.m_placement->SetUpstreams(UpstreamsOf(view));
+  std::vector<std::vector<DaemonId>> members(m_options.m_zones);
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    const Daemon& daemon = m_daemons[i];
+    if (daemon.m_alive && !(view.m_split && i % kSplitEvery == 0)) {
+      members[daemon.m_zone].push_back(daemon.m_id);
+    }
+  }
+  view.m_ownerOf.resize(m_engines.size(), kNone);
+  for (std::size_t e = 0; e < m_engines.size(); ++e) {
+    const Engine& engine = m_engines[e];
+    const DaemonId owner = engine.m_alive
+                             ? OwnerOf(engine.m_id, members[engine.m_zone])
+                             : DaemonId();
+    const std::size_t index = owner.Empty() ? kNone : m_daemonIndex.at(owner);
+    const bool changed = view.m_ownerOf[e] != index;
+    view.m_ownerOf[e] = index;
+    const proto::UpstreamState* state = view.m_placement->StateOf(engine.m_id);
+    for (std::size_t d = 0; d < m_daemons.size(); ++d) {
+      Daemon& daemon = m_daemons[d];
+      if (!daemon.m_alive || daemon.m_view != aView) {
+        continue;
+      }
+      if (d != index) {
+        daemon.m_owned.erase(e);
+      } else if (!daemon.m_owned.contains(e)) {
+        daemon.m_owned[e] = std::make_unique<UpstreamOwner>(
+          engine.m_id,
+          m_options.m_owner,
+          static_cast<std::uint64_t>(m_now.time_since_epoch().count()),
+          engine.m_coldUntil > m_now,
+          state == nullptr ? std::nullopt : std::optional(*state),
+          m_now);
+      }
+      if (!changed) {
+        continue;
+      }
+      PermitClientActions actions;
+      daemon.m_client->OnOwnerChanged(engine.m_id, owner, m_now, actions);
+      Perform(d, std::move(actions));
+    }
+  }
+  for (std::size_t d = 0; d < m_daemons.size(); ++d) {
+    if (m_daemons[d].m_view != aView) {
+      continue;
+    }
+    for (auto& [e, owner] : m_daemons[d].m_owned) {
+      OwnerActions actions;
+      const bool out = view.m_zoneOut[m_engines[e].m_zone];
+      if (out && !owner->IsLeaving()) {
+        owner->OnLeaving(m_now, actions);
+      } else if (!out && owner->IsLeaving()) {
+        owner->OnReturned(true, m_now, actions);
+      }
+      Perform(d, std::move(actions));
+    }
+  }
+}
+
+void
+FleetDriver::UpdateAllViews()
+{
+  for (std::size_t view = 0; view < m_views.size(); ++view) {
+    UpdateView(view);
+  }
+}
+
+// Chats that begin each ms; each makes 1 / (1 - return chance) requests.
+double
+FleetDriver::ChatsPerMs() const
+{
+  return m_options.m_streamsPerEngine *
+         static_cast<double>(m_options.m_engines) /
+         static_cast<double>(m_options.m_meanStream.count()) *
+         (1 - m_options.m_returnChance);
+}
+
+std::uint64_t
+FleetDriver::NewChat()
+{
+  Chat chat;
+  chat.m_key = { CustomerId("c" + std::to_string(m_random() % 10)),
+                 ServiceId("assistant"),
+                 ChatId(std::to_string(m_chats.size())) };
+  chat.m_hash =
+    ChatHash(chat.m_key.m_customer, chat.m_key.m_service, chat.m_key.m_chat);
+  chat.m_region = m_random() % m_options.m_regions;
+  m_chats.push_back(std::move(chat));
+  return m_chats.size() - 1;
+}
+
+// The chats of a steady state: some come back in the first stream's time, the
+// others after a pause.
+void
+FleetDriver::SeedChats()
+{
+  const double requests = ChatsPerMs() / (1 - m_options.m_returnChance);
+  const double running =
+    requests * static_cast<double>(m_options.m_meanStream.count());
+  const double away = requests * m_options.m_returnChance *
+                      static_cast<double>(m_options.m_meanReturn.count());
+  std::uniform_int_distribution<std::int64_t> soon(
+    0, m_options.m_meanStream.count());
+  for (int i = 0; i < static_cast<int>(running + away); ++i) {
+    const std::uint64_t chat = NewChat();
+    const Duration delay = i < running ? Duration(soon(m_random))
+                                       : Exponential(m_options.m_meanReturn);
+    After(delay, [this, chat] { Submit(chat); });
+  }
+}
+
+void
+FleetDriver::Arrive()
+{
+  Submit(NewChat());
+  std::exponential_distribution<double> gap(ChatsPerMs() * m_arrivalFactor);
+  After(Duration(static_cast<std::int64_t>(std::round(gap(m_random)))),
+        [this] { Arrive(); });
+}
+
+void
+FleetDriver::Submit(std::uint64_t aChat)
+{
+  const std::uint64_t id = m_nextNumber++;
+  const Chat& chat = m_chats[aChat];
+  std::size_t daemon = 0;
+  do {
+    daemon = m_random() % m_daemons.size();
+  } while (!m_daemons[daemon].m_alive || m_daemons[daemon].m_frozen ||
+           m_views[m_daemons[daemon].m_view].m_region != chat.m_region);
+  m_requests[id] = { aChat, daemon, m_now, std::nullopt };
+  if (m_options.m_policy != Policy::OursHint &&
+      m_options.m_policy != Policy::OursNoHint) {
+    SubmitToRival(id);
+    return;
+  }
+  const View& view = m_views[m_daemons[daemon].m_view];
+  std::optional<UpstreamId> hint;
+  if (m_options.m_policy == Policy::OursHint && chat.m_last) {
+    hint = m_engines[*chat.m_last].m_id;
+  }
+  const bool newChat = m_options.m_policy == Policy::OursHint &&
+                       m_options.m_spreadNewChats && !chat.m_last;
+  PermitAsk ask;
+  ask.m_request = RequestId(id);
+  ask.m_customer = chat.m_key.m_customer;
+  ask.m_service = chat.m_key.m_service;
+  ask.m_deadline = m_now + kDeadline;
+  for (const UpstreamId& upstream :
+       view.m_placement->Rank(chat.m_key, hint, newChat)) {
+    const std::size_t owner = view.m_ownerOf[m_engineIndex.at(upstream)];
+    ask.m_targets.push_back(
+      { upstream, owner == kNone ? DaemonId() : m_daemons[owner].m_id, 1 });
+  }
+  PermitClientActions actions;
+  m_daemons[daemon].m_client->OnRequest(std::move(ask), m_now, actions);
+  Perform(daemon, std::move(actions));
+}
+
+std::vector<std::size_t>
+FleetDriver::EnginesTakingWork() const
+{
+  std::vector<std::size_t> engines;
+  for (std::size_t e = 0; e < m_engines.size(); ++e) {
+    if (m_engines[e].m_alive && !m_engines[e].m_out) {
+      engines.push_back(e);
+    }
+  }
+  return engines;
+}
+
+std::uint32_t
+FleetDriver::BoundNow(const std::vector<std::size_t>& aEngines) const
+{
+  std::uint64_t sum = 0;
+  for (const std::size_t e : aEngines) {
+    sum += m_engines[e].m_running;
+  }
+  const double mean =
+    static_cast<double>(sum) / static_cast<double>(aEngines.size());
+  return std::max(m_options.m_owner.m_minWindow,
+                  static_cast<std::uint32_t>(std::ceil(
+                    mean * m_options.m_owner.m_loadBoundPercent / kPercent)));
+}
+
+std::optional<std::size_t>
+FleetDriver::RivalChoice(const Chat& aChat)
+{
+  std::vector<std::size_t> engines = EnginesTakingWork();
+  std::erase_if(engines, [&](std::size_t aEngine) {
+    return m_engines[aEngine].m_region != aChat.m_region;
+  });
+  if (engines.empty()) {
+    return std::nullopt;
+  }
+  const auto less = [this](std::size_t aLeft, std::size_t aRight) {
+    return m_engines[aLeft].m_running < m_engines[aRight].m_running;
+  };
+  switch (m_options.m_policy) {
+    case Policy::HashModN:
+      return engines[aChat.m_hash % engines.size()];
+    case Policy::LeastLoaded:
+      return *std::min_element(engines.begin(), engines.end(), less);
+    case Policy::TwoChoices: {
+      const std::size_t first = engines[m_random() % engines.size()];
+      const std::size_t second = engines[m_random() % engines.size()];
+      return std::min(first, second, less);
+    }
+    case Policy::BoundedRing: {
+      // Clockwise from the chat's point to the first engine under the bound.
+      std::sort(engines.begin(), engines.end(), [&](auto aLeft, auto aRight) {
+        return m_engines[aLeft].m_hash - aChat.m_hash <
+               m_engines[aRight].m_hash - aChat.m_hash;
+      });
+      const std::uint32_t bound = BoundNow(engines);
+      const auto found =
+        std::find_if(engines.begin(), engines.end(), [&](std::size_t aEngine) {
+          return m_engines[aEngine].m_running < bound;
+        });
+      return found == engines.end() ? engines.front() : *found;
+    }
+    case Policy::Ceiling: {
+      const std::uint32_t bound = BoundNow(engines);
+      std::optional<std::size_t> best;
+      const auto chat = static_cast<std::uint64_t>(&aChat - m_chats.data());
+      for (const std::size_t e : engines) {
+        if (m_engines[e].m_running < bound &&
+            m_engines[e].m_cached.contains(chat) && (!best || less(e, *best))) {
+          best = e;
+        }
+      }
+      return best ? best
+                  : *std::min_element(engines.begin(), engines.end(), less);
+    }
+    case Policy::OursNoHint:
+    case Policy::OursHint:
+      break;
+  }
+  throw std::logic_error("not a rival");
+}
+
+void
+FleetDriver::SubmitToRival(std::uint64_t aRequest)
+{
+  const auto engine = RivalChoice(m_chats[m_requests.at(aRequest).m_chat]);
+  if (!engine) {
+    ++Current().m_refused;
+    EndRequest(aRequest, true);
+    return;
+  }
+  Start(aRequest, *engine);
+}
+
+void
+FleetDriver::Start(std::uint64_t aRequest, std::size_t aEngine)
+{
+  Request& request = m_requests.at(aRequest);
+  Engine& engine = m_engines[aEngine];
+  Chat& chat = m_chats[request.m_chat];
+  request.m_engine = aEngine;
+  FleetSecond& second = Current();
+  ++second.m_started;
+  ++engine.m_running;
+  second.m_late += m_now - request.m_arrivedAt > kLate ? 1 : 0;
+  second.m_wrongly += engine.m_out ? 1 : 0;
+  if (m_now < engine.m_coldUntil &&
+      engine.m_running > m_options.m_owner.m_coldSlots) {
+    ++second.m_coldExcess;
+  }
+  const double bound =
+    std::ceil(MeanRunning() * m_options.m_owner.m_loadBoundPercent / kPercent);
+  second.m_overBound +=
+    engine.m_running > std::max<double>(bound, m_options.m_owner.m_minWindow)
+      ? 1
+      : 0;
+  second.m_returns += chat.m_last ? 1 : 0;
+  const auto cached = engine.m_cached.find(request.m_chat);
+  if (cached != engine.m_cached.end()) {
+    ++second.m_hits;
+    engine.m_recent.erase(cached->second);
+  } else if (engine.m_recent.size() >= m_options.m_cacheChats) {
+    engine.m_cached.erase(engine.m_recent.back());
+    engine.m_recent.pop_back();
+  }
+  engine.m_recent.push_front(request.m_chat);
+  engine.m_cached[request.m_chat] = engine.m_recent.begin();
+  chat.m_last = aEngine;
+  After(Exponential(m_options.m_meanStream),
+        [this, aRequest] { Finish(aRequest); });
+}
+
+void
+FleetDriver::Finish(std::uint64_t aRequest)
+{
+  const auto found = m_requests.find(aRequest);
+  if (found == m_requests.end()) {
+    return; // its daemon died
+  }
+  const Request request = found->second;
+  Engine& engine = m_engines[*request.m_engine];
+  --engine.m_running;
+  ++Current().m_completed;
+  const bool cold = m_now < engine.m_coldUntil;
+  Handle(request.m_daemon, [this, request, aRequest, cold] {
+    PermitClientActions actions;
+    m_daemons[request.m_daemon].m_client->OnFinished(
+      RequestId(aRequest), false, cold, actions);
+    Perform(request.m_daemon, std::move(actions));
+  });
+  EndRequest(aRequest, true);
+}
+
+void
+FleetDriver::EndRequest(std::uint64_t aRequest, bool aReturns)
+{
+  const std::uint64_t chat = m_requests.at(aRequest).m_chat;
+  m_requests.erase(aRequest);
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (aReturns && draw(m_random) < m_options.m_returnChance) {
+    After(Exponential(m_options.m_meanReturn), [this, chat] { Submit(chat); });
+  }
+}
+
+// Runs something on a daemon: not when it is dead, later when it is frozen.
+void
+FleetDriver::Handle(std::size_t aDaemon, std::function<void()> aRun)
+{
+  Daemon& daemon = m_daemons[aDaemon];
+  if (!daemon.m_alive) {
+    return;
+  }
+  if (daemon.m_frozen) {
+    daemon.m_backlog.push_back(std::move(aRun));
+    return;
+  }
+  aRun();
+}
+
+void
+FleetDriver::Perform(std::size_t aDaemon, PermitClientActions aActions)
+{
+  for (PermitClientAction& action : aActions) {
+    if (auto* send = std::get_if<SendToOwner>(&action)) {
+      ++Current().m_permitMessages;
+      Current().m_permitBytes += send->m_message.ByteSizeLong();
+      const auto to = m_daemonIndex.find(send->m_owner);
+      if (to == m_daemonIndex.end()) {
+        continue;
+      }
+      After(kMessageDelay,
+            [this, aDaemon, to = to->second, message = std::move(*send)] {
+              Handle(to, [=, this] { ToOwner(aDaemon, message); });
+            });
+      continue;
+    }
+    if (const auto* ready = std::get_if<PermitReady>(&action)) {
+      Start(ready->m_request.Value(), m_engineIndex.at(ready->m_upstream));
+      continue;
+    }
+    ++Current().m_refused;
+    EndRequest(std::get<PermitRefused>(action).m_request.Value(), true);
+  }
+}
+
+void
+FleetDriver::ToOwner(std::size_t aFrom, const SendToOwner& aSend)
+{
+  const std::size_t to = m_daemonIndex.at(aSend.m_owner);
+  const proto::PeerMessage& message = aSend.m_message;
+  const std::string& upstream =
+    message.has_permit_request()   ? message.permit_request().upstream()
+    : message.has_permit_release() ? message.permit_release().upstream()
+                                   : message.permit_report().upstream();
+  const DaemonId& from = m_daemons[aFrom].m_id;
+  const auto owned =
+    m_daemons[to].m_owned.find(m_engineIndex.at(UpstreamId(upstream)));
+  OwnerActions actions;
+  if (owned == m_daemons[to].m_owned.end()) {
+    if (message.has_permit_request()) {
+      SendDeny deny{ from, {} };
+      deny.m_deny.set_request_id(message.permit_request().request_id());
+      deny.m_deny.set_upstream(upstream);
+      deny.m_deny.set_code(
+        static_cast<std::uint32_t>(ResultCode::PermitTimeout));
+      actions.emplace_back(deny);
+    }
+  } else if (message.has_permit_request()) {
+    owned->second->OnPermitRequest(
+      from, message.permit_request(), m_now, actions);
+  } else if (message.has_permit_release()) {
+    owned->second->OnRelease(from, message.permit_release(), m_now, actions);
+  } else {
+    owned->second->OnReport(from, message.permit_report(), m_now, actions);
+  }
+  Perform(to, std::move(actions));
+}
+
+void
+FleetDriver::Perform(std::size_t aDaemon, OwnerActions aActions)
+{
+  const DaemonId& from = m_daemons[aDaemon].m_id;
+  for (OwnerAction& action : aActions) {
+    const DaemonId to =
+      std::visit([](const auto& aAction) { return aAction.m_to; }, action);
+    const std::size_t index = m_daemonIndex.at(to);
+    After(kMessageDelay, [this, from, index, action = std::move(action)] {
+      Handle(index, [=, this] {
+        PermitClient& client = *m_daemons[index].m_client;
+        PermitClientActions actions;
+        if (const auto* grant = std::get_if<SendGrant>(&action)) {
+          client.OnGrant(from, grant->m_grant, m_now, actions);
+        } else {
+          client.OnDeny(
+            from, std::get<SendDeny>(action).m_deny, m_now, actions);
+        }
+        Perform(index, std::move(actions));
+      });
+    });
+  }
+}
+
+// One round each second: what was taken in the last round arrives now.
+void
+FleetDriver::Gossip()
+{
+  for (View& view : m_views) {
+    for (const proto::UpstreamState& state : m_gossip) {
+      view.m_placement->OnUpstreamState(state);
+    }
+  }
+  m_gossip.clear();
+  for (std::size_t d = 0; d < m_daemons.size(); ++d) {
+    Daemon& daemon = m_daemons[d];
+    if (!daemon.m_alive || daemon.m_frozen) {
+      continue;
+    }
+    const auto mean = m_views[daemon.m_view].m_placement->MeanLoad();
+    for (auto& [e, owner] : daemon.m_owned) {
+      OwnerActions actions;
+      owner->OnTick(m_now, actions);
+      if (mean) {
+        owner->OnMean(*mean, m_now, actions);
+      }
+      if (m_options.m_loadReports && e < m_reports.size()) {
+        owner->OnLoad(m_reports[e], m_now, actions);
+      }
+      m_gossip.push_back(owner->State(m_now));
+      Perform(d, std::move(actions));
+    }
+    for (Duration at(0); at < kSecond; at += kTick) {
+      After(at, [this, d] {
+        Handle(d, [this, d] {
+          PermitClientActions actions;
+          m_daemons[d].m_client->OnTick(m_now, actions);
+          Perform(d, std::move(actions));
+        });
+      });
+    }
+    if ((m_now - m_start) % kReportEvery == Duration(0)) {
+      PermitClientActions actions;
+      daemon.m_client->ReportHeld(actions);
+      Perform(d, std::move(actions));
+    }
+  }
+  m_reports.clear();
+  for (const Engine& engine : m_engines) {
+    m_reports.push_back(
+      { engine.m_running, 0, m_now < engine.m_coldUntil, m_now });
+  }
+  Sample();
+  After(kSecond, [this] { Gossip(); });
+}
+
+bool
+FleetDriver::TakesWarmWork(const Engine& aEngine) const
+{
+  return aEngine.m_alive && !aEngine.m_out && m_now >= aEngine.m_coldUntil;
+}
+
+double
+FleetDriver::MeanRunning() const
+{
+  double sum = 0;
+  double count = 0;
+  for (const Engine& engine : m_engines) {
+    if (!TakesWarmWork(engine)) {
+      continue;
+    }
+    sum += engine.m_running;
+    ++count;
+  }
+  return sum / std::max(count, 1.0);
+}
+
+void
+FleetDriver::Sample()
+{
+  for (const Engine& engine : m_engines) {
+    if (!TakesWarmWork(engine)) {
+      continue;
+    }
+    Current().m_maxRunning = std::max(Current().m_maxRunning, engine.m_running);
+  }
+  Current().m_meanRunning = MeanRunning();
+  m_seconds.emplace_back();
+}
+
+void
+FleetDriver::ReplaceEngine()
+{
+  std::size_t victim = 0;
+  do {
+    victim = m_random() % m_engines.size();
+  } while (!m_engines[victim].m_alive);
+  m_engines[victim].m_alive = false; // its streams end on their own
+  AddEngine(m_engines[victim].m_zone, true);
+  UpdateAllViews();
+  After(m_options.m_engineChurn, [this] { ReplaceEngine(); });
+}
+
+// A daemon dies with its requests; the others hear of it a second later.
+void
+FleetDriver::ReplaceDaemon()
+{
+  std::size_t victim = 0;
+  do {
+    victim = m_random() % m_daemons.size();
+  } while (!m_daemons[victim].m_alive);
+  m_daemons[victim].m_alive = false;
+  m_daemons[victim].m_owned.clear();
+  std::vector<std::uint64_t> cut;
+  for (const auto& [id, request] : m_requests) {
+    if (request.m_daemon == victim) {
+      cut.push_back(id);
+    }
+  }
+  std::sort(cut.begin(), cut.end());
+  for (const std::uint64_t id : cut) {
+    const auto engine = m_requests.at(id).m_engine;
+    if (engine) {
+      --m_engines[*engine].m_running;
+    }
+    ++Current().m_cut;
+    EndRequest(id, true);
+  }
+  After(kSecond, [this, victim] {
+    AddDaemon(m_daemons[victim].m_zone, m_daemons[victim].m_view % kGroups);
+    for (std::size_t d = 0; d < m_daemons.size(); ++d) {
+      for (auto& [e, owner] : m_daemons[d].m_owned) {
+        OwnerActions actions;
+        owner->OnHolderGone(m_daemons[victim].m_id, m_now, actions);
+        Perform(d, std::move(actions));
+      }
+    }
+    UpdateAllViews();
+  });
+  After(m_options.m_daemonChurn, [this] { ReplaceDaemon(); });
+}
+
+void
+FleetDriver::TakeZoneOut(std::size_t aZone)
+{
+  for (Engine& engine : m_engines) {
+    engine.m_out = engine.m_out || engine.m_zone == aZone;
+  }
+  for (std::size_t view = 0; view < m_views.size(); ++view) {
+    After(Duration(500 + view % 4 * 500), [this, view, aZone] {
+      m_views[view].m_zoneOut[aZone] = true;
+      UpdateView(view);
+    });
+  }
+}
+
+void
+FleetDriver::BringZoneBack(std::size_t aZone)
+{
+  for (Engine& engine : m_engines) {
+    if (engine.m_zone != aZone) {
+      continue;
+    }
+    engine.m_out = false;
+    engine.m_coldUntil = m_now + m_options.m_coldTime;
+    engine.m_recent.clear();
+    engine.m_cached.clear();
+  }
+  for (std::size_t view = 0; view < m_views.size(); ++view) {
+    After(Duration(500 + view % 4 * 500), [this, view, aZone] {
+      m_views[view].m_zoneOut[aZone] = false;
+      UpdateView(view);
+    });
+  }
+}
+
+void
+FleetDriver::SplitViews(bool aSplit)
+{
+  for (std::size_t view = 1; view < m_views.size(); view += kGroups) {
+    m_views[view].m_split = aSplit;
+    UpdateView(view);
+  }
+}
+
+void
+FleetDriver::FreezeOneDaemon(bool aFrozen)
+{
+  const auto most =
+    std::max_element(m_daemons.begin(),
+                     m_daemons.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.m_owned.size() < aRight.m_owned.size();
+                     });
+  most->m_frozen = aFrozen;
+  if (aFrozen) {
+    return;
+  }
+  std::vector<std::function<void()>> backlog;
+  backlog.swap(most->m_backlog);
+  for (const auto& run : backlog) {
+    run();
+  }
+}
+
+void
+FleetDriver::TurnCold(double aChance)
+{
+  std::uniform_real_distribution<double> draw(0, 1);
+  for (Engine& engine : m_engines) {
+    if (draw(m_random) < aChance) {
+      engine.m_coldUntil = m_now + m_options.m_coldTime;
+    }
+  }
+}
+
+} // namespace walnutwing::bench
--- /dev/null
+++ b/bench/fleet_driver.h
@@ -0,0 +1,219 @@
+#ifndef WALNUTWING_BENCH_FLEET_DRIVER_H_
+#define WALNUTWING_BENCH_FLEET_DRIVER_H_
+
+// Drives the placement core of many daemons in virtual time through its public
+// events, before engines that are counters with a cache of chats. The rivals of
+// the placement run on the same arrivals, and know every engine's load at once.
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/placement/chat_placement.h"
+#include "walnutwing/placement/permit_client.h"
+#include "walnutwing/placement/upstream_owner.h"
+
+namespace walnutwing::bench {
+
+enum class Policy
+{
+  HashModN,
+  BoundedRing,
+  LeastLoaded,
+  TwoChoices,
+  OursNoHint,
+  OursHint,
+  Ceiling, // knows every cache and every load
+};
+
+struct FleetOptions
+{
+  std::uint64_t m_seed = 1;
+  std::size_t m_engines = 20;
+  std::size_t m_daemons = 8;
+  std::size_t m_zones = 3;
+  std::size_t m_regions = 1;
+  double m_streamsPerEngine = 5;
+  Duration m_meanStream = std::chrono::seconds(22);
+  Duration m_meanReturn = std::chrono::seconds(60);
+  double m_returnChance = 0.9;    // that a chat comes back after an answer
+  std::size_t m_cacheChats = 400; // chats whose prompts an engine keeps
+  Duration m_coldTime = std::chrono::seconds(10); // of a started engine
+  Duration m_engineChurn{ 0 }; // an engine is replaced this often; 0 never
+  Duration m_daemonChurn{ 0 }; // a daemon is replaced this often; 0 never
+  bool m_loadReports = true;
+  bool m_spreadNewChats = true; // callers say that a chat is new
+  Policy m_policy = Policy::OursHint;
+  OwnerOptions m_owner;
+};
+
+// What one second saw.
+struct FleetSecond
+{
+  std::uint64_t m_completed = 0;
+  std::uint64_t m_refused = 0; // told "not run"
+  std::uint64_t m_late = 0;    // started over 2 s after its arrival
+  std::uint64_t m_wrongly = 0; // started in the zone that is out
+  std::uint64_t m_started = 0;
+  std::uint64_t m_hits = 0;       // found the chat's cache
+  std::uint64_t m_returns = 0;    // started, and the chat had run before
+  std::uint64_t m_cut = 0;        // ended by the death of its daemon or engine
+  std::uint64_t m_coldExcess = 0; // started above what a cold engine bears
+  std::uint64_t m_permitMessages = 0;
+  std::uint64_t m_permitBytes = 0; // encoded, without headers
+  std::uint64_t m_overBound = 0;   // started above the bound of that moment
+  std::uint32_t m_maxRunning = 0;  // over warm engines that take work
+  double m_meanRunning = 0;
+};
+
+class FleetDriver
+{
+public:
+  explicit FleetDriver(FleetOptions aOptions);
+
+  // Runs to this time since the start; further calls go on from there.
+  void RunTo(Duration aTime);
+
+  // Changes that take effect now in the upstreams and, by view, 0.5 s to 2 s
+  // later in the daemons.
+  void TakeZoneOut(std::size_t aZone);
+  void BringZoneBack(std::size_t aZone);
+
+  // Half of the daemons hold every tenth daemon for dead, or no longer.
+  void SplitViews(bool aSplit);
+
+  // The daemon that owns most engines stops handling anything, or goes on with
+  // what has queued up.
+  void FreezeOneDaemon(bool aFrozen);
+
+  // Every warm engine's work turns it cold at once, unannounced, with this
+  // chance.
+  void TurnCold(double aChance);
+
+  void SetArrivalFactor(double aFactor) { m_arrivalFactor = aFactor; }
+
+  const std::vector<FleetSecond>& Seconds() const { return m_seconds; }
+
+private:
+  struct Engine
+  {
+    UpstreamId m_id;
+    std::size_t m_zone = 0;
+    std::size_t m_region = 0;
+    bool m_alive = true;
+    bool m_out = false;
+    Time m_coldUntil;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_hash = 0;
+    std::list<std::uint64_t> m_recent; // chats, last used first
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+      m_cached;
+  };
+  struct Chat
+  {
+    ChatKey m_key;
+    std::uint64_t m_hash = 0;
+    std::size_t m_region = 0;
+    std::optional<std::size_t> m_last; // engine that served it last
+  };
+  struct Daemon
+  {
+    DaemonId m_id;
+    std::size_t m_zone = 0;
+    std::size_t m_view = 0;
+    bool m_alive = true;
+    bool m_frozen = false;
+    std::vector<std::function<void()>> m_backlog; // while frozen
+    std::unique_ptr<PermitClient> m_client;
+    std::map<std::size_t, std::unique_ptr<UpstreamOwner>> m_owned;
+  };
+  // What a group of daemons of one region holds for true.
+  struct View
+  {
+    std::size_t m_region = 0;
+    bool m_split = false;
+    std::vector<bool> m_zoneOut;
+    std::unique_ptr<ChatPlacement> m_placement;
+    std::vector<std::size_t> m_ownerOf; // by engine; kNone without one
+  };
+  struct Request
+  {
+    std::uint64_t m_chat = 0;
+    std::size_t m_daemon = 0;
+    Time m_arrivedAt;
+    std::optional<std::size_t> m_engine;
+  };
+  struct Event
+  {
+    Time m_at;
+    std::uint64_t m_number;
+    std::function<void()> m_run;
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(m_at, m_number) >
+             std::pair(aOther.m_at, aOther.m_number);
+    }
+  };
+
+  void After(Duration aDelay, std::function<void()> aRun);
+  Duration Exponential(Duration aMean);
+  double ChatsPerMs() const;
+  void SeedChats();
+  std::uint64_t NewChat();
+  void Arrive();
+  void Submit(std::uint64_t aChat);
+  void SubmitToRival(std::uint64_t aRequest);
+  std::optional<std::size_t> RivalChoice(const Chat& aChat);
+  std::vector<std::size_t> EnginesTakingWork() const;
+  std::uint32_t BoundNow(const std::vector<std::size_t>& aEngines) const;
+  void Start(std::uint64_t aRequest, std::size_t aEngine);
+  void Finish(std::uint64_t aRequest);
+  void EndRequest(std::uint64_t aRequest, bool aReturns);
+  void Handle(std::size_t aDaemon, std::function<void()> aRun);
+  void Perform(std::size_t aDaemon, PermitClientActions aActions);
+  void Perform(std::size_t aDaemon, OwnerActions aActions);
+  void ToOwner(std::size_t aFrom, const SendToOwner& aSend);
+  void Gossip();
+  void UpdateView(std::size_t aView);
+  void UpdateAllViews();
+  std::vector<PlacementUpstream> UpstreamsOf(const View& aView) const;
+  void AddEngine(std::size_t aZone, bool aCold);
+  void AddDaemon(std::size_t aZone, std::size_t aGroup);
+  void ReplaceEngine();
+  void ReplaceDaemon();
+  bool TakesWarmWork(const Engine& aEngine) const;
+  double MeanRunning() const;
+  void Sample();
+  FleetSecond& Current() { return m_seconds.back(); }
+
+  FleetOptions m_options;
+  std::mt19937_64 m_random;
+  Time m_now{ std::chrono::hours(1) };
+  Time m_start = m_now;
+  std::uint64_t m_nextNumber = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<Engine> m_engines;
+  std::unordered_map<UpstreamId, std::size_t> m_engineIndex;
+  std::vector<Daemon> m_daemons;
+  std::unordered_map<DaemonId, std::size_t> m_daemonIndex;
+  std::vector<View> m_views;
+  std::vector<Chat> m_chats;
+  std::unordered_map<std::uint64_t, Request> m_requests;
+  std::vector<proto::UpstreamState> m_gossip; // of the last round
+  std::vector<EngineLoad> m_reports;          // of the last round, by engine
+  std::vector<FleetSecond> m_seconds;
+  double m_arrivalFactor = 1;
+};
+
+} // namespace walnutwing::bench
+
+#endif // WALNUTWING_BENCH_FLEET_DRIVER_H_
--- /dev/null
+++ b/bench/fleet_driver_test.cc
@@ -0,0 +1,142 @@
+// Faults of a whole fleet in virtual time. Each bound is a target of the users
+// or follows from the owner's options; none is taken from a measured figure.
+
+#include "bench/fleet_driver.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::bench {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kWarmUp = seconds(120);
+constexpr std::size_t kWarmUpSeconds = 120;
+
+FleetOptions
+Options()
+{
+  FleetOptions options;
+  options.m_seed = 7;
+  options.m_owner.m_slots = 15;
+  return options;
+}
+
+// Sums from a second of the run on, for aLength seconds.
+std::uint64_t
+Sum(const FleetDriver& aDriver,
+    std::uint64_t FleetSecond::*aField,
+    std::size_t aFirst,
+    std::size_t aLength)
+{
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < aLength; ++i) {
+    sum += aDriver.Seconds().at(aFirst + i).*aField;
+  }
+  return sum;
+}
+
+TEST(FleetFaults, ZoneOutGetsNoNewWorkAfterThreeSecondsAndLosesNone)
+{
+  FleetDriver driver(Options());
+  driver.RunTo(kWarmUp);
+  driver.TakeZoneOut(0);
+  driver.RunTo(kWarmUp + seconds(60));
+  EXPECT_EQ(0U, Sum(driver, &FleetSecond::m_wrongly, kWarmUpSeconds + 3, 57));
+  EXPECT_EQ(0U, Sum(driver, &FleetSecond::m_cut, kWarmUpSeconds, 60));
+  EXPECT_EQ(0U, Sum(driver, &FleetSecond::m_refused, kWarmUpSeconds, 60));
+}
+
+TEST(FleetFaults, ReturningZoneIsNotStampeded)
+{
+  FleetDriver driver(Options());
+  driver.RunTo(kWarmUp);
+  driver.TakeZoneOut(1);
+  driver.RunTo(kWarmUp + seconds(30));
+  driver.BringZoneBack(1);
+  driver.RunTo(kWarmUp + seconds(90));
+  EXPECT_EQ(0U,
+            Sum(driver, &FleetSecond::m_coldExcess, kWarmUpSeconds + 30, 60));
+  EXPECT_EQ(0U, Sum(driver, &FleetSecond::m_refused, kWarmUpSeconds, 90));
+}
+
+TEST(FleetFaults, UnannouncedColdIsSeenWithinTheReportsLag)
+{
+  FleetDriver driver(Options());
+  driver.RunTo(kWarmUp);
+  driver.TurnCold(1.0);
+  driver.RunTo(kWarmUp + seconds(20));
+  // A report each second that arrives a second later.
+  EXPECT_EQ(0U,
+            Sum(driver, &FleetSecond::m_coldExcess, kWarmUpSeconds + 3, 17));
+}
+
+struct Fault
+{
+  const char* m_name;
+  void (*m_begin)(FleetDriver&);
+  void (*m_end)(FleetDriver&);
+  bool m_loadReports;
+};
+
+// However views differ, an engine carries at most two windows, and callers are
+// served.
+TEST(FleetFaults, TwoOwnersAreBounded)
+{
+  const Fault faults[] = {
+    { "views differ",
+      [](FleetDriver& aDriver) { aDriver.SplitViews(true); },
+      [](FleetDriver& aDriver) { aDriver.SplitViews(false); },
+      true },
+    { "views differ and reports stop",
+      [](FleetDriver& aDriver) { aDriver.SplitViews(true); },
+      [](FleetDriver& aDriver) { aDriver.SplitViews(false); },
+      false },
+    { "owner frozen, then wakes",
+      [](FleetDriver& aDriver) { aDriver.FreezeOneDaemon(true); },
+      [](FleetDriver& aDriver) { aDriver.FreezeOneDaemon(false); },
+      true },
+  };
+  for (const Fault& fault : faults) {
+    FleetOptions options = Options();
+    options.m_loadReports = fault.m_loadReports;
+    FleetDriver driver(options);
+    driver.RunTo(kWarmUp);
+    fault.m_begin(driver);
+    driver.RunTo(kWarmUp + seconds(30));
+    fault.m_end(driver);
+    driver.RunTo(kWarmUp + seconds(60));
+    double largestMean = 0;
+    for (const FleetSecond& second : driver.Seconds()) {
+      largestMean = std::max(largestMean, second.m_meanRunning);
+    }
+    const double window = std::ceil(largestMean * 1.25);
+    for (std::size_t i = kWarmUpSeconds; i < kWarmUpSeconds + 60; ++i) {
+      EXPECT_LE(driver.Seconds().at(i).m_maxRunning, 2 * window)
+        << fault.m_name << " second " << i;
+    }
+    EXPECT_EQ(0U, Sum(driver, &FleetSecond::m_refused, kWarmUpSeconds, 60))
+      << fault.m_name;
+  }
+}
+
+TEST(FleetFaults, SameSeedSameHistory)
+{
+  std::uint64_t started[2] = {};
+  for (std::uint64_t& count : started) {
+    FleetOptions options = Options();
+    options.m_daemonChurn = seconds(20);
+    options.m_engineChurn = seconds(30);
+    FleetDriver driver(options);
+    driver.RunTo(kWarmUp);
+    count = Sum(driver, &FleetSecond::m_started, 0, kWarmUpSeconds);
+  }
+  EXPECT_EQ(started[0], started[1]);
+  EXPECT_GT(started[0], 0U);
+}
+
+} // namespace
+} // namespace walnutwing::bench
--- a/walnutwing/placement/chat_placement.cc
+++ b/walnutwing/placement/chat_placement.cc
@@ -124,9 +124,32 @@
   return near && TakesWork(entry) ? &entry : nullptr;
 }
 
+// Moves the least loaded of the first aChoices to the front; an upstream that
+// is cold or has no state yet is no choice.
+void
+ChatPlacement::PreferLeastLoaded(std::vector<const Entry*>& aRanked,
+                                 std::size_t aChoices) const
+{
+  const auto end = aRanked.begin() + static_cast<std::ptrdiff_t>(aChoices);
+  auto best = end;
+  for (auto entry = aRanked.begin(); entry != end; ++entry) {
+    const auto& state = (*entry)->m_state;
+    if (!state || state->temperature() == proto::COLD) {
+      continue;
+    }
+    if (best == end || state->in_progress() < (*best)->m_state->in_progress()) {
+      best = entry;
+    }
+  }
+  if (best != end) {
+    std::rotate(aRanked.begin(), best, best + 1);
+  }
+}
+
 std::vector<UpstreamId>
 ChatPlacement::Rank(const ChatKey& aChat,
-                    const std::optional<UpstreamId>& aHint) const
+                    const std::optional<UpstreamId>& aHint,
+                    bool aNewChat) const
 {
   const std::uint64_t key =
     ChatHash(aChat.m_customer, aChat.m_service, aChat.m_chat);
@@ -136,6 +159,9 @@
   }
   RankRegion(key, true, ranked);
   const std::size_t ownRegion = ranked.size();
+  if (aNewChat && !aHint) {
+    PreferLeastLoaded(ranked, std::min(ownRegion, m_options.m_newChatChoices));
+  }
   RankRegion(key, false, ranked);
   if (ownRegion > 1) {
     std::stable_partition(
--- a/walnutwing/placement/chat_placement.h
+++ b/walnutwing/placement/chat_placement.h
@@ -37,6 +37,9 @@
   // region. 1 ignores zones: callers reach any zone's daemons through the
   // balancer, and only an order that all daemons share finds caches again.
   double m_otherZoneCost = 1.0;
+  // Upstreams among which a chat that the caller calls new goes to the one
+  // with the fewest requests in progress by the owners' states.
+  std::size_t m_newChatChoices = 3;
   // Whether a hint that names an upstream of another region is followed.
   // Other regions are tried only after the own region's upstreams.
   bool m_followHintAcrossRegions = false;
@@ -59,9 +62,13 @@
   // regions. Behind the first, upstreams whose owner said that they are full
   // come after the others, so that spill keeps to the same second choice
   // unless that is known to be full.
+  // aNewChat: the caller carries hints and has none for this chat, so that no
+  // upstream can hold its cache, and the first m_newChatChoices of its order
+  // may change places.
   std::vector<UpstreamId> Rank(
     const ChatKey& aChat,
-    const std::optional<UpstreamId>& aHint = std::nullopt) const;
+    const std::optional<UpstreamId>& aHint = std::nullopt,
+    bool aNewChat = false) const;
 
   // Mean requests in progress over the warm upstreams that take new work, by
   // their owners' states: the mean that owners multiply by the load bound.
@@ -86,6 +93,8 @@
   void RankRegion(std::uint64_t aKey,
                   bool aOwnRegion,
                   std::vector<const Entry*>& aRanked) const;
+  void PreferLeastLoaded(std::vector<const Entry*>& aRanked,
+                         std::size_t aChoices) const;
   const Entry* HintedEntry(const std::optional<UpstreamId>& aHint) const;
 
   ZoneId m_zone;
--- a/walnutwing/placement/chat_placement_test.cc
+++ b/walnutwing/placement/chat_placement_test.cc
@@ -148,6 +148,22 @@
   EXPECT_EQ(usual[1], placement.Rank(Chat(1))[1]);
 }
 
+TEST(ChatPlacement, NewChatsGoToTheLeastLoadedOfTheFirstChoices)
+{
+  ChatPlacement placement = Placement(NineUpstreams());
+  const auto usual = placement.Rank(Chat(1));
+  EXPECT_EQ(usual, placement.Rank(Chat(1), std::nullopt, true));
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    placement.OnUpstreamState(State(usual[i], 9 - i, 100));
+  }
+  const auto spread = placement.Rank(Chat(1), std::nullopt, true);
+  const std::vector<UpstreamId> expected = { usual[2], usual[0], usual[1],
+                                             usual[3], usual[4], usual[5] };
+  EXPECT_EQ(expected, spread);
+  EXPECT_EQ(usual, placement.Rank(Chat(1)));
+  EXPECT_EQ(usual[1], placement.Rank(Chat(1), usual[1], true).front());
+}
+
 TEST(ChatPlacement, MeanCountsWarmUpstreamsThatTakeWork)
 {
   std::vector<PlacementUpstream> upstreams = NineUpstreams();
