--- /dev/null
+++ b/standin/fleet_fixture.h
@@ -0,0 +1,162 @@
+#ifndef WALNUTWING_STANDIN_FLEET_FIXTURE_H_
+#define WALNUTWING_STANDIN_FLEET_FIXTURE_H_
+
+// A small fleet of real processes on loopback: a stand-in platform, two zones
+// with two daemons and two engines each, and one plain service. Daemon i and
+// engine i (0 to 3) stand in zone "z1" (0, 1) or "z2" (2, 3).
+//
+// Each fleet has an IP number of its own within 127.0.0.0/8, made of this
+// process's id, so that fleets that run side by side never meet. Waiting turns
+// this process's loop; every wait ends after kPatience.
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "config.pb.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "standin/answer_check.h"
+#include "standin/child_process.h"
+
+namespace walnutwing::standin {
+
+inline constexpr std::size_t kFleetDaemons = 4;
+inline constexpr std::size_t kFleetEngines = 4;
+inline constexpr Duration kPatience{ 60'000 };
+
+// The fleet's names.
+inline constexpr const char* kCustomerKey = "customer-key";
+inline constexpr const char* kOtherCustomerKey = "other-customer-key";
+inline constexpr const char* kChatService = "assistant"; // on the engines
+inline constexpr const char* kOrderService = "shutoff";  // on the plain service
+
+// A call in progress; what has come of its answer so far.
+struct OpenCall
+{
+  std::unique_ptr<net::Call> m_call; // reset it to go away
+  int m_status = 0;
+  net::Headers m_headers;
+  std::string m_body;
+  std::unique_ptr<StreamCheck> m_check; // fed with the body of a 200 answer
+  bool m_ended = false;
+  net::CallEnd m_end;
+
+  bool Whole() const
+  {
+    return m_ended && m_end.m_stage == net::CallStage::Complete &&
+           m_status == 200 && m_check->Result() == Verdict::Whole;
+  }
+  // A result code in the head or in an error event, 0 without one.
+  int Code() const;
+  // "not run" and so on, as the JSON of an error says.
+  std::string Ran() const;
+};
+
+class Fleet
+{
+public:
+  struct Options
+  {
+    std::string m_binDirectory; // the build directory
+    std::uint64_t m_serviceRunMs = 0;
+    std::uint64_t m_engineStepMs = 2;
+  };
+
+  // Starts everything, publishes a configuration and waits until all daemons
+  // are ready and know all upstreams. Throws std::runtime_error if that fails.
+  explicit Fleet(Options aOptions);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // --- processes ---
+  ChildProcess& Daemon(std::size_t aIndex) { return *m_daemons.at(aIndex); }
+  ChildProcess& Engine(std::size_t aIndex) { return *m_engines.at(aIndex); }
+  // Starts a daemon anew and waits until it is ready.
+  void RestartDaemon(std::size_t aIndex);
+  void RestartEngine(std::size_t aIndex);
+
+  net::Endpoint Platform() const { return At(0); }
+  net::Endpoint DaemonAddress(std::size_t aIndex) const;
+  net::Endpoint AdminAddress(std::size_t aIndex) const;
+  net::Endpoint EngineAddress(std::size_t aIndex) const;
+  net::Endpoint ServiceAddress() const { return At(90); }
+
+  // --- operators ---
+  // Appends a signed change to the platform's log; waits until every running
+  // daemon has it in force.
+  void Publish(proto::ConfigRecord aChange);
+  void TakeZoneOut(const std::string& aZone);
+  void TakeZoneBack(const std::string& aZone);
+
+  // --- callers ---
+  std::unique_ptr<OpenCall> StartChat(std::size_t aDaemon,
+                                      const std::string& aText,
+                                      std::uint64_t aTokens);
+  std::unique_ptr<OpenCall> StartOrder(std::size_t aDaemon,
+                                       const std::string& aKey);
+  // A new order key, issued now.
+  std::string NewOrderKey();
+
+  net::WholeAnswer Fetch(const net::Endpoint& aEndpoint,
+                         const std::string& aMethod,
+                         const std::string& aTarget,
+                         const std::string& aBody = "");
+  // The JSON answer to a GET; null when there is none.
+  nlohmann::json FetchJson(const net::Endpoint& aEndpoint,
+                           const std::string& aTarget);
+  // POST /fault?QUERY at a stand-in. Throws std::runtime_error if refused.
+  void SetFault(const net::Endpoint& aEndpoint, const std::string& aQuery);
+  // How often the plain service has run an order.
+  std::uint64_t Runs(const std::string& aKey);
+
+  // Turns the loop until aCondition holds; false after kPatience.
+  bool WaitUntil(const std::function<bool()>& aCondition);
+  bool WaitFor(const OpenCall& aCall)
+  {
+    return WaitUntil([&aCall] { return aCall.m_ended; });
+  }
+  // Turns the loop for aTime.
+  void Pass(Duration aTime);
+
+  // Where the processes' output and settings are; removed with the fleet.
+  const std::string& Directory() const { return m_directory; }
+
+private:
+  net::Endpoint At(std::size_t aPortIndex) const;
+  std::string WriteSettings(std::size_t aIndex) const;
+  void StartDaemon(std::size_t aIndex);
+  void StartEngine(std::size_t aIndex);
+  void StartService();
+  bool DaemonReady(std::size_t aIndex);
+  std::unique_ptr<OpenCall> StartCall(net::CallRequest aRequest);
+  std::unique_ptr<ChildProcess> StartStandin(
+    const std::string& aName,
+    const std::vector<std::string>& aArguments) const;
+  // Throws std::runtime_error with aWhat unless aCondition comes to hold.
+  void Require(const std::string& aWhat,
+               const std::function<bool()>& aCondition);
+
+  Options m_options;
+  std::string m_ip;
+  std::uint16_t m_firstPort;
+  std::string m_directory;
+  net::EventLoop m_loop;
+  net::HttpClient m_client{ m_loop };
+  std::unique_ptr<ChildProcess> m_platform;
+  std::unique_ptr<ChildProcess> m_service;
+  std::array<std::unique_ptr<ChildProcess>, kFleetDaemons> m_daemons;
+  std::array<std::unique_ptr<ChildProcess>, kFleetEngines> m_engines;
+  proto::FleetConfig m_config; // in force
+  std::uint64_t m_changes = 0;
+  std::uint64_t m_orders = 0;
+};
+
+} // namespace walnutwing::standin
+
+#endif // WALNUTWING_STANDIN_FLEET_FIXTURE_H_
--- /dev/null
+++ b/standin/fleet_test.cc
@@ -0,0 +1,287 @@
+// The whole path as processes, under faults. Outcomes are asserted, never
+// timings. The binaries come from the build directory that CMake names.
+
+#include "standin/fleet_fixture.h"
+
+#include <csignal>
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+std::unique_ptr<Fleet>
+StartFleet(Fleet::Options aOptions = {})
+{
+  aOptions.m_binDirectory = WALNUTWING_BUILD_DIR;
+  return std::make_unique<Fleet>(std::move(aOptions));
+}
+
+// Sends an order again, as a caller does, until its answer is final: not "try
+// again" and no broken connection. Returns the status of that answer.
+int
+OrderUntilFinal(Fleet& aFleet, std::size_t aDaemon, const std::string& aKey)
+{
+  int status = 0;
+  const bool final = aFleet.WaitUntil([&] {
+    const auto call = aFleet.StartOrder(aDaemon, aKey);
+    EXPECT_TRUE(aFleet.WaitFor(*call));
+    status = call->m_status;
+    const int code = call->Code();
+    const bool again = status == 503 || code == 3001 || status == 0;
+    if (again) {
+      aFleet.Pass(Duration(100));
+    }
+    return !again;
+  });
+  EXPECT_TRUE(final);
+  return status;
+}
+
+TEST(Fleet, ServesChatsAndOrders)
+{
+  const auto fleet = StartFleet();
+  for (std::size_t i = 0; i < kFleetDaemons; ++i) {
+    const auto chat = fleet->StartChat(i, "chat", 20);
+    ASSERT_TRUE(fleet->WaitFor(*chat));
+    EXPECT_TRUE(chat->Whole()) << chat->m_status << chat->m_body;
+    const std::string key = fleet->NewOrderKey();
+    EXPECT_EQ(OrderUntilFinal(*fleet, i, key), 200);
+    EXPECT_EQ(OrderUntilFinal(*fleet, (i + 1) % kFleetDaemons, key), 200);
+    EXPECT_EQ(fleet->Runs(key), 1U);
+  }
+}
+
+TEST(Fleet, RunsAnOrderOnceThatTwoDaemonsGetAtOnce)
+{
+  const auto fleet = StartFleet({ "", 50, 2 });
+  for (int round = 0; round < 10; ++round) {
+    const std::string key = fleet->NewOrderKey();
+    std::vector<std::unique_ptr<OpenCall>> calls;
+    for (std::size_t i = 0; i < kFleetDaemons; ++i) {
+      calls.push_back(fleet->StartOrder(i, key));
+    }
+    for (const auto& call : calls) {
+      ASSERT_TRUE(fleet->WaitFor(*call));
+      EXPECT_TRUE(call->m_status == 200 || call->Code() != 0) << call->m_body;
+    }
+    EXPECT_EQ(OrderUntilFinal(*fleet, 0, key), 200);
+    EXPECT_EQ(fleet->Runs(key), 1U);
+  }
+}
+
+TEST(Fleet, RunsAnOrderOnceWhenTheAppendsAnswerIsLost)
+{
+  const auto fleet = StartFleet();
+  for (const char* fault : { "kind=lose_answers&count=1",
+                             "kind=late&count=1&delay_ms=300",
+                             "kind=slow&count=1&delay_ms=2500" }) {
+    fleet->SetFault(fleet->Platform(), fault);
+    const std::string key = fleet->NewOrderKey();
+    const int status = OrderUntilFinal(*fleet, 0, key);
+    EXPECT_LE(fleet->Runs(key), 1U) << fault;
+    EXPECT_EQ(fleet->Runs(key) == 1, status == 200) << fault << status;
+    fleet->SetFault(fleet->Platform(), "kind=none");
+    fleet->Pass(Duration(500));
+    EXPECT_LE(fleet->Runs(key), 1U) << fault;
+  }
+}
+
+TEST(Fleet, RefusesOrdersAndServesLookupsWhileThePlatformIsDown)
+{
+  const auto fleet = StartFleet();
+  fleet->SetFault(fleet->Platform(), "kind=down");
+  for (std::size_t i = 0; i < kFleetDaemons; ++i) {
+    const std::string key = fleet->NewOrderKey();
+    const auto order = fleet->StartOrder(i, key);
+    const auto chat = fleet->StartChat(i, "outage", 20);
+    ASSERT_TRUE(fleet->WaitFor(*order));
+    ASSERT_TRUE(fleet->WaitFor(*chat));
+    EXPECT_EQ(order->Ran(), "not run") << order->m_body;
+    EXPECT_TRUE(order->m_headers.Find("retry-after"));
+    EXPECT_TRUE(chat->Whole()) << chat->m_body;
+    EXPECT_EQ(fleet->Runs(key), 0U);
+  }
+  fleet->SetFault(fleet->Platform(), "kind=none");
+  fleet->Pass(Duration(1500));
+  EXPECT_EQ(fleet->FetchJson(fleet->ServiceAddress(), "/record")["ran"], 0);
+  EXPECT_EQ(OrderUntilFinal(*fleet, 0, fleet->NewOrderKey()), 200);
+}
+
+TEST(Fleet, NeverRunsAnOrderTwiceWhenItsDaemonIsKilled)
+{
+  const auto fleet = StartFleet({ "", 40, 2 });
+  for (const int delay : { 0, 5, 10, 20, 40, 60 }) {
+    const std::string key = fleet->NewOrderKey();
+    const auto call = fleet->StartOrder(1, key);
+    fleet->Pass(Duration(delay));
+    fleet->Daemon(1).Kill();
+    ASSERT_TRUE(fleet->WaitFor(*call));
+    const auto repeat = fleet->StartOrder(2, key);
+    ASSERT_TRUE(fleet->WaitFor(*repeat));
+    EXPECT_TRUE(repeat->m_status == 200 || repeat->Code() != 0);
+    fleet->RestartDaemon(1);
+    const auto last = fleet->StartOrder(1, key);
+    ASSERT_TRUE(fleet->WaitFor(*last));
+    EXPECT_LE(fleet->Runs(key), 1U) << "killed after " << delay << " ms";
+    if (last->Ran() == "not run") {
+      EXPECT_EQ(fleet->Runs(key), 0U) << last->m_body;
+    }
+  }
+}
+
+TEST(Fleet, NeverRunsAnOrderTwiceWhenItsDaemonIsFrozen)
+{
+  const auto fleet = StartFleet({ "", 20, 2 });
+  for (const int delay : { 0, 5, 10, 20 }) {
+    const std::string key = fleet->NewOrderKey();
+    const auto call = fleet->StartOrder(1, key);
+    fleet->Pass(Duration(delay));
+    fleet->Daemon(1).Signal(SIGSTOP);
+    const auto repeat = fleet->StartOrder(2, key);
+    ASSERT_TRUE(fleet->WaitFor(*repeat));
+    fleet->Pass(Duration(3000)); // beyond the platform's time-out
+    fleet->Daemon(1).Signal(SIGCONT);
+    ASSERT_TRUE(fleet->WaitFor(*call));
+    EXPECT_LE(fleet->Runs(key), 1U) << "frozen after " << delay << " ms";
+    if (call->m_status == 200 || repeat->m_status == 200) {
+      EXPECT_EQ(fleet->Runs(key), 1U);
+    }
+  }
+}
+
+TEST(Fleet, ResumesChatsWhoseEngineIsKilled)
+{
+  const auto fleet = StartFleet({ "", 0, 10 });
+  std::vector<std::unique_ptr<OpenCall>> chats;
+  for (int i = 0; i < 12; ++i) {
+    chats.push_back(
+      fleet->StartChat(i % kFleetDaemons, "k" + std::to_string(i), 100));
+  }
+  ASSERT_TRUE(fleet->WaitUntil([&] {
+    for (const auto& chat : chats) {
+      if (chat->m_check->Tokens() < 3 && !chat->m_ended) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  fleet->Engine(0).Kill();
+  for (const auto& chat : chats) {
+    ASSERT_TRUE(fleet->WaitFor(*chat));
+    EXPECT_TRUE(chat->Whole() || chat->Code() != 0) << chat->m_body;
+    EXPECT_NE(chat->m_check->Result(), Verdict::Wrong)
+      << chat->m_check->Reason();
+  }
+}
+
+TEST(Fleet, NeverPassesAWrongAnswerOn)
+{
+  const auto fleet = StartFleet();
+  for (const char* fault :
+       { "break_midway", "wrong_id", "truncate", "duplicate", "reorder" }) {
+    for (std::size_t i = 0; i < kFleetEngines; ++i) {
+      fleet->SetFault(fleet->EngineAddress(i),
+                      std::string("count=1&kind=") + fault);
+    }
+    for (std::size_t i = 0; i < 8; ++i) {
+      const auto chat =
+        fleet->StartChat(i % kFleetDaemons, fault + std::to_string(i), 20);
+      ASSERT_TRUE(fleet->WaitFor(*chat));
+      EXPECT_TRUE(chat->Whole() || chat->Code() != 0)
+        << fault << ": " << chat->m_body;
+    }
+  }
+}
+
+TEST(Fleet, StopsWithoutCuttingRequests)
+{
+  const auto fleet = StartFleet({ "", 0, 10 });
+  const auto chat = fleet->StartChat(3, "long", 200);
+  ASSERT_TRUE(fleet->WaitUntil([&] { return chat->m_check->Tokens() > 3; }));
+  fleet->Daemon(3).Signal(SIGTERM);
+  ASSERT_TRUE(fleet->WaitFor(*chat));
+  EXPECT_TRUE(chat->Whole()) << chat->m_body;
+  ASSERT_TRUE(fleet->WaitUntil(
+    [&] { return fleet->Daemon(3).ExitStatus().has_value(); }));
+  EXPECT_EQ(fleet->Daemon(3).ExitStatus(), 0);
+}
+
+TEST(Fleet, SparesAZoneThatIsOut)
+{
+  const auto fleet = StartFleet({ "", 0, 10 });
+  std::vector<std::unique_ptr<OpenCall>> chats;
+  for (int i = 0; i < 8; ++i) {
+    chats.push_back(
+      fleet->StartChat(i % kFleetDaemons, "z" + std::to_string(i), 60));
+  }
+  fleet->TakeZoneOut("z2");
+  fleet->Pass(Duration(1000));
+  const auto seen = [&] {
+    std::uint64_t count = 0;
+    for (const std::size_t engine : { 2U, 3U }) {
+      count += fleet->FetchJson(fleet->EngineAddress(engine), "/record")["seen"]
+                 .get<std::uint64_t>();
+    }
+    return count;
+  };
+  const std::uint64_t before = seen();
+  for (int i = 0; i < 8; ++i) {
+    chats.push_back(
+      fleet->StartChat(i % kFleetDaemons, "y" + std::to_string(i), 5));
+  }
+  for (const auto& chat : chats) {
+    ASSERT_TRUE(fleet->WaitFor(*chat));
+    EXPECT_TRUE(chat->Whole()) << chat->m_status << chat->m_body;
+  }
+  EXPECT_EQ(seen(), before);
+  fleet->TakeZoneBack("z2");
+  EXPECT_TRUE(fleet->WaitUntil([&] {
+    const auto chat = fleet->StartChat(2, fleet->NewOrderKey(), 5);
+    EXPECT_TRUE(fleet->WaitFor(*chat));
+    EXPECT_TRUE(chat->Whole()) << chat->m_body;
+    return seen() > before;
+  }));
+}
+
+TEST(Fleet, CancelsUpstreamWhenTheCallerGoesAway)
+{
+  const auto fleet = StartFleet({ "", 0, 10 });
+  const auto chat = fleet->StartChat(0, "gone", 100'000);
+  ASSERT_TRUE(fleet->WaitUntil([&] { return chat->m_check->Tokens() > 3; }));
+  chat->m_call.reset();
+  EXPECT_TRUE(fleet->WaitUntil([&] {
+    std::uint64_t cancelled = 0;
+    for (std::size_t i = 0; i < kFleetEngines; ++i) {
+      cancelled +=
+        fleet->FetchJson(fleet->EngineAddress(i), "/record")["cancelled"]
+          .get<std::uint64_t>();
+    }
+    return cancelled == 1;
+  }));
+}
+
+TEST(Fleet, ExitsBeforeAnySocketOpensWhenSettingsAreBroken)
+{
+  const std::string directory = testing::TempDir();
+  const std::string file =
+    directory + "/broken" + std::to_string(getpid()) + ".ini";
+  std::ofstream(file) << "[daemon]\nid = d1\ncolour = red\n";
+  const std::string log = file + ".log";
+  ChildProcess daemon(
+    { WALNUTWING_BUILD_DIR "/daemon/walnutwing", "daemon", "--config", file },
+    log);
+  for (int i = 0; i < 6000 && !daemon.ExitStatus(); ++i) {
+    usleep(10'000);
+  }
+  EXPECT_EQ(daemon.ExitStatus(), 2);
+  std::ifstream in(log);
+  const std::string text((std::istreambuf_iterator<char>(in)), {});
+  EXPECT_NE(text.find("colour"), std::string::npos) << text;
+  std::remove(file.c_str());
+  std::remove(log.c_str());
+}
+
+} // namespace
+} // namespace walnutwing::standin
