--- /dev/null
+++ b/bench/relay_bench.cc
@@ -0,0 +1,344 @@
+// What relaying costs, measured with processes on loopback: latency added to a
+// call of a plain service, tokens relayed for a second of processor time, and
+// memory with many open streams. Prints CSV lines "measure,variant,value,unit".
+//
+// Added latency is the difference between the same percentile with and without
+// the daemon, one call at a time on kept connections. Processor time and memory
+// are the daemon's own, from /proc.
+
+#include <algorithm>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "standin/fleet_fixture.h"
+
+DEFINE_string(bin, "build", "the build directory");
+DEFINE_int32(calls, 2000, "calls for each latency variant");
+DEFINE_int32(streams, 32, "streams at once for the processor time");
+DEFINE_int32(tokens, 3000, "tokens of each of them");
+DEFINE_int32(open_streams, 9000, "streams held open for the memory");
+
+namespace walnutwing {
+namespace {
+
+using standin::Fleet;
+
+constexpr const char* kLookup = "lookup";
+constexpr Duration kTimeout = std::chrono::seconds(120);
+constexpr int kOpenedAtOnce = 100;
+
+void
+Print(const std::string& aMeasure,
+      const std::string& aVariant,
+      double aValue,
+      const char* aUnit)
+{
+  std::cout << aMeasure << ',' << aVariant << ',' << aValue << ',' << aUnit
+            << std::endl;
+}
+
+double
+Percentile(std::vector<double> aValues, double aFraction)
+{
+  std::sort(aValues.begin(), aValues.end());
+  const auto index = static_cast<std::size_t>(
+    aFraction * static_cast<double>(aValues.size() - 1));
+  return aValues.at(index);
+}
+
+// User and system time of a process, in seconds (proc(5), stat fields 14, 15).
+double
+CpuSeconds(pid_t aProcess)
+{
+  constexpr int kFieldsBeforeUserTime = 11; // after the name in brackets
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeUserTime; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+// Resident memory of a process in MiB (proc(5), statm field 2).
+double
+ResidentMiB(pid_t aProcess)
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/statm");
+  double pages = 0;
+  file >> pages >> pages;
+  return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1024.0 * 1024.0);
+}
+
+// The caller's side, on a loop of its own.
+class BenchCaller
+{
+public:
+  BenchCaller()
+    : m_client(m_loop)
+  {
+  }
+
+  net::CallRequest Request(const net::Endpoint& aEndpoint,
+                           std::string aTarget,
+                           std::string aBody)
+  {
+    net::CallRequest request;
+    request.m_endpoint = aEndpoint;
+    request.m_method = "POST";
+    request.m_target = std::move(aTarget);
+    request.m_headers.Add("authorization",
+                          std::string("Bearer ") + standin::kCustomerKey);
+    request.m_headers.Add("x-request-id", "bench");
+    request.m_body = std::move(aBody);
+    return request;
+  }
+
+  // Milliseconds of one call; exits when it does not succeed.
+  double TimeCall(net::CallRequest aRequest)
+  {
+    bool done = false;
+    int status = 0;
+    const auto start = std::chrono::steady_clock::now();
+    const auto call = net::FetchWhole(m_client,
+                                      m_loop,
+                                      std::move(aRequest),
+                                      kTimeout,
+                                      1U << 20U,
+                                      [&](const net::WholeAnswer& aAnswer) {
+                                        status = aAnswer.m_status;
+                                        done = true;
+                                      });
+    while (!done) {
+      m_loop.RunOnce(std::chrono::seconds(1));
+    }
+    const std::chrono::duration<double, std::milli> took =
+      std::chrono::steady_clock::now() - start;
+    if (status != 200) {
+      std::cerr << "a call ended with status " << status << "\n";
+      std::exit(1);
+    }
+    return took.count();
+  }
+
+  std::vector<double> TimeCalls(const net::Endpoint& aEndpoint,
+                                const std::string& aTarget)
+  {
+    constexpr int kWarmUpCalls = 100;
+    std::vector<double> times;
+    for (int i = 0; i < FLAGS_calls + kWarmUpCalls; ++i) {
+      const double took = TimeCall(Request(aEndpoint, aTarget, "{}"));
+      if (i >= kWarmUpCalls) {
+        times.push_back(took);
+      }
+    }
+    return times;
+  }
+
+  // Opens aCount streams; returns when each has its first byte or has ended.
+  // Calls and counters stay until Close.
+  void OpenStreams(const net::Endpoint& aEndpoint, int aCount, int aTokens)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      net::CallRequest request = Request(
+        aEndpoint,
+        "/v1/chat/completions",
+        nlohmann::json{ { "stream", true }, { "max_tokens", aTokens } }.dump());
+      request.m_headers.Add("walnutwing-service", standin::kChatService);
+      request.m_headers.Add("walnutwing-chat", "stream-" + std::to_string(i));
+      request.m_freshConnection = true;
+      m_calls.push_back(m_client.Start(
+        std::move(request),
+        { [this](int aStatus, const net::Headers&) {
+           ++(aStatus == 200 ? m_begun : m_failed);
+         },
+          [this](std::string_view aPiece) {
+            m_tokens +=
+              std::count(aPiece.begin(), aPiece.end(), '{') / kBracesInChunk;
+          },
+          [this](const net::CallEnd& aEnd) {
+            m_failed += aEnd.m_stage == net::CallStage::NotSent ? 1 : 0;
+            ++m_ended;
+          } }));
+      while (static_cast<int>(m_calls.size()) - m_begun - m_failed >=
+             kOpenedAtOnce) {
+        m_loop.RunOnce(std::chrono::seconds(1));
+      }
+    }
+    while (static_cast<int>(m_calls.size()) > m_begun + m_failed) {
+      m_loop.RunOnce(std::chrono::seconds(1));
+    }
+  }
+
+  void WaitForEnds()
+  {
+    while (m_ended < static_cast<int>(m_calls.size())) {
+      m_loop.RunOnce(std::chrono::seconds(1));
+    }
+  }
+
+  int Begun() const { return m_begun; }
+  int Failed() const { return m_failed; }
+  std::int64_t Tokens() const { return m_tokens; }
+
+private:
+  static constexpr std::int64_t kBracesInChunk = 3;
+
+  net::EventLoop m_loop;
+  net::HttpClient m_client;
+  std::vector<std::unique_ptr<net::Call>> m_calls;
+  int m_begun = 0;
+  int m_failed = 0;
+  int m_ended = 0;
+  std::int64_t m_tokens = 0;
+};
+
+// A lookup service on the plain upstream, beside the orders.
+void
+AddLookupService(Fleet& aFleet)
+{
+  proto::ConfigRecord service;
+  service.mutable_put_service()->set_name(kLookup);
+  service.mutable_put_service()->set_kind(proto::Service::PLAIN);
+  service.mutable_put_service()->set_idempotent(true);
+  service.mutable_put_service()->set_default_deadline_ms(30'000);
+  aFleet.Publish(service);
+  proto::ConfigRecord change;
+  proto::Preset& preset = *change.mutable_put_preset();
+  preset.set_name("ordinary");
+  const std::pair<const char*, const char*> kModels[] = {
+    { standin::kChatService, "m1" },
+    { kLookup, "valves" },
+    { standin::kOrderService, "valves" }
+  };
+  for (const auto& [name, model] : kModels) {
+    proto::PresetService& inPreset = *preset.add_services();
+    inPreset.set_service(name);
+    inPreset.set_model(model);
+    inPreset.set_load_bound_percent(200);
+    inPreset.set_engine_slots(8);
+    inPreset.set_cold_slots(2);
+    inPreset.set_queue_limit(16);
+  }
+  aFleet.Publish(change);
+}
+
+// The index of the daemon that owns the plain service.
+std::size_t
+OwnerIndex(Fleet& aFleet)
+{
+  for (std::size_t i = 0; i < standin::kFleetDaemons; ++i) {
+    const nlohmann::json status =
+      aFleet.FetchJson(aFleet.AdminAddress(i), "/status");
+    for (const nlohmann::json& upstream : status["upstreams"]) {
+      if (upstream["upstream"] == "s1" &&
+          upstream["owner"] == status["daemon"]) {
+        return i;
+      }
+    }
+  }
+  std::cerr << "no daemon owns the plain service\n";
+  std::exit(1);
+}
+
+void
+MeasureLatency()
+{
+  Fleet fleet({ FLAGS_bin });
+  AddLookupService(fleet);
+  const std::size_t owner = OwnerIndex(fleet);
+  const std::size_t other = (owner + 1) % standin::kFleetDaemons;
+  BenchCaller caller;
+  const std::string target = std::string("/v1/calls/") + kLookup;
+  const auto direct = caller.TimeCalls(fleet.ServiceAddress(), "/call");
+  const auto one = caller.TimeCalls(fleet.DaemonAddress(owner), target);
+  const auto two = caller.TimeCalls(fleet.DaemonAddress(other), target);
+  for (const double fraction : { 0.5, 0.99 }) {
+    const std::string name = fraction < 0.9 ? "p50" : "p99";
+    const double base = Percentile(direct, fraction);
+    Print("relay_latency_" + name, "direct", base, "ms");
+    Print("relay_added_latency_" + name,
+          "one_daemon",
+          Percentile(one, fraction) - base,
+          "ms");
+    Print("relay_added_latency_" + name,
+          "daemon_and_owner",
+          Percentile(two, fraction) - base,
+          "ms");
+  }
+}
+
+void
+MeasureTokens()
+{
+  Fleet::Options options{ FLAGS_bin };
+  options.m_engineStepMs = 1;
+  options.m_engineSlots = 64;
+  options.m_coldSlots = 64;
+  Fleet fleet(options);
+  BenchCaller caller;
+  const double before = CpuSeconds(fleet.Daemon(0).Pid());
+  caller.OpenStreams(fleet.DaemonAddress(0), FLAGS_streams, FLAGS_tokens);
+  caller.WaitForEnds();
+  const double spent = CpuSeconds(fleet.Daemon(0).Pid()) - before;
+  Print("relay_streams", "failed", caller.Failed(), "streams");
+  Print(
+    "relay_tokens", "relayed", static_cast<double>(caller.Tokens()), "tokens");
+  Print("relay_tokens_per_cpu_second",
+        "one_daemon",
+        static_cast<double>(caller.Tokens()) / spent,
+        "tokens/s");
+}
+
+void
+MeasureMemory()
+{
+  constexpr std::uint32_t kSlots = 6000;
+  constexpr int kLongAnswer = 100'000;
+  Fleet::Options options{ FLAGS_bin };
+  options.m_engineStepMs = 2000;
+  options.m_engineSlots = kSlots;
+  options.m_coldSlots = kSlots;
+  Fleet fleet(options);
+  const double idle = ResidentMiB(fleet.Daemon(0).Pid());
+  BenchCaller caller;
+  caller.OpenStreams(fleet.DaemonAddress(0), FLAGS_open_streams, kLongAnswer);
+  const double full = ResidentMiB(fleet.Daemon(0).Pid());
+  Print("daemon_memory", "idle", idle, "MiB");
+  Print(
+    "daemon_memory", std::to_string(caller.Begun()) + "_streams", full, "MiB");
+  Print("daemon_memory_per_stream",
+        "open",
+        (full - idle) * 1024.0 / caller.Begun(),
+        "KiB");
+  Print("daemon_memory_streams", "failed", caller.Failed(), "streams");
+}
+
+} // namespace
+} // namespace walnutwing
+
+int
+main(int aCount, char** aValues)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aValues, true);
+  walnutwing::MeasureLatency();
+  walnutwing::MeasureTokens();
+  walnutwing::MeasureMemory();
+  return 0;
+}
--- a/daemon/peer_link.cc
+++ b/daemon/peer_link.cc
@@ -17,7 +17,7 @@
 namespace walnutwing {
 namespace {
 
-constexpr Duration kRideDelay = std::chrono::milliseconds(50);
+constexpr Duration kRideDelay = std::chrono::milliseconds(10);
 constexpr std::size_t kMaxRiding = 64; // messages that may wait for one daemon
 
 net::PeerBusOptions
--- a/standin/fleet_fixture.cc
+++ b/standin/fleet_fixture.cc
@@ -78,6 +78,7 @@
            const std::string& aName,
            proto::Service::Kind aKind,
            const std::string& aModel,
+           const Fleet::Options& aOptions,
            proto::Preset& aPreset)
 {
   proto::Service& service = *aConfig.add_services();
@@ -89,21 +90,23 @@
   inPreset.set_service(aName);
   inPreset.set_model(aModel);
   inPreset.set_load_bound_percent(200);
-  inPreset.set_engine_slots(8);
-  inPreset.set_cold_slots(2);
+  inPreset.set_engine_slots(aOptions.m_engineSlots);
+  inPreset.set_cold_slots(aOptions.m_coldSlots);
   inPreset.set_queue_limit(16);
 }
 
 proto::FleetConfig
-FirstConfig()
+FirstConfig(const Fleet::Options& aOptions)
 {
   proto::FleetConfig config;
   AddCustomer(config, "crews", kCustomerKey);
   AddCustomer(config, "archive", kOtherCustomerKey);
   proto::Preset ordinary;
   ordinary.set_name("ordinary");
-  AddService(config, kChatService, proto::Service::ENGINE, "m1", ordinary);
-  AddService(config, kOrderService, proto::Service::PLAIN, "valves", ordinary);
+  AddService(
+    config, kChatService, proto::Service::ENGINE, "m1", aOptions, ordinary);
+  AddService(
+    config, kOrderService, proto::Service::PLAIN, "valves", aOptions, ordinary);
   *config.add_presets() = ordinary;
   config.set_active_preset("ordinary");
   Normalize(&config);
@@ -160,7 +163,7 @@
     StartDaemon(i);
   }
   proto::ConfigRecord first;
-  *first.mutable_replace_all() = FirstConfig();
+  *first.mutable_replace_all() = FirstConfig(m_options);
   Publish(first);
   for (std::size_t i = 0; i < kFleetDaemons; ++i) {
     Require("daemon is ready", [this, i] { return DaemonReady(i); });
@@ -261,6 +264,7 @@
                    "--zone=" + ZoneOf(aIndex),
                    "--model=m1",
                    "--step_ms=" + std::to_string(m_options.m_engineStepMs),
+                   "--slots=" + std::to_string(m_options.m_engineSlots),
                    "--platform=" + Platform().ToString() });
 }
 
--- a/standin/fleet_fixture.h
+++ b/standin/fleet_fixture.h
@@ -65,6 +65,8 @@
     std::string m_binDirectory; // the build directory
     std::uint64_t m_serviceRunMs = 0;
     std::uint64_t m_engineStepMs = 2;
+    std::uint32_t m_engineSlots = 8; // of each engine, and in the preset
+    std::uint32_t m_coldSlots = 2;   // in the preset
   };
 
   // Starts everything, publishes a configuration and waits until all daemons
