--- a/walnutwing/orders/order_book.cc
+++ b/walnutwing/orders/order_book.cc
@@ -298,7 +298,7 @@
   if (holder == nullptr) {
     return refusal ? std::optional(Verdict{ *refusal, {} }) : std::nullopt;
   }
-  const Verdict verdict = VerdictOfHolder(aPartition, *holder, aOrder);
+  Verdict verdict = VerdictOfHolder(aPartition, *holder, aOrder);
   if (aPartition.ResultOf(aOrder.m_customer, aOrder.m_key)) {
     return verdict; // a claim with a result holds for ever
   }
@@ -357,7 +357,7 @@
   const HeldClaim* holder =
     aPartition.Index().Find(order.m_customer, order.m_key);
   if (holder != nullptr && holder->m_claim != aRequest.m_claim) {
-    const Verdict verdict = VerdictOfHolder(aPartition, *holder, order);
+    Verdict verdict = VerdictOfHolder(aPartition, *holder, order);
     if (verdict.m_code != ResultCode::OrderKeyReused ||
         aPartition.ResultOf(order.m_customer, order.m_key)) {
       return verdict;
--- a/walnutwing/orders/order_book_test.cc
+++ b/walnutwing/orders/order_book_test.cc
@@ -284,9 +284,12 @@
   const struct
   {
     Duration m_frozen;
-    Duration m_suspended; // only the wall clock goes on
+    Duration m_suspended; // the wall clock alone goes on, or back
     bool m_sends;
-  } cases[] = { { 9s, 0s, true }, { 11s, 0s, false }, { 0s, 11s, false } };
+  } cases[] = { { 9s, 0s, true },
+                { 11s, 0s, false },
+                { 0s, 11s, false },
+                { 11s, -11s, false } };
   for (const auto& [frozen, suspended, sends] : cases) {
     m_log.clear();
     m_one = {};
