--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <vector>
 
 #include "walnutwing/base/clock.h"
 
@@ -16,14 +15,23 @@
 
 namespace walnutwing::net {
 
+// Watches a descriptor for as long as it lives. Must not outlive its loop, nor
+// be destroyed from within its own callback.
+class ReadableWatch
+{
+public:
+  virtual ~ReadableWatch() = default;
+};
+
 // Names a timer; zero names none.
 using TimerId = std::uint64_t;
 
 class EventLoop
 {
 public:
+  // Ignores SIGPIPE for the process: h2o writes to sockets whose peer has gone.
   EventLoop();
-  ~EventLoop();
+  ~EventLoop() = default;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
@@ -41,15 +49,16 @@
   void Cancel(TimerId aTimer);
 
   // Calls aReadable whenever the descriptor becomes readable, without reading
-  // from it. The descriptor stays the caller's. Watches last as long as the
-  // loop.
-  void WatchReadable(int aDescriptor, std::function<void()> aReadable);
+  // from it, until the returned watch is destroyed. The descriptor stays the
+  // caller's. Throws std::system_error when no descriptor is left.
+  std::unique_ptr<ReadableWatch> WatchReadable(int aDescriptor,
+                                               std::function<void()> aReadable);
 
   // Turns the loop until Stop is called.
   void Run();
   void Stop() { m_stopping = true; }
 
-  // One turn: waits for events for aLongest at most, then fires due timers.
+  // One turn: fires due timers, then waits for events for aLongest at most.
   void RunOnce(Duration aLongest);
 
   // h2o's own loop, for the adapters in this directory.
@@ -62,10 +71,9 @@
     Duration m_period; // zero: fires once
     std::function<void()> m_callback;
   };
-  struct Watch;
-
   TimerId Add(Time aDue, Duration aPeriod, std::function<void()> aCallback);
-  void FireDueTimers();
+  // Whether any timer fired.
+  bool FireDueTimers();
 
   SteadyClock m_clock;
   st_h2o_evloop_t* m_loop;
@@ -73,7 +81,6 @@
   TimerId m_lastTimer = 0;
   std::map<TimerId, Timer> m_timers;
   std::multimap<Time, TimerId> m_schedule;
-  std::vector<std::unique_ptr<Watch>> m_watches;
 };
 
 } // namespace walnutwing::net
