Large changes go through the log, not between peers; bench of the spread

A pull is now answered with changes up to 2 KB; beyond that the daemon is told to read the log, unless it says that it cannot.

--- /dev/null
+++ b/bench/config_bench.cc
@@ -0,0 +1,305 @@
+// Measures how configuration spreads, in virtual time: the real followers with
+// the real encoder on a paused clock, joined by fake links and a fake log.
+// Prints CSV: measure,variant,value,unit. Seeds are fixed.
+//
+// The naive rival ("poll") has no peers: every daemon polls the log by itself.
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "walnutwing/config/fake_fleet.h"
+
+namespace walnutwing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSeed = 20'261'203;
+constexpr int kChanges = 12;
+constexpr unsigned kLossPercent = 1;
+constexpr double kMsPerSecond = 1000;
+
+struct Size
+{
+  std::size_t m_daemons;
+  std::size_t m_zones;
+  int m_customers;
+};
+
+constexpr Size kSizes[] = { { 8, 3, 10 }, { 56, 7, 650 }, { 390, 7, 650 } };
+
+void
+Print(const char* aMeasure,
+      const std::string& aVariant,
+      double aValue,
+      const char* aUnit)
+{
+  std::printf("%s,%s,%.3f,%s\n", aMeasure, aVariant.c_str(), aValue, aUnit);
+}
+
+double
+Seconds(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / kMsPerSecond;
+}
+
+FakeFleetOptions
+OptionsFor(const Size& aSize, bool aPollOnly)
+{
+  FakeFleetOptions options;
+  options.m_daemons = aSize.m_daemons;
+  options.m_zones = aSize.m_zones;
+  options.m_lossPercent = kLossPercent;
+  options.m_seed = kSeed;
+  options.m_logDelay = 20ms; // one way, between regions
+  options.m_peerDelay = 10ms;
+  if (aPollOnly) {
+    options.m_follower.m_fanout = 0;
+    options.m_follower.m_offerInterval = 24h;
+    options.m_follower.m_readerPoll = options.m_follower.m_silentPoll;
+    options.m_follower.m_slowPoll = options.m_follower.m_silentPoll;
+  }
+  return options;
+}
+
+proto::ConfigRecord
+NthChange(int aNumber)
+{
+  return SwitchPreset(aNumber % 2 == 0 ? "night" : "ordinary");
+}
+
+// Time from each of a day's small changes to the last daemon.
+void
+MeasureSpread(const Size& aSize, bool aPollOnly)
+{
+  const std::string variant =
+    std::to_string(aSize.m_daemons) + "_daemons" + (aPollOnly ? "_poll" : "");
+  FakeFleet fleet(OptionsFor(aSize, aPollOnly));
+  fleet.Change(ReplaceAll(TestConfig(aSize.m_customers)));
+  const Duration start =
+    fleet.RunUntil([&] { return fleet.InForceEverywhere(1); }, 30min);
+  Print("config_spread_first", variant, Seconds(start), "s");
+
+  fleet.Run(10s);
+  const FakeFleetCounters quiet = fleet.Counters();
+  constexpr Duration kQuiet = 30s;
+  fleet.Run(kQuiet);
+  const FakeFleetCounters idle = fleet.Counters();
+  const auto daemons = static_cast<double>(aSize.m_daemons);
+  Print("config_log_reads",
+        variant,
+        static_cast<double>(idle.m_reads - quiet.m_reads) / Seconds(kQuiet),
+        "1/s");
+  const double idleBytes =
+    static_cast<double>(idle.m_peerBytes - quiet.m_peerBytes) /
+    Seconds(kQuiet) / daemons;
+  Print("config_peer_bytes_idle", variant, idleBytes, "B/s/daemon");
+
+  std::vector<Duration> spreads;
+  double bytes = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    const std::uint64_t before = fleet.Counters().m_peerBytes;
+    const std::uint64_t version = fleet.Change(NthChange(i));
+    spreads.push_back(
+      fleet.RunUntil([&] { return fleet.InForceEverywhere(version); }, 30min));
+    fleet.Run(Duration(3'000 + 137 * i));
+    const Duration took = spreads.back() + Duration(3'000 + 137 * i);
+    bytes += static_cast<double>(fleet.Counters().m_peerBytes - before) -
+             idleBytes * daemons * Seconds(took);
+  }
+  std::sort(spreads.begin(), spreads.end());
+  Print("config_spread_median", variant, Seconds(spreads[kChanges / 2]), "s");
+  Print("config_spread_max", variant, Seconds(spreads.back()), "s");
+  Print("config_peer_bytes_per_change",
+        variant,
+        bytes / kChanges / daemons,
+        "B/daemon");
+}
+
+// One zone is cut off from the log and the others for two minutes.
+void
+MeasureSpreadWithCut(const Size& aSize)
+{
+  const std::string variant = std::to_string(aSize.m_daemons) + "_daemons_cut";
+  FakeFleet fleet(OptionsFor(aSize, false));
+  fleet.Change(ReplaceAll(TestConfig(aSize.m_customers)));
+  fleet.RunUntil([&] { return fleet.InForceEverywhere(1); }, 30min);
+  fleet.CutZone(1, true);
+  fleet.Run(10s);
+  const std::uint64_t version = fleet.Change(NthChange(0));
+  const auto everywhere = [&] { return fleet.InForceEverywhere(version); };
+  Print("config_spread_reachable",
+        variant,
+        Seconds(fleet.RunUntil(everywhere, 30min)),
+        "s");
+  fleet.Run(2min);
+  fleet.CutZone(1, false);
+  Print("config_spread_after_heal",
+        variant,
+        Seconds(fleet.RunUntil(everywhere, 30min)),
+        "s");
+}
+
+// A daemon that starts while the log is down gets the whole from its peers.
+void
+MeasureStartFromPeers(const Size& aSize)
+{
+  FakeFleet fleet(OptionsFor(aSize, false));
+  fleet.Change(ReplaceAll(TestConfig(aSize.m_customers)));
+  fleet.RunUntil([&] { return fleet.InForceEverywhere(1); }, 30min);
+  fleet.SetLogDown(true);
+  fleet.Run(10s);
+  fleet.Replace(aSize.m_daemons - 1);
+  Print(
+    "config_start_from_peers",
+    std::to_string(aSize.m_daemons) + "_daemons",
+    Seconds(fleet.RunUntil([&] { return fleet.InForceEverywhere(1); }, 30min)),
+    "s");
+}
+
+void
+InjectFault(FakeFleet& aFleet, std::mt19937_64& aRandom)
+{
+  const std::size_t daemon = aRandom() % 8;
+  switch (aRandom() % 6) {
+    case 0:
+      aFleet.Kill(daemon);
+      break;
+    case 1:
+      aFleet.Replace(daemon);
+      break;
+    case 2:
+      aFleet.Freeze(daemon, aRandom() % 2 == 0);
+      break;
+    case 3:
+      aFleet.CutZone(aRandom() % 3, aRandom() % 2 == 0);
+      break;
+    case 4:
+      aFleet.SetLogDown(aRandom() % 2 == 0);
+      break;
+    default:
+      aFleet.SetLogBehind(aRandom() % 3);
+      break;
+  }
+}
+
+// Random histories: racing operators, faults, a log that forgets.
+void
+MeasureReverts()
+{
+  constexpr int kHistories = 200;
+  constexpr int kSteps = 80;
+  std::uint64_t reverts = 0;
+  std::uint64_t changes = 0;
+  int notConverged = 0;
+  for (int history = 0; history < kHistories; ++history) {
+    FakeFleetOptions options;
+    options.m_seed = kSeed + static_cast<std::uint64_t>(history);
+    options.m_lossPercent = 10;
+    options.m_follower.m_retention = 2min;
+    std::mt19937_64 random(options.m_seed);
+    FakeFleet fleet(options);
+    fleet.SetRetention(10min);
+    fleet.Change(ReplaceAll(TestConfig()));
+    proto::FleetConfig old = fleet.Truth().Config();
+    for (int step = 0; step < kSteps; ++step) {
+      if (random() % 2 == 0) {
+        InjectFault(fleet, random);
+      } else {
+        // Sometimes made against a version that is no longer in force.
+        const bool stale = random() % 3 == 0;
+        fleet.Append(Signed(stale ? old : fleet.Truth().Config(),
+                            std::to_string(random()),
+                            NthChange(step)));
+        old = fleet.Truth().Config();
+        ++changes;
+      }
+      fleet.Run(Duration(random() % 4'000));
+    }
+    fleet.SetLogDown(false);
+    fleet.SetLogBehind(0);
+    for (std::size_t i = 0; i < options.m_daemons; ++i) {
+      fleet.CutZone(fleet.ZoneOf(i), false);
+      fleet.Replace(i);
+    }
+    const auto converged = [&] {
+      return fleet.InForceEverywhere(fleet.Truth().Version());
+    };
+    fleet.RunUntil(converged, 1min);
+    notConverged += converged() ? 0 : 1;
+    reverts += fleet.Counters().m_reverts;
+  }
+  const std::string variant = std::to_string(kHistories) + "_histories";
+  Print("config_changes", variant, static_cast<double>(changes), "1");
+  Print("config_reverts", variant, static_cast<double>(reverts), "1");
+  Print("config_not_converged", variant, notConverged, "1");
+}
+
+// Appends by the system itself: snapshots over two days of a quiet log.
+void
+MeasureAppends()
+{
+  FakeFleetOptions options;
+  options.m_tick = 10s;
+  options.m_follower.m_readerPoll = 10s;
+  options.m_follower.m_readTimeout = 1min;
+  options.m_follower.m_retention = 4h;
+  FakeFleet fleet(options);
+  fleet.SetRetention(4h);
+  fleet.Change(ReplaceAll(TestConfig()));
+  const std::uint64_t before = fleet.Counters().m_appends;
+  fleet.Run(48h);
+  Print("config_snapshots_per_retention",
+        "8_daemons",
+        static_cast<double>(fleet.Counters().m_appends - before) / 12,
+        "1");
+}
+
+// Bytes that one change adds to the log.
+void
+MeasureRecords()
+{
+  for (const int customers : { 10, 650 }) {
+    const proto::FleetConfig config = TestConfig(customers);
+    const std::string variant = std::to_string(customers) + "_customers";
+    proto::ConfigRecord small = Signed(config, "x", NthChange(0));
+    proto::ConfigRecord whole = Signed(config, "x", ReplaceAll(config));
+    Print("config_record_bytes",
+          variant + "_switch",
+          static_cast<double>(small.ByteSizeLong()),
+          "B");
+    Print("config_record_bytes",
+          variant + "_replace_all",
+          static_cast<double>(whole.ByteSizeLong()),
+          "B");
+  }
+}
+
+void
+RunAll()
+{
+  std::printf("measure,variant,value,unit\n");
+  Print("config_seed", "all", static_cast<double>(kSeed), "1");
+  for (const Size& size : kSizes) {
+    MeasureSpread(size, false);
+    MeasureSpread(size, true);
+    MeasureSpreadWithCut(size);
+    MeasureStartFromPeers(size);
+  }
+  MeasureReverts();
+  MeasureAppends();
+  MeasureRecords();
+}
+
+} // namespace
+} // namespace walnutwing
+
+int
+main()
+{
+  walnutwing::RunAll();
+  return 0;
+}
--- a/walnutwing/config/config_follower.cc
+++ b/walnutwing/config/config_follower.cc
@@ -1,7 +1,9 @@
 // Three ways lead to the newest version: the log (polled), offers from peers
 // that moved forward, and the offer that every daemon makes to one random peer
-// every few seconds. Each alone would get there; together one change costs a
-// few reads a zone and a few hundred bytes a daemon.
+// every second. Each alone would get there; together one change costs a few
+// reads a zone and a few hundred bytes a daemon. What is large goes through the
+// log as long as that can be read: sent between peers it would hold up their
+// control traffic for many seconds.
 
 #include "walnutwing/config/config_follower.h"
 
@@ -156,6 +158,13 @@
   send.m_push.set_snapshot_at_ms(m_snapshotAtMs);
   if (!FillEntries(aPull.have_version(), &send.m_push)) {
     send.m_push.clear_entries();
+    const bool tooLarge =
+      m_state.Config().ByteSizeLong() > m_options.m_maxPushBytes;
+    if (tooLarge && !aPull.whole()) {
+      send.m_push.set_read_log(true);
+      aActions->emplace_back(std::move(send));
+      return;
+    }
     *send.m_push.mutable_config() = m_state.Config();
     ++m_counters.m_wholePushesSent;
   }
@@ -172,6 +181,12 @@
   m_lastHeard = aNow;
   m_pullSince.reset();
   NoteSnapshot(aPush.snapshot_at_ms());
+  if (aPush.read_log()) {
+    if (!m_readSince) {
+      Read(aNow, aActions);
+    }
+    return;
+  }
   const ConfigVersion before = m_state.Version();
   if (aPush.has_config()) {
     m_state.AdoptFromPeer(aPush.config());
@@ -230,6 +245,7 @@
   ++m_counters.m_pullsSent;
   SendConfigPull send{ aFrom, {} };
   send.m_pull.set_have_version(m_state.Version());
+  send.m_pull.set_whole(m_failedReads > 0);
   aActions->emplace_back(std::move(send));
 }
 
--- a/walnutwing/config/config_follower.h
+++ b/walnutwing/config/config_follower.h
@@ -6,10 +6,11 @@
 // One daemon of each zone, the reader, polls the log often; the others poll it
 // slowly, and faster when no peer has been heard. A daemon that moves forward
 // offers its version to a few random peers; one that is behind pulls, and is
-// sent the accepted changes since its version, or the whole configuration. Now
-// and then each offers its version to one random peer, so that what got lost is
-// made up for and cut-off daemons catch up. Versions only grow, so repeated,
-// late and crossed messages do no harm.
+// sent the accepted changes since its version. What is too large for the
+// control budget it is told to read from the log; only a daemon that cannot
+// read the log is sent it whole. Every second each offers its version to one
+// random peer, so that what got lost is made up for and cut-off daemons catch
+// up. Versions only grow, so repeated, late and crossed messages do no harm.
 //
 // A component of the core: events and the time go in, actions are appended to
 // the vector that the caller passes.
@@ -45,10 +46,11 @@
   Duration m_readTimeout = std::chrono::seconds(5); // then the answer is lost
   Duration m_offerInterval = std::chrono::seconds(1);
   Duration m_pullTimeout = std::chrono::milliseconds(500);
-  unsigned m_pullRetries = 3;         // of the same peer, after an offer
-  std::size_t m_fanout = 3;           // peers offered to at each move forward
-  std::size_t m_keptEntries = 64;     // accepted changes kept for peers
-  std::size_t m_maxPushBytes = 16384; // of changes; more is sent as a whole
+  unsigned m_pullRetries = 3;     // of the same peer, after an offer
+  std::size_t m_fanout = 3;       // peers offered to at each move forward
+  std::size_t m_keptEntries = 64; // accepted changes kept for peers
+  // Largest push to a daemon that can read the log by itself.
+  std::size_t m_maxPushBytes = 2048;
   Duration m_retention = std::chrono::hours(24 * 7); // of log records
   // A snapshot is renewed after half the retention, and up to a tenth of it
   // later, so that the readers of all zones do not append at once.
--- a/walnutwing/config/config_follower_test.cc
+++ b/walnutwing/config/config_follower_test.cc
@@ -64,6 +64,19 @@
   }
 }
 
+// Sent between peers at 4 KB/s, a large change would hold up the next one.
+TEST(ConfigFollower, LargeChangeDoesNotHoldUpTheNext)
+{
+  FakeFleetOptions options;
+  options.m_daemons = 56;
+  options.m_zones = 7;
+  FakeFleet fleet = StartedFleet(options);
+  fleet.Change(ReplaceAll(TestConfig(650)));
+  fleet.Run(5s);
+  EXPECT_TRUE(
+    InForceWithin(fleet, fleet.Change(SwitchPreset("night")), kLarge));
+}
+
 TEST(ConfigFollower, WithoutConfigurationNoneIsMadeUp)
 {
   FakeFleet fleet({});
