--- a/walnutwing/config/fleet_config.cc
+++ b/walnutwing/config/fleet_config.cc
@@ -12,10 +12,11 @@
 
 #include <openssl/evp.h>
 
+#include "walnutwing/config/text_value.h"
+
 namespace walnutwing {
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::size_t kDigestBytes = 32;
 constexpr std::uint32_t kMaxShare = 10'000;
 constexpr std::uint32_t kMaxPriority = 9;
@@ -55,18 +56,6 @@
     { FindingKind::TooLarge, "too_large" },
   });
 
-bool
-IsName(std::string_view aText)
-{
-  const auto allowed = [](char aByte) {
-    return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
-           (aByte >= '0' && aByte <= '9') || aByte == '.' || aByte == '_' ||
-           aByte == '-';
-  };
-  return !aText.empty() && aText.size() <= kMaxNameBytes &&
-         std::all_of(aText.begin(), aText.end(), allowed);
-}
-
 bool
 Between(std::uint32_t aNumber, std::uint32_t aLeast, std::uint32_t aMost)
 {
--- a/walnutwing/config/settings.cc
+++ b/walnutwing/config/settings.cc
@@ -22,7 +22,6 @@
 namespace walnutwing {
 namespace {
 
-constexpr std::size_t kMaxIdBytes = 64;
 constexpr std::size_t kZ85KeyBytes = 40;
 constexpr std::size_t kOperatorKeyBytes = 32;
 constexpr std::string_view kFreeKey = "NAME";
@@ -46,17 +45,6 @@
   Store m_store;
 };
 
-bool
-IsId(std::string_view aText)
-{
-  const auto allowed = [](unsigned char aByte) {
-    return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
-           aByte == '.';
-  };
-  return !aText.empty() && aText.size() <= kMaxIdBytes &&
-         std::all_of(aText.begin(), aText.end(), allowed);
-}
-
 template<typename Id>
 Setting
 IdSetting(const char* aKey, Id DaemonSettings::*aMember, const char* aDoc)
@@ -66,7 +54,7 @@
     [aMember](
       DaemonSettings& aSettings, const std::string&, std::string_view aValue) {
       aSettings.*aMember = Id(std::string(aValue));
-      return IsId(aValue);
+      return IsName(aValue);
     }
   };
 }
@@ -185,7 +173,7 @@
                  std::string_view aValue)
 {
   const std::optional<std::string> key = FromHex(aValue);
-  if (!key || key->size() != kOperatorKeyBytes || !IsId(aKey)) {
+  if (!key || key->size() != kOperatorKeyBytes || !IsName(aKey)) {
     return false;
   }
   aSettings.m_operatorKeys[aKey] = *key;
--- a/walnutwing/config/text_value.cc
+++ b/walnutwing/config/text_value.cc
@@ -3,11 +3,14 @@
 
 #include "walnutwing/config/text_value.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace walnutwing {
 namespace {
 
+constexpr std::size_t kMaxNameBytes = 64;
+
 std::optional<std::uint64_t>
 ParseNumber(std::string_view aText)
 {
@@ -22,6 +25,18 @@
 
 } // namespace
 
+bool
+IsName(std::string_view aText)
+{
+  const auto allowed = [](char aByte) {
+    return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
+           (aByte >= '0' && aByte <= '9') || aByte == '.' || aByte == '_' ||
+           aByte == '-';
+  };
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::all_of(aText.begin(), aText.end(), allowed);
+}
+
 std::optional<std::uint64_t>
 ParseNumberBetween(std::string_view aText,
                    std::uint64_t aLeast,
--- a/walnutwing/config/text_value.h
+++ b/walnutwing/config/text_value.h
@@ -1,7 +1,7 @@
 #ifndef WALNUTWING_CONFIG_TEXT_VALUE_H_
 #define WALNUTWING_CONFIG_TEXT_VALUE_H_
 
-// Numbers and bytes as INI values spell them.
+// Names, numbers and bytes as INI values spell them.
 
 #include <cstdint>
 #include <optional>
@@ -10,6 +10,10 @@
 
 namespace walnutwing {
 
+// Whether aText is 1 to 64 of A-Z a-z 0-9 . _ -
+bool
+IsName(std::string_view aText);
+
 // The decimal number aText if it lies between aLeast and aMost, or nothing.
 std::optional<std::uint64_t>
 ParseNumberBetween(std::string_view aText,
