--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -62,7 +62,6 @@
   explicit Fleet(Size aSize)
     : m_net(MembershipOptions(), ByteBudgetOptions(), kSeed)
     , m_random(kSeed)
-    , m_size(aSize)
   {
     for (int i = 0; i < aSize.m_daemons; ++i) {
       const char zone = static_cast<char>('a' + i % aSize.m_zones);
@@ -149,7 +148,6 @@
 
   FakePeerNetwork m_net;
   std::mt19937_64 m_random;
-  Size m_size;
   std::vector<int> m_load;
   walnutwing::Time m_cleared{};
   double m_meanRate = 0;
