--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -200,7 +200,7 @@
   const SkewCase cases[] = {
     { "quiet", [](FleetDriver&) {}, false, true, false },
     { "surge",
-      [](FleetDriver& aDriver) { aDriver.SetArrivalFactor(3); },
+      [](FleetDriver& aDriver) { aDriver.SetArrivalFactor(10); },
       false,
       true,
       false },
