--- a/standin/call_record.cc
+++ b/standin/call_record.cc
@@ -69,6 +69,14 @@
   call->m_state = aState;
 }
 
+void
+CallRecord::SetCached(std::uint64_t aNumber)
+{
+  if (SeenCall* call = Find(aNumber)) {
+    call->m_cached = true;
+  }
+}
+
 std::uint64_t
 CallRecord::Runs(const std::string& aOrderKey) const
 {
--- a/standin/call_record.h
+++ b/standin/call_record.h
@@ -49,6 +49,9 @@
   // its order key.
   void SetState(std::uint64_t aNumber, CallState aState);
 
+  // Notes that a call found its chat's prefix in the cache.
+  void SetCached(std::uint64_t aNumber);
+
   // How often calls with this order key have begun to run.
   std::uint64_t Runs(const std::string& aOrderKey) const;
 
--- a/standin/engine_server.cc
+++ b/standin/engine_server.cc
@@ -168,6 +168,9 @@
 EngineServer::Accept(JobId aJob, Answer aAnswer)
 {
   m_record.SetState(aAnswer.m_call, CallState::Running);
+  if (aAnswer.m_cached) {
+    m_record.SetCached(aAnswer.m_call);
+  }
   const Exchange exchange = aAnswer.m_exchange;
   exchange->OnCallerGone([this, aJob] { Cancel(aJob); });
   if (aAnswer.m_streams && aAnswer.m_fault != EngineFault::Silent) {
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -276,6 +276,20 @@
     [&] { return world.Record(9001)["cancelled"] == before + 1; });
 }
 
+TEST(Engine, RecordsWhetherAChatWasCached)
+{
+  World& world = TheWorld();
+  for (const char* cached : { "0", "1" }) {
+    const net::WholeAnswer answer = world.Fetch(9001,
+                                                "POST",
+                                                "/v1/chat/completions",
+                                                R"({"max_tokens":1})",
+                                                { { "walnutwing-chat", "c" } });
+    EXPECT_EQ(answer.m_headers.Get("walnutwing-cached"), cached);
+    EXPECT_EQ(world.Record(9001)["calls"].back()["cached"], *cached == '1');
+  }
+}
+
 TEST(Engine, RefusesAnOldFencingNumberAndTurnsCold)
 {
   World& world = TheWorld();
