--- a/standin/child_process.cc
+++ b/standin/child_process.cc
@@ -46,6 +46,7 @@
                            const std::string& aLogFile)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aArguments.size() + 1);
   for (const std::string& argument : aArguments) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/standin/fleet_fixture.cc
+++ b/standin/fleet_fixture.cc
@@ -210,8 +210,7 @@
 Fleet::WriteSettings(std::size_t aIndex) const
 {
   const std::size_t port = kFirstDaemonPort + 10 * aIndex;
-  const std::string file =
-    m_directory + "/daemon" + std::to_string(aIndex) + ".ini";
+  std::string file = m_directory + "/daemon" + std::to_string(aIndex) + ".ini";
   std::ofstream out(file);
   out << "[daemon]\nid = d" << aIndex << "\nzone = " << ZoneOf(aIndex)
       << "\nregion = r1\nlisten = " << At(port).ToString()
--- a/standin/fleet_test.cc
+++ b/standin/fleet_test.cc
@@ -39,6 +39,21 @@
   return status;
 }
 
+// Starts aCount chats of their own names, one daemon after the other.
+std::vector<std::unique_ptr<OpenCall>>
+StartChats(Fleet& aFleet,
+           const std::string& aName,
+           std::size_t aCount,
+           std::uint64_t aTokens)
+{
+  std::vector<std::unique_ptr<OpenCall>> chats(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    chats[i] =
+      aFleet.StartChat(i % kFleetDaemons, aName + std::to_string(i), aTokens);
+  }
+  return chats;
+}
+
 TEST(Fleet, ServesChatsAndOrders)
 {
   const auto fleet = StartFleet();
@@ -187,11 +202,7 @@
 TEST(Fleet, ResumesChatsWhoseEngineIsKilled)
 {
   const auto fleet = StartFleet({ "", 0, 10 });
-  std::vector<std::unique_ptr<OpenCall>> chats;
-  for (int i = 0; i < 12; ++i) {
-    chats.push_back(
-      fleet->StartChat(i % kFleetDaemons, "k" + std::to_string(i), 100));
-  }
+  const auto chats = StartChats(*fleet, "k", 12, 100);
   ASSERT_TRUE(fleet->WaitUntil([&] {
     for (const auto& chat : chats) {
       if (chat->m_check->Tokens() < 3 && !chat->m_ended) {
@@ -244,11 +255,7 @@
 TEST(Fleet, SparesAZoneThatIsOut)
 {
   const auto fleet = StartFleet({ "", 0, 10 });
-  std::vector<std::unique_ptr<OpenCall>> chats;
-  for (int i = 0; i < 8; ++i) {
-    chats.push_back(
-      fleet->StartChat(i % kFleetDaemons, "z" + std::to_string(i), 60));
-  }
+  const auto inProgress = StartChats(*fleet, "z", 8, 60);
   fleet->TakeZoneOut("z2");
   fleet->Pass(Duration(1000));
   const auto seen = [&] {
@@ -260,13 +267,12 @@
     return count;
   };
   const std::uint64_t before = seen();
-  for (int i = 0; i < 8; ++i) {
-    chats.push_back(
-      fleet->StartChat(i % kFleetDaemons, "y" + std::to_string(i), 5));
-  }
-  for (std::size_t i = 0; i < chats.size(); ++i) {
-    ASSERT_TRUE(fleet->WaitFor(*chats[i]));
-    EXPECT_TRUE(chats[i]->Whole()) << "chat " << i << ": " << chats[i]->m_body;
+  const auto later = StartChats(*fleet, "y", 8, 5);
+  for (const auto* chats : { &inProgress, &later }) {
+    for (const auto& chat : *chats) {
+      ASSERT_TRUE(fleet->WaitFor(*chat));
+      EXPECT_TRUE(chat->Whole()) << chat->m_body;
+    }
   }
   EXPECT_EQ(seen(), before);
   fleet->TakeZoneBack("z2");
