Fleet test of a frozen daemon repeats the order all the while

A rule under which a claim lapses would let another daemon run the order only some time after the freeze; one repeat at its beginning could not see that. Now six repeats over 3 s.

--- a/standin/fleet_test.cc
+++ b/standin/fleet_test.cc
@@ -187,9 +187,12 @@
     const auto call = fleet->StartOrder(1, key);
     fleet->Pass(Duration(delay));
     fleet->Daemon(1).Signal(SIGSTOP);
-    const auto repeat = fleet->StartOrder(2, key);
-    ASSERT_TRUE(fleet->WaitFor(*repeat));
-    fleet->Pass(Duration(3000)); // beyond the platform's time-out
+    std::unique_ptr<OpenCall> repeat;
+    for (int i = 0; i < 6; ++i) { // 3 s, beyond the platform's timeout
+      repeat = fleet->StartOrder(2, key);
+      ASSERT_TRUE(fleet->WaitFor(*repeat));
+      fleet->Pass(Duration(500));
+    }
     fleet->Daemon(1).Signal(SIGCONT);
     ASSERT_TRUE(fleet->WaitFor(*call));
     EXPECT_LE(fleet->Runs(key), 1U) << "frozen after " << delay << " ms";
