--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -290,7 +290,10 @@
   request.m_headers.Add("x-request-id", m_attempt.Value());
   request.m_headers.Add("x-completion-id", m_requestSpan->m_context.m_spanId);
   request.m_headers.Add("traceparent", m_attemptSpan->m_context.ToHeader());
-  request.m_headers.Add("walnutwing-chat", m_request.m_chat.m_chat.Value());
+  // Two customers may use the same name for a chat.
+  request.m_headers.Add("walnutwing-chat",
+                        m_request.m_chat.m_customer.Value() + "/" +
+                          m_request.m_chat.m_chat.Value());
   request.m_headers.Add("walnutwing-priority",
                         std::to_string(m_request.m_priority));
   const auto content = original.m_headers.Find("content-type");
