Versions of other zones' daemons are said to be unknown, new chats may be placed freely

/status showed version 0 for daemons of other zones, whose versions are not gossiped; an operator would take them for being behind. A request with an empty hint header is a chat's first, which placement may put on a less loaded upstream. An owner that is asked about an upstream it does not own says 'permit timeout', so that the asker tries its next choice instead of dropping the upstream.

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -477,6 +477,14 @@
     return ReportBehind(Behind(Config().version()));
   }
 
+  // Daemons know the versions of their own zone's daemons only.
+  static std::string MemberVersion(const nlohmann::json& aMember)
+  {
+    return aMember.contains("config_version")
+             ? std::to_string(aMember.value("config_version", ConfigVersion{}))
+             : "not known here";
+  }
+
   // Configuration versions by daemon, as the daemons behind --admin know them.
   std::map<std::string, ConfigVersion> Versions()
   {
@@ -583,8 +591,7 @@
            status.value("members", nlohmann::json::array())) {
         m_out << "    " << member.value("daemon", "") << "  zone "
               << member.value("zone", "") << "  " << member.value("status", "")
-              << "  version " << member.value("config_version", ConfigVersion{})
-              << "\n";
+              << "  version " << MemberVersion(member) << "\n";
       }
     }
     return allAnswer ? 0
--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -18,15 +18,20 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnavailable = 503;
 
+// Versions are gossiped within a zone only; of other zones' daemons none is
+// told.
 nlohmann::json
-MemberJson(const MemberView& aMember)
+MemberJson(const MemberView& aMember, const ZoneId& aOwnZone)
 {
-  return { { "daemon", aMember.m_daemon.Value() },
-           { "zone", aMember.m_zone.Value() },
-           { "status", NameOf(aMember.m_status) },
-           { "reachable", aMember.m_reachable },
-           { "up", aMember.m_up },
-           { "config_version", aMember.m_configVersion } };
+  nlohmann::json member = { { "daemon", aMember.m_daemon.Value() },
+                            { "zone", aMember.m_zone.Value() },
+                            { "status", NameOf(aMember.m_status) },
+                            { "reachable", aMember.m_reachable },
+                            { "up", aMember.m_up } };
+  if (aMember.m_zone == aOwnZone) {
+    member["config_version"] = aMember.m_configVersion;
+  }
+  return member;
 }
 
 void
@@ -118,7 +123,7 @@
   }
   if (const FleetView* fleet = m_context.m_fleet->Peek()) {
     for (const MemberView& member : fleet->Members()) {
-      status["members"].push_back(MemberJson(member));
+      status["members"].push_back(MemberJson(member, settings.m_zone));
     }
     for (const auto& [id, vm] : fleet->Upstreams()) {
       const proto::UpstreamState* state = fleet->StateOf(id);
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -208,6 +208,8 @@
     flow.m_chat.m_chat =
       ChatId("request " + std::to_string(m_context.m_random()));
   } else if (m_context.m_hints) {
+    const auto hint = aRequest.m_headers.Find(kHintHeader);
+    flow.m_newChat = hint && hint->empty();
     flow.m_hint = m_context.m_hints->Verify(aRequest.m_headers.Get(kHintHeader),
                                             flow.m_chat,
                                             m_context.m_loop.WallNow());
--- a/daemon/owner_host.cc
+++ b/daemon/owner_host.cc
@@ -305,7 +305,7 @@
   proto::PermitDeny& deny = *message.mutable_permit_deny();
   deny.set_request_id(aRequest.request_id());
   deny.set_upstream(aRequest.upstream());
-  deny.set_code(static_cast<std::uint32_t>(ResultCode::NoUpstream));
+  deny.set_code(static_cast<std::uint32_t>(ResultCode::PermitTimeout));
   deny.set_retry_after_ms(static_cast<std::uint32_t>(kLoadInterval.count()));
   m_context.m_peers->Call(
     [&](PeerLink& aPeers) { aPeers.Send(aTo, message, true); });
@@ -327,7 +327,8 @@
   const Time now = m_context.m_loop.Now();
   const PermitDesk* permits = m_context.m_permits->Peek();
   OwnerActions actions;
-  for (const auto& [id, owned] : m_owned) {
+  for (const auto& entry : m_owned) {
+    Owned* owned = entry.second.get();
     const std::optional<double> mean =
       permits == nullptr ? std::nullopt
                          : permits->MeanLoadOf(owned->m_vm.model());
--- a/daemon/permit_desk.cc
+++ b/daemon/permit_desk.cc
@@ -78,8 +78,8 @@
   if (fleet == nullptr || found == m_placements.end()) {
     return targets;
   }
-  for (const UpstreamId& upstream :
-       found->second.m_placement.Rank(aSearch.m_chat, aSearch.m_hint)) {
+  for (const UpstreamId& upstream : found->second.m_placement.Rank(
+         aSearch.m_chat, aSearch.m_hint, aSearch.m_newChat)) {
     const auto vm = fleet->Upstreams().find(upstream);
     if (aSearch.m_avoid.contains(upstream) || vm == fleet->Upstreams().end()) {
       continue;
--- a/daemon/permit_desk.h
+++ b/daemon/permit_desk.h
@@ -27,6 +27,7 @@
 {
   ChatKey m_chat;
   std::optional<UpstreamId> m_hint;
+  bool m_newChat = false; // the caller carries hints and has none yet
   std::uint32_t m_priority = 0;
   Time m_deadline;
   std::set<UpstreamId> m_avoid; // tried already
--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -178,11 +178,9 @@
   const std::weak_ptr<RequestFlow> weak = weak_from_this();
   m_permitSpan = m_context.m_tracer.Begin(
     "permit", m_requestSpan->m_context, m_context.m_loop.WallNow());
-  const PermitSearch search = { m_request.m_chat,
-                                m_request.m_hint,
-                                m_request.m_priority,
-                                m_request.m_deadline,
-                                m_avoid };
+  const PermitSearch search = { m_request.m_chat,     m_request.m_hint,
+                                m_request.m_newChat,  m_request.m_priority,
+                                m_request.m_deadline, m_avoid };
   const bool searching = m_context.m_permits->Call([&](PermitDesk& aPermits) {
     m_search = aPermits.Search(search, [weak](const PermitResult& aResult) {
       if (const Self self = weak.lock()) {
--- a/daemon/request_flow.h
+++ b/daemon/request_flow.h
@@ -24,6 +24,7 @@
 {
   ChatKey m_chat;
   std::optional<UpstreamId> m_hint;
+  bool m_newChat = false; // the caller carries hints and has none yet
   std::uint32_t m_priority = 0;
   Time m_deadline;
   bool m_idempotent = true;
