A server that is gone refuses what its old connections still send

Cause: h2o keeps connections after a front or admin component has failed and started anew; their requests reached the old component's memory.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -370,6 +370,14 @@
     h2o_context_request_shutdown(&m_context);
   }
 
+  // From now on no request reaches the handler, whose owner may be gone.
+  void RefuseAll()
+  {
+    m_handler = [](const std::shared_ptr<Exchange>& aExchange) {
+      aExchange->Respond(503, { { "retry-after", "1" } }, "");
+    };
+  }
+
   std::size_t OpenConnections() const { return m_connections; }
   std::uint16_t Port() const { return m_port; }
 
@@ -428,11 +436,13 @@
 {
 }
 
-// A server lasts as long as its process: h2o's context cannot be disposed of
-// while connections are open, so only the listener is closed.
+// A server's h2o part lasts as long as its process: its context cannot be
+// disposed of while connections are open. Only the listener is closed, and
+// connections that are left are told to come back.
 HttpServer::~HttpServer()
 {
   m_impl->StopAccepting();
+  m_impl->RefuseAll();
   static_cast<void>(m_impl.release());
 }
 
--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -155,6 +155,41 @@
   }
 }
 
+TEST(Http, ConnectionsThatOutliveTheServerAreRefused)
+{
+  EventLoop loop;
+  HttpClient client(loop);
+  int handled = 0;
+  auto server = std::make_unique<HttpServer>(
+    loop,
+    Loopback(0),
+    HttpServerOptions(),
+    [&](const std::shared_ptr<Exchange>& aExchange) {
+      ++handled;
+      aExchange->Respond(200, {}, "x");
+    });
+  CallRequest request;
+  request.m_endpoint = Loopback(server->Port());
+  std::vector<int> statuses;
+  for (int i = 0; i < 2; ++i) {
+    bool done = false;
+    const std::unique_ptr<Call> call =
+      FetchWhole(client,
+                 loop,
+                 request,
+                 std::chrono::seconds(20),
+                 100,
+                 [&](const WholeAnswer& aAnswer) {
+                   statuses.push_back(aAnswer.m_status);
+                   done = true;
+                 });
+    EXPECT_TRUE(TurnUntil(loop, [&] { return done; }));
+    server.reset();
+  }
+  EXPECT_EQ((std::vector<int>{ 200, 503 }), statuses);
+  EXPECT_EQ(1, handled);
+}
+
 TEST(Http, AddressInUseThrows)
 {
   Pair pair([](const std::shared_ptr<Exchange>&) {});
