--- a/bench/relay_bench.cc
+++ b/bench/relay_bench.cc
@@ -326,12 +326,19 @@
 {
   constexpr std::uint32_t kSlots = 6000;
   constexpr int kLongAnswer = 100'000;
+  constexpr int kWarmUpStreams = 400;
   Fleet::Options options{ FLAGS_bin };
-  options.m_engineStepMs = 2000;
+  options.m_engineStepMs = 500;
   options.m_engineSlots = kSlots;
   options.m_coldSlots = kSlots;
   Fleet fleet(options);
   const double idle = ResidentMiB(fleet.Daemon(0).Pid());
+  {
+    // Engines are cold until answers have completed.
+    BenchCaller warmUp;
+    warmUp.OpenStreams(fleet.DaemonAddress(0), kWarmUpStreams, 1);
+    warmUp.WaitForEnds();
+  }
   BenchCaller caller;
   caller.OpenStreams(fleet.DaemonAddress(0), FLAGS_open_streams, kLongAnswer);
   const double full = ResidentMiB(fleet.Daemon(0).Pid());
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -67,6 +67,34 @@
   return body["model"].get<std::string>();
 }
 
+// The customer whose key the request presents; null when it is none's.
+const proto::Customer*
+CustomerOf(const net::HttpRequest& aRequest, const proto::FleetConfig& aConfig)
+{
+  const std::string_view authorization =
+    aRequest.m_headers.Get("authorization");
+  if (!authorization.starts_with(kBearer)) {
+    return nullptr;
+  }
+  return FindCustomerByKey(aConfig, authorization.substr(kBearer.size()));
+}
+
+// Time for the whole answer; nothing when the header is not a number above 0.
+std::optional<Duration>
+DeadlineOf(const net::HttpRequest& aRequest, Duration aDefault)
+{
+  const auto header = aRequest.m_headers.Find("walnutwing-deadline-ms");
+  if (!header) {
+    return std::min(aDefault, kLongestDeadline);
+  }
+  const std::optional<std::uint32_t> value =
+    ParseNumber<std::uint32_t>(*header);
+  if (!value || *value == 0) {
+    return std::nullopt;
+  }
+  return std::min(Duration(*value), kLongestDeadline);
+}
+
 bool
 IsKnownPath(const net::HttpRequest& aRequest)
 {
@@ -143,29 +171,11 @@
 Front::Checked
 Front::Check(const net::HttpRequest& aRequest) const
 {
-  if (!IsKnownPath(aRequest)) {
-    return Refusal{ ResultCode::NotFound };
-  }
-  if (aRequest.m_method != "POST") {
-    return Refusal{ ResultCode::BadRequest };
-  }
-  if (m_context.m_stopping) {
-    return Refusal{ ResultCode::Stopping, std::chrono::seconds(1) };
-  }
-  if (aRequest.m_body.size() > m_context.m_settings.m_maxBodyBytes) {
-    return Refusal{ ResultCode::RequestTooLarge };
-  }
-  const ConfigFeed* feed = m_context.m_config->Peek();
-  if (feed == nullptr || feed->Current() == nullptr) {
-    return Refusal{ ResultCode::NoConfiguration, std::chrono::seconds(2) };
+  if (const std::optional<Refusal> refusal = CheckDaemon(aRequest)) {
+    return *refusal;
   }
-  const proto::FleetConfig& config = *feed->Current();
-  const std::string_view authorization =
-    aRequest.m_headers.Get("authorization");
-  const proto::Customer* customer =
-    authorization.starts_with(kBearer)
-      ? FindCustomerByKey(config, authorization.substr(kBearer.size()))
-      : nullptr;
+  const proto::FleetConfig& config = *m_context.m_config->Peek()->Current();
+  const proto::Customer* customer = CustomerOf(aRequest, config);
   if (customer == nullptr) {
     return Refusal{ ResultCode::Unauthorized };
   }
@@ -178,46 +188,71 @@
   if (m_flows.size() >= m_context.m_settings.m_maxRequests) {
     return Refusal{ ResultCode::QueueFull, std::chrono::seconds(1) };
   }
-
   FlowRequest flow;
   flow.m_chat.m_customer = CustomerId(customer->name());
   flow.m_chat.m_service = ServiceId(serviceName);
-  flow.m_chat.m_chat =
-    ChatId(std::string(aRequest.m_headers.Get("walnutwing-chat")));
   flow.m_priority = customer->priority();
   flow.m_idempotent = service->idempotent();
   flow.m_upstreamTarget =
     service->kind() == proto::Service::ENGINE ? kChatPath : kPlainTarget;
   flow.m_trace = TraceContext::Parse(aRequest.m_headers.Get("traceparent"));
-  Duration deadline(service->default_deadline_ms());
-  if (const auto header = aRequest.m_headers.Find("walnutwing-deadline-ms")) {
-    const std::optional<std::uint32_t> value =
-      ParseNumber<std::uint32_t>(*header);
-    if (!value || *value == 0) {
-      return Refusal{ ResultCode::BadRequest };
-    }
-    deadline = Duration(*value);
+  const std::optional<Duration> deadline =
+    DeadlineOf(aRequest, Duration(service->default_deadline_ms()));
+  if (!deadline || !ReadChat(aRequest, flow)) {
+    return Refusal{ ResultCode::BadRequest };
+  }
+  flow.m_deadline = m_context.m_loop.Now() + *deadline;
+  if (const std::optional<ResultCode> code = CheckOrder(aRequest, flow)) {
+    return Refusal{ *code };
+  }
+  return flow;
+}
+
+// What can be said without the configuration.
+std::optional<Front::Refusal>
+Front::CheckDaemon(const net::HttpRequest& aRequest) const
+{
+  if (!IsKnownPath(aRequest)) {
+    return Refusal{ ResultCode::NotFound };
   }
-  flow.m_deadline =
-    m_context.m_loop.Now() + std::min(deadline, kLongestDeadline);
-  if (flow.m_chat.m_chat.Value().size() > kMaxChatIdBytes) {
+  if (aRequest.m_method != "POST") {
     return Refusal{ ResultCode::BadRequest };
   }
-  if (flow.m_chat.m_chat.Empty()) {
+  if (m_context.m_stopping) {
+    return Refusal{ ResultCode::Stopping, std::chrono::seconds(1) };
+  }
+  if (aRequest.m_body.size() > m_context.m_settings.m_maxBodyBytes) {
+    return Refusal{ ResultCode::RequestTooLarge };
+  }
+  const ConfigFeed* feed = m_context.m_config->Peek();
+  if (feed == nullptr || feed->Current() == nullptr) {
+    return Refusal{ ResultCode::NoConfiguration, std::chrono::seconds(2) };
+  }
+  return std::nullopt;
+}
+
+// Reads the chat and its hint. False for a chat id that is too long.
+bool
+Front::ReadChat(const net::HttpRequest& aRequest, FlowRequest& aFlow) const
+{
+  const std::string_view chat = aRequest.m_headers.Get("walnutwing-chat");
+  if (chat.size() > kMaxChatIdBytes) {
+    return false;
+  }
+  if (chat.empty()) {
     // A request of no chat goes anywhere, and not all of them to one upstream.
-    flow.m_chat.m_chat =
+    aFlow.m_chat.m_chat =
       ChatId("request " + std::to_string(m_context.m_random()));
-  } else if (m_context.m_hints) {
-    const auto hint = aRequest.m_headers.Find(kHintHeader);
-    flow.m_newChat = hint && hint->empty();
-    flow.m_hint = m_context.m_hints->Verify(aRequest.m_headers.Get(kHintHeader),
-                                            flow.m_chat,
-                                            m_context.m_loop.WallNow());
+    return true;
   }
-  if (const std::optional<ResultCode> code = CheckOrder(aRequest, flow)) {
-    return Refusal{ *code };
+  aFlow.m_chat.m_chat = ChatId(std::string(chat));
+  if (m_context.m_hints) {
+    const auto hint = aRequest.m_headers.Find(kHintHeader);
+    aFlow.m_newChat = hint && hint->empty();
+    aFlow.m_hint = m_context.m_hints->Verify(
+      hint.value_or(""), aFlow.m_chat, m_context.m_loop.WallNow());
   }
-  return flow;
+  return true;
 }
 
 // Orders go to services that are not idempotent, and nothing else does.
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -46,6 +46,8 @@
 
   void OnRequest(const std::shared_ptr<net::Exchange>& aExchange);
   Checked Check(const net::HttpRequest& aRequest) const;
+  std::optional<Refusal> CheckDaemon(const net::HttpRequest& aRequest) const;
+  bool ReadChat(const net::HttpRequest& aRequest, FlowRequest& aFlow) const;
   std::optional<ResultCode> CheckOrder(const net::HttpRequest& aRequest,
                                        FlowRequest& aFlow) const;
   void StartFlow(FlowRequest aRequest,
