Addresses are IPv4 in settings too; bad CURVE keys end with a numbered error

The settings took [::1]:8080 and the network layer did not, so that the daemon died of an uncaught exception instead of exiting with 2.

--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <memory>
 #include <random>
+#include <stdexcept>
 #include <system_error>
 
 #include <sys/signalfd.h>
@@ -239,6 +240,13 @@
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
     return ExitStatusOf(error.Code());
+  } catch (const std::invalid_argument& error) {
+    // Keys that are not Z85, which only their user can tell.
+    const ResultCodeRow& row = RowOf(ResultCode::SettingsBadValue);
+    std::cerr << aSettingsFile << ": [peers] curve keys: " << error.what()
+              << ": error " << static_cast<int>(row.m_code) << " " << row.m_name
+              << "\n";
+    return ExitStatusOf(row.m_code);
   } catch (const std::system_error& error) {
     const ResultCodeRow& row = RowOf(ResultCode::AddressInUse);
     std::cerr << "error " << static_cast<int>(row.m_code) << " " << row.m_name
--- a/walnutwing/config/settings.cc
+++ b/walnutwing/config/settings.cc
@@ -589,13 +589,9 @@
   if (!ParseNumberBetween(aText.substr(colon + 1), 1, kMostPort)) {
     return false;
   }
-  std::string ip(aText.substr(0, colon));
-  std::array<unsigned char, sizeof(in6_addr)> address{};
-  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
-    ip = ip.substr(1, ip.size() - 2);
-    return inet_pton(AF_INET6, ip.c_str(), address.data()) == 1;
-  }
-  return inet_pton(AF_INET, ip.c_str(), address.data()) == 1;
+  const std::string ip(aText.substr(0, colon));
+  in_addr address{};
+  return inet_pton(AF_INET, ip.c_str(), &address) == 1;
 }
 
 } // namespace walnutwing
--- a/walnutwing/config/settings.h
+++ b/walnutwing/config/settings.h
@@ -34,7 +34,7 @@
 std::string_view
 NameOf(LogLevel aLevel);
 
-// Addresses are checked "IP:port" texts ("10.0.1.7:8080", "[fd00::7]:8080").
+// Addresses are checked "IP:port" texts, as "10.0.1.7:8080".
 struct DaemonSettings
 {
   DaemonId m_id;
@@ -109,8 +109,8 @@
 std::string
 ReadTextFile(const std::string& aPath);
 
-// Whether aText is "IP:port" with a numeric IPv4 or bracketed IPv6 address and
-// a port of 1 to 65535.
+// Whether aText is "IP:port" with a numeric IPv4 address and a port of 1 to
+// 65535. The network layer has no IPv6 (docs/DESIGN.md).
 bool
 IsAddress(std::string_view aText);
 
