A request that waits for a permit asks again every 500 ms

Cause: the first message to a peer that has just been heard of is dropped, because its connection does not stand yet (net/peer_bus drops on purpose). An ask for an immediate answer ends after 250 ms, but an ask that may wait ended only after 10 s, with 503 permit_timeout. When owners change while the engines are full, which a slow start of membership makes likely, waiting requests ask the new owner exactly once, over that new connection. An owner that drops its queue because it no longer owns the upstream had the same effect.

Change: a waiting request repeats its ask every 500 ms until its wait timeout; owners ignore what they know already. A denial by a daemon that does not own the upstream by its view no longer ends the wait.

WaitingAskThatIsLostIsRepeated fails without the change: nothing is sent.

--- a/walnutwing/placement/permit_client.cc
+++ b/walnutwing/placement/permit_client.cc
@@ -67,13 +67,26 @@
                         Time aNow,
                         PermitClientActions& aOut)
 {
-  const PermitAsk& ask = aRequest.m_ask;
-  const PermitTarget& target = ask.m_targets[aTarget];
+  const Time deadline = aRequest.m_ask.m_deadline;
   aRequest.m_phase = aMayWait ? Phase::Waiting : Phase::Asking;
   aRequest.m_current = aTarget;
-  const Duration limit =
-    aMayWait ? m_options.m_waitTimeout : m_options.m_askTimeout;
-  aRequest.m_timeout = std::min(aNow + limit, ask.m_deadline);
+  if (aMayWait) {
+    aRequest.m_waitUntil = std::min(aNow + m_options.m_waitTimeout, deadline);
+  }
+  SendAsk(aRequest, aNow, aOut);
+}
+
+// Sends the ask of the current target, or sends it again, and sets its timeout.
+void
+PermitClient::SendAsk(Request& aRequest, Time aNow, PermitClientActions& aOut)
+{
+  const PermitAsk& ask = aRequest.m_ask;
+  const PermitTarget& target = ask.m_targets[aRequest.m_current];
+  const bool mayWait = aRequest.m_phase == Phase::Waiting;
+  const Time until = mayWait ? aRequest.m_waitUntil : ask.m_deadline;
+  aRequest.m_timeout = std::min(
+    aNow + (mayWait ? m_options.m_repeatInterval : m_options.m_askTimeout),
+    until);
   m_timeouts.emplace(aRequest.m_timeout, ask.m_request);
 
   SendToOwner send;
@@ -84,11 +97,9 @@
   message.set_customer(ask.m_customer.Value());
   message.set_service(ask.m_service.Value());
   message.set_priority(ask.m_priority);
-  message.set_may_wait(aMayWait);
-  const Duration left = std::max(aRequest.m_timeout - aNow, Duration(0));
-  const Duration deadline = std::max(ask.m_deadline - aNow, Duration(0));
-  message.set_deadline_ms(
-    static_cast<std::uint32_t>((aMayWait ? left : deadline).count()));
+  message.set_may_wait(mayWait);
+  const Duration left = std::max(until - aNow, Duration(0));
+  message.set_deadline_ms(static_cast<std::uint32_t>(left.count()));
   aOut.emplace_back(std::move(send));
 }
 
@@ -223,8 +234,11 @@
   if (request == nullptr) {
     return;
   }
-  StopTimeout(*request);
   const auto code = static_cast<ResultCode>(aDeny.code());
+  if (request->m_phase == Phase::Waiting && code == ResultCode::PermitTimeout) {
+    return; // it does not own the upstream by its view; asked again in a while
+  }
+  StopTimeout(*request);
   const Duration retryAfter(aDeny.retry_after_ms());
   if (request->m_phase == Phase::Waiting || !request->m_code) {
     request->m_code = code;
@@ -262,6 +276,10 @@
   while (!m_timeouts.empty() && m_timeouts.begin()->first <= aNow) {
     Request& request = m_requests.at(m_timeouts.begin()->second);
     StopTimeout(request);
+    if (request.m_phase == Phase::Waiting && aNow < request.m_waitUntil) {
+      SendAsk(request, aNow, aOut);
+      continue;
+    }
     Release(request, false, false, aOut);
     const PermitAsk& ask = request.m_ask;
     if (request.m_phase == Phase::Waiting) {
--- a/walnutwing/placement/permit_client.h
+++ b/walnutwing/placement/permit_client.h
@@ -29,6 +29,10 @@
   std::size_t m_maxTries = 4; // owners asked before the request waits
   Duration m_askTimeout = std::chrono::milliseconds(250);
   Duration m_waitTimeout = std::chrono::seconds(10); // at most, in a queue
+  // A waiting request asks again this often: the ask may have been lost with a
+  // connection that did not stand yet, or the owner with its queue. Owners
+  // ignore what they know already.
+  Duration m_repeatInterval = std::chrono::milliseconds(500);
   // An owner that did not answer is passed over for this time.
   Duration m_ownerBackoff = std::chrono::seconds(1);
   Duration m_retryAfter = std::chrono::seconds(1); // where no owner named one
@@ -156,6 +160,7 @@
     std::optional<ResultCode> m_code; // of the first denial
     std::optional<Duration> m_retryAfter;
     Time m_timeout;
+    Time m_waitUntil; // of a waiting request
   };
   using Requests = std::unordered_map<RequestId, Request>;
 
@@ -165,6 +170,7 @@
                  bool aMayWait,
                  Time aNow,
                  PermitClientActions& aOut);
+  void SendAsk(Request& aRequest, Time aNow, PermitClientActions& aOut);
   void FinishAsking(Request& aRequest, Time aNow, PermitClientActions& aOut);
   bool SelfPermit(Request& aRequest, Time aNow, PermitClientActions& aOut);
   static ResultCode RefusalCode(const Request& aRequest, bool aInTime);
--- a/walnutwing/placement/permit_client_test.cc
+++ b/walnutwing/placement/permit_client_test.cc
@@ -137,6 +137,47 @@
                "release e1 d1" } });
 }
 
+// The ask goes to an owner whose connection does not stand yet, or that forgets
+// its queue: without repeats the request waited until its wait timeout.
+TEST(PermitClient, WaitingAskThatIsLostIsRepeated)
+{
+  RunSteps(
+    { { [](auto& aC) { aC.Begin(Ask({ "d1" })); }, "ask e1 d1" },
+      { [](auto& aC) { aC.Deny("e1", "d1", ResultCode::QueueFull); },
+        "wait e1 d1" },
+      { [](auto& aC) {
+         aC.m_client.OnOwnerChanged(
+           UpstreamId("e1"), DaemonId("d2"), aC.m_clock.Now(), aC.m_actions);
+       },
+        "release e1 d1, wait e1 d2" },
+      { [](auto& aC) { aC.Pass(milliseconds(499)); }, "" },
+      { [](auto& aC) { aC.Pass(milliseconds(1)); }, "wait e1 d2" },
+      // The new owner does not know of its ownership yet.
+      { [](auto& aC) { aC.Deny("e1", "d2", ResultCode::PermitTimeout); }, "" },
+      { [](auto& aC) { aC.Pass(milliseconds(500)); }, "wait e1 d2" },
+      { [](auto& aC) { aC.Grant("e1", "d2"); }, "ready e1" },
+      { [](auto& aC) {
+         aC.m_client.OnFinished(kRequest, false, false, aC.m_actions);
+       },
+        "release e1 d2" } });
+}
+
+// Repeats do not make a request wait for longer.
+TEST(PermitClient, WaitingEndsAtItsTimeout)
+{
+  ClientDriver driver;
+  driver.Begin(Ask({ "d1" }));
+  driver.Deny("e1", "d1", ResultCode::QueueFull);
+  driver.Done();
+  for (int i = 0; i < 19; ++i) {
+    driver.Pass(milliseconds(500));
+    EXPECT_EQ("wait e1 d1", driver.Done());
+  }
+  driver.Pass(milliseconds(500));
+  EXPECT_EQ("release e1 d1, refused 2010", driver.Done());
+  EXPECT_FALSE(driver.m_client.NextTimeout());
+}
+
 TEST(PermitClient, DenialInTheQueueEndsIt)
 {
   RunSteps(
