--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -2,7 +2,10 @@
 # only names and files.
 
 function(walnutwing_warnings TARGET)
-  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Wshadow -Werror)
+  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Wshadow)
+  if(WALNUTWING_WERROR)
+    target_compile_options(${TARGET} PRIVATE -Werror)
+  endif()
 endfunction()
 
 # walnutwing_library(NAME SOURCES a.cc b.cc DEPENDS other)
@@ -16,9 +19,21 @@
 # walnutwing_test(NAME DEPENDS lib): builds NAME.cc with GoogleTest's main.
 function(walnutwing_test NAME)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  if(WALNUTWING_ROUTER_ONLY)
+    return()
+  endif()
   add_executable(${NAME} ${NAME}.cc)
   target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS} GTest::gtest GTest::gtest_main)
   walnutwing_warnings(${NAME})
   add_test(NAME ${NAME} COMMAND ${NAME})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
 endfunction()
+
+# Lets a test compare the code with the pages in docs/.
+function(walnutwing_test_docs NAME)
+  if(WALNUTWING_ROUTER_ONLY)
+    return()
+  endif()
+  target_compile_definitions(${NAME} PRIVATE
+    WALNUTWING_DOCS_DIR="${CMAKE_SOURCE_DIR}/docs")
+endfunction()
--- a/daemon/context.h
+++ b/daemon/context.h
@@ -10,7 +10,7 @@
 #include <random>
 #include <string>
 
-#include "daemon/metrics.h"
+#include "walnutwing/base/metrics.h"
 #include "daemon/platform_client.h"
 #include "daemon/supervisor.h"
 #include "daemon/trace.h"
--- /dev/null
+++ b/router/caller_connection.cc
@@ -0,0 +1,408 @@
+#include "router/caller_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+#include "platform/field_text.h"
+#include "router/socket_options.h"
+
+namespace walnutwing::router {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 4U << 10U;
+// Further requests that a caller may send before the present one is answered.
+constexpr std::size_t kMostAhead = 64U << 10U;
+// How long a caller may take to close after an answer that ends the connection.
+constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr unsigned kHttp11 = 11;
+
+} // namespace
+
+CallerConnection::CallerConnection(Context& aContext,
+                                   Socket aSocket,
+                                   std::function<void()> aOnClosed)
+  : m_context(aContext)
+  , m_socket(std::move(aSocket))
+  , m_timer(aContext.m_loop.get_executor())
+  , m_onClosed(std::move(aOnClosed))
+{
+}
+
+CallerConnection::~CallerConnection() = default;
+
+const CallerLimits&
+CallerConnection::Limits() const
+{
+  static const CallerLimits kDefaults;
+  return m_context.m_routes == nullptr ? kDefaults
+                                       : m_context.m_routes->Config().m_limits;
+}
+
+void
+CallerConnection::Start()
+{
+  SetLivenessOptions(m_socket);
+  SetTimer(Limits().m_idleTimeout);
+  Read();
+}
+
+void
+CallerConnection::Read()
+{
+  if (m_reading || m_state == State::Closed || m_input.size() > kMostAhead) {
+    return;
+  }
+  m_reading = true;
+  m_socket.async_read_some(
+    m_input.prepare(kReadBytes),
+    [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+      self->m_reading = false;
+      if (self->m_state != State::Closed) {
+        self->OnRead(aError, aBytes);
+      }
+    });
+}
+
+void
+CallerConnection::OnRead(const error_code& aError, std::size_t aBytes)
+{
+  if (aError) {
+    OnGone();
+    return;
+  }
+  m_input.commit(aBytes);
+  if (m_state == State::Lingering) {
+    m_input.consume(m_input.size());
+  } else if (m_state != State::Answering) {
+    Parse();
+  }
+  Read();
+}
+
+void
+CallerConnection::BeginRequest()
+{
+  m_state = State::Receiving;
+  m_headSeen = false;
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(Limits().m_maxHeaderBytes);
+  m_parser->body_limit(Limits().m_maxBodyBytes);
+  SetTimer(Limits().m_headerTimeout);
+}
+
+void
+CallerConnection::Parse()
+{
+  while (m_input.size() != 0) {
+    if (m_state == State::Idle) {
+      BeginRequest();
+    }
+    error_code error;
+    const std::size_t used = m_parser->put(m_input.data(), error);
+    m_input.consume(used);
+    if (error == http::error::need_more) {
+      error = {};
+    }
+    if (error) {
+      OnParseError(error);
+      return;
+    }
+    if (m_parser->is_header_done() && !m_headSeen) {
+      OnRequestHead();
+    }
+    if (m_parser->is_done()) {
+      OnRequest();
+      return;
+    }
+    if (used == 0) {
+      return;
+    }
+  }
+}
+
+void
+CallerConnection::OnRequestHead()
+{
+  m_headSeen = true;
+  SetTimer(Limits().m_idleTimeout); // for the body
+  const auto& head = m_parser->get();
+  if (!m_parser->is_done() &&
+      boost::beast::iequals(head[http::field::expect], "100-continue")) {
+    m_pending += kContinue;
+    Flush();
+  }
+}
+
+void
+CallerConnection::OnRequest()
+{
+  m_state = State::Answering;
+  m_timer.cancel();
+  CallerRequest request = m_parser->release();
+  m_parser.reset();
+  m_keepAlive = request.keep_alive();
+  m_oldHttp = request.version() < kHttp11;
+  m_answerEnded = false;
+  m_aborted = false;
+  m_flow = std::make_shared<RequestFlow>(m_context, std::move(request), *this);
+  m_flow->Start();
+}
+
+void
+CallerConnection::OnParseError(const error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    Reject(ResultCode::HeadersTooLarge);
+  } else if (aError == http::error::body_limit) {
+    Reject(ResultCode::RequestTooLarge);
+  } else {
+    Reject(ResultCode::BadRequest);
+  }
+}
+
+// Answers what is no request; what follows on the connection cannot be told
+// apart from it, so the connection ends.
+void
+CallerConnection::Reject(ResultCode aCode)
+{
+  EventLog::Line(m_context.m_log, Event::CallerRejected, Now())
+    .Add("code", static_cast<std::int64_t>(aCode))
+    .Add("why", RowOf(aCode).m_name);
+  ++m_context.m_metrics.Counter(
+    "callers_rejected_total",
+    "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
+  m_state = State::Answering;
+  m_timer.cancel();
+  m_keepAlive = false;
+  m_answerEnded = false;
+  const ErrorAnswer answer = MakeErrorAnswer(aCode, std::nullopt);
+  Begin(answer.m_head, answer.m_body.size());
+  Write(answer.m_body);
+  End();
+}
+
+void
+CallerConnection::SetTimer(Duration aTime)
+{
+  m_timer.expires_after(aTime);
+  m_timer.async_wait([weak = weak_from_this()](const error_code& aError) {
+    const auto self = weak.lock();
+    if (!aError && self != nullptr && self->m_state != State::Closed) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+CallerConnection::OnTimer()
+{
+  if (m_state == State::Receiving) {
+    Reject(ResultCode::RequestTimeout);
+  } else if (m_state != State::Answering) {
+    Close();
+  }
+}
+
+void
+CallerConnection::Begin(std::string aHead, std::optional<std::uint64_t> aLength)
+{
+  m_keepAlive = m_keepAlive && !m_context.m_stopping;
+  m_inChunks = !aLength && !m_oldHttp;
+  m_pending += aHead;
+  if (aLength) {
+    m_pending += "Content-Length: " + std::to_string(*aLength) + "\r\n";
+  } else if (m_inChunks) {
+    m_pending += "Transfer-Encoding: chunked\r\n";
+  } else {
+    m_keepAlive = false; // the end of the connection ends the body
+  }
+  if (!m_keepAlive) {
+    m_pending += "Connection: close\r\n";
+  }
+  m_pending += "\r\n";
+  Flush();
+}
+
+void
+CallerConnection::Write(std::string_view aPiece)
+{
+  if (aPiece.empty()) {
+    return;
+  }
+  if (!m_inChunks) {
+    m_pending += aPiece;
+  } else {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", aPiece.size());
+    m_pending += size.data();
+    m_pending += aPiece;
+    m_pending += "\r\n";
+  }
+  Flush();
+}
+
+void
+CallerConnection::End()
+{
+  if (m_inChunks) {
+    m_pending += "0\r\n\r\n";
+  }
+  m_answerEnded = true;
+  Flush();
+}
+
+// An answer whose end the caller would see in the connection's end is reset,
+// any other lacks its last bytes.
+void
+CallerConnection::Abort()
+{
+  m_aborted = true;
+  m_answerEnded = true;
+  m_keepAlive = false;
+  if (!m_inChunks) {
+    error_code ignored; // the connection is closed in any case
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+    return;
+  }
+  Flush();
+}
+
+std::size_t
+CallerConnection::PendingBytes() const
+{
+  return m_pending.size() + m_writing.size();
+}
+
+// Writes from the next turn of the loop on what has gathered until then, so
+// that a head and its first piece leave together.
+void
+CallerConnection::Flush()
+{
+  if (m_state == State::Closed || !m_writing.empty()) {
+    return;
+  }
+  if (m_pending.empty()) {
+    if (m_answerEnded) {
+      OnAnswered();
+    }
+    return;
+  }
+  m_writing.swap(m_pending);
+  asio::post(m_context.m_loop, [self = shared_from_this()] {
+    if (self->m_state == State::Closed) {
+      return;
+    }
+    self->m_writing += std::exchange(self->m_pending, {});
+    asio::async_write(self->m_socket,
+                      asio::buffer(self->m_writing),
+                      [self](const error_code& aError, std::size_t) {
+                        self->OnFlushed(aError);
+                      });
+  });
+}
+
+void
+CallerConnection::OnFlushed(const error_code& aError)
+{
+  m_writing.clear();
+  if (m_state == State::Closed) {
+    return;
+  }
+  if (aError) {
+    OnGone();
+    return;
+  }
+  if (m_pending.empty() && m_flow != nullptr && !m_answerEnded) {
+    m_flow->OnDrained();
+  }
+  Flush();
+}
+
+void
+CallerConnection::OnAnswered()
+{
+  if (m_state != State::Answering) {
+    return;
+  }
+  m_answerEnded = false;
+  m_flow.reset();
+  if (m_aborted) {
+    Close();
+    return;
+  }
+  if (!m_keepAlive) {
+    Linger();
+    return;
+  }
+  m_state = State::Idle;
+  SetTimer(Limits().m_idleTimeout);
+  Parse();
+  Read();
+}
+
+// Closing with unread bytes would reset the connection and could take the
+// answer with it.
+void
+CallerConnection::Linger()
+{
+  m_state = State::Lingering;
+  m_input.consume(m_input.size());
+  error_code ignored; // a failure shows in the next read
+  m_socket.shutdown(Socket::shutdown_send, ignored);
+  SetTimer(kLingerTime);
+  Read();
+}
+
+void
+CallerConnection::OnGone()
+{
+  const auto self = shared_from_this();
+  const auto flow = std::exchange(m_flow, nullptr);
+  Close();
+  if (flow != nullptr) {
+    flow->OnCallerGone();
+  }
+}
+
+void
+CallerConnection::CloseIfIdle()
+{
+  if (m_state == State::Idle) {
+    Close();
+  }
+}
+
+void
+CallerConnection::Cut()
+{
+  const auto flow = m_flow;
+  if (flow != nullptr) {
+    flow->Cut();
+  }
+  Close();
+}
+
+void
+CallerConnection::Close()
+{
+  if (m_state == State::Closed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  m_state = State::Closed;
+  m_timer.cancel();
+  error_code ignored; // nothing more is done with the socket
+  m_socket.close(ignored);
+  m_onClosed();
+}
+
+} // namespace walnutwing::router
--- /dev/null
+++ b/router/caller_connection.h
@@ -0,0 +1,102 @@
+#ifndef WALNUTWING_ROUTER_CALLER_CONNECTION_H_
+#define WALNUTWING_ROUTER_CALLER_CONNECTION_H_
+
+// One caller's HTTP/1.1 connection: requests one after the other, parsed by
+// Boost.Beast. The socket is read all the time, also while a request is being
+// answered, so that a caller that leaves is seen at once.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "router/context.h"
+#include "router/request_flow.h"
+
+namespace walnutwing::router {
+
+class CallerConnection
+  : public CallerAnswer
+  , public std::enable_shared_from_this<CallerConnection>
+{
+public:
+  // aOnClosed is called once, when the socket is closed.
+  CallerConnection(Context& aContext,
+                   Socket aSocket,
+                   std::function<void()> aOnClosed);
+  ~CallerConnection() override;
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  void Start();
+
+  // Closes the connection unless a request is being read or answered.
+  void CloseIfIdle();
+
+  // The process ends: breaks off what is in progress.
+  void Cut();
+
+  void Begin(std::string aHead, std::optional<std::uint64_t> aLength) override;
+  void Write(std::string_view aPiece) override;
+  void End() override;
+  void Abort() override;
+  std::size_t PendingBytes() const override;
+
+private:
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  enum class State
+  {
+    Idle,      // no byte of a request has come
+    Receiving, // part of a request has come
+    Answering, // the request is whole, its answer is not
+    Lingering, // all is sent; waits for the caller to close
+    Closed,
+  };
+
+  void Read();
+  void OnRead(const error_code& aError, std::size_t aBytes);
+  void Parse();
+  void BeginRequest();
+  void OnRequestHead();
+  void OnRequest();
+  void OnParseError(const error_code& aError);
+  void Reject(ResultCode aCode);
+  void SetTimer(Duration aTime);
+  void OnTimer();
+  void Flush();
+  void OnFlushed(const error_code& aError);
+  void OnAnswered();
+  void Linger();
+  void OnGone();
+  void Close();
+  const CallerLimits& Limits() const;
+
+  Context& m_context;
+  Socket m_socket;
+  Timer m_timer;
+  std::function<void()> m_onClosed;
+  State m_state = State::Idle;
+  boost::beast::flat_buffer m_input;
+  std::optional<Parser> m_parser;
+  bool m_reading = false;
+  bool m_headSeen = false;
+  bool m_keepAlive = true; // after the answer in progress
+  bool m_oldHttp = false;  // HTTP/1.0: no chunks
+
+  std::shared_ptr<RequestFlow> m_flow;
+  std::string m_pending; // to be written next
+  std::string m_writing; // being written
+  bool m_inChunks = false;
+  bool m_answerEnded = false;
+  bool m_aborted = false;
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_CALLER_CONNECTION_H_
--- /dev/null
+++ b/router/context.h
@@ -0,0 +1,53 @@
+#ifndef WALNUTWING_ROUTER_CONTEXT_H_
+#define WALNUTWING_ROUTER_CONTEXT_H_
+
+// What the parts of a router share. All of it lives as long as the process, and
+// is used from the one loop only.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "router/asio.h"
+#include "router/event_log.h"
+#include "router/router_settings.h"
+#include "router/upstream_pool.h"
+#include "walnutwing/base/metrics.h"
+#include "walnutwing/routing/repeat_budget.h"
+#include "walnutwing/routing/route_table.h"
+#include "walnutwing/routing/upstream_selector.h"
+
+namespace walnutwing::router {
+
+struct Context
+{
+  Loop& m_loop;
+  RouterSettings m_settings;
+  EventLog& m_log;
+  Metrics& m_metrics;
+  UpstreamPool& m_pool;
+  UpstreamSelector& m_selector;
+  std::mt19937_64 m_random;
+  std::shared_ptr<const RouteTable> m_routes; // null before the first version
+  std::map<ServiceId, RepeatBudget> m_repeats;
+  std::uint32_t m_daemons = 1; // that share the fleet's budgets
+  std::size_t m_requests = 0;  // in progress
+  bool m_stopping = false;
+
+  RepeatBudget& RepeatsOf(const ServiceId& aService)
+  {
+    const auto found = m_repeats.find(aService);
+    if (found != m_repeats.end()) {
+      return found->second;
+    }
+    const RepeatBudgetOptions options{ m_settings.m_repeatRatio,
+                                       m_settings.m_repeatAllowance,
+                                       m_settings.m_repeatWindow };
+    return m_repeats.emplace(aService, RepeatBudget(options)).first->second;
+  }
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_CONTEXT_H_
--- /dev/null
+++ b/router/event_log.h
@@ -0,0 +1,149 @@
+#ifndef WALNUTWING_ROUTER_EVENT_LOG_H_
+#define WALNUTWING_ROUTER_EVENT_LOG_H_
+
+// Structured log lines on standard output: one JSON object a line, with a
+// numbered event (docs/LOGS.md). Lines wait in memory and are written when the
+// reader takes them; nothing ever blocks. When they come faster than the bound,
+// or the reader is slow, lines of requests that went well are dropped first,
+// and the drops are counted.
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing::router {
+
+// 1xx the process, 2xx what it believes, 3xx one request.
+enum class Event : int
+{
+  Started = 101,
+  Stopping = 102,
+  Stopped = 103,
+  SettingsReloaded = 104,
+  SettingsRefused = 105,
+  ReadyChanged = 106,
+  LinesDropped = 107,
+
+  StoreLost = 201,
+  StoreRegained = 202,
+  ConfigInForce = 203,
+  ConfigRefused = 204,
+  UpstreamListed = 205,
+  UpstreamGone = 206,
+  UpstreamUnreadable = 207,
+  ZonesOutChanged = 208,
+  FleetSizeChanged = 209,
+
+  RequestSent = 301,
+  RequestAnswered = 302,
+  RequestRefused = 303,
+  RequestFailed = 304,
+  RequestRepeated = 305,
+  RequestResumed = 306,
+  CallerGone = 307,
+  CallerRejected = 308,
+};
+
+// What becomes of a line when there are too many.
+enum class Keep
+{
+  WhenThereIsRoom, // dropped first
+  Longest,
+};
+
+struct EventRow
+{
+  Event m_event;
+  std::string_view m_name;
+  Keep m_keep;
+  std::string_view m_text;
+};
+
+// All events in ascending order; docs/LOGS.md holds the same table.
+std::span<const EventRow>
+EventTable();
+
+struct EventLogOptions
+{
+  std::size_t m_bytesPerSecond = 128U << 10U; // of lines that may be dropped
+  std::size_t m_bufferBytes = 256U << 10U;    // waiting for the reader
+};
+
+class EventLog
+{
+public:
+  // Builds one line; it is written when the object goes away.
+  class Line
+  {
+  public:
+    Line(EventLog& aLog, Event aEvent, Time aNow);
+    // aFill adds the fields that lines of one kind share.
+    template<typename Fill>
+    Line(EventLog& aLog, Event aEvent, Time aNow, Fill aFill)
+      : Line(aLog, aEvent, aNow)
+    {
+      aFill(*this);
+    }
+    ~Line();
+    Line(const Line&) = delete;
+    Line& operator=(const Line&) = delete;
+
+    Line& Add(std::string_view aKey, std::string_view aValue);
+    Line& Add(std::string_view aKey, std::int64_t aValue);
+    Line& Add(std::string_view aKey, double aValue);
+
+  private:
+    EventLog& m_log;
+    const EventRow& m_row;
+    Time m_now;
+    bool m_wanted;
+  };
+
+  // aDescriptor is written to and stays the caller's.
+  EventLog(int aDescriptor, std::string aDaemon, EventLogOptions aOptions);
+
+  // Starts a line: log.At(Event::Started, now).Add("zone", "z1");
+  Line At(Event aEvent, Time aNow) { return Line(*this, aEvent, aNow); }
+
+  // Writes what the reader takes without blocking. To be called often.
+  void Flush(Time aNow);
+
+  void SetOptions(EventLogOptions aOptions) { m_options = aOptions; }
+  std::uint64_t Dropped() const { return m_dropped; }
+  std::size_t WaitingBytes() const { return m_waitingBytes; }
+
+private:
+  struct Waiting
+  {
+    std::string m_text;
+    Keep m_keep;
+  };
+
+  bool HasRoom(Keep aKeep, Time aNow);
+  void Append(Keep aKeep);
+  bool WriteSome(std::string_view aText, std::size_t& aWritten) const;
+
+  int m_descriptor;
+  std::string m_daemon;
+  EventLogOptions m_options;
+  std::deque<Waiting> m_waiting;
+  std::size_t m_waitingBytes = 0;
+  std::size_t m_frontWritten = 0; // bytes of the first line that were taken
+  std::uint64_t m_dropped = 0;
+  std::uint64_t m_droppedReported = 0;
+  double m_room = 0; // bytes that droppable lines may use now
+  Time m_roomAt;
+  rapidjson::StringBuffer m_buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> m_writer{ m_buffer };
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_EVENT_LOG_H_
--- /dev/null
+++ b/router/front.h
@@ -0,0 +1,46 @@
+#ifndef WALNUTWING_ROUTER_FRONT_H_
+#define WALNUTWING_ROUTER_FRONT_H_
+
+// Accepts callers' connections and knows those that are open.
+
+#include <cstdint>
+#include <memory>
+#include <unordered_set>
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+
+#include "router/caller_connection.h"
+
+namespace walnutwing::router {
+
+class Front
+{
+public:
+  // Throws boost::system::system_error if the address cannot be bound.
+  explicit Front(Context& aContext);
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
+  // Closes connections on which nothing is in progress.
+  void CloseIdle();
+
+  // Accepts no further connections.
+  void StopAccepting();
+
+  // Breaks off all that is in progress.
+  void CutAll();
+
+  std::size_t Open() const { return m_connections.size(); }
+
+private:
+  void Accept();
+
+  Context& m_context;
+  asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
+  Timer m_retry;
+  std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_FRONT_H_
--- /dev/null
+++ b/router/page_server.cc
@@ -0,0 +1,116 @@
+#include "router/page_server.h"
+
+#include <memory>
+#include <utility>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "platform/field_text.h"
+#include "router/socket_options.h"
+
+namespace walnutwing::router {
+namespace {
+
+namespace http = boost::beast::http;
+
+// An idle visitor is closed after this time.
+constexpr Duration kIdleTime = std::chrono::seconds(30);
+
+} // namespace
+
+// One connection; it keeps itself alive by its handlers.
+class PageServer::Visit : public std::enable_shared_from_this<Visit>
+{
+public:
+  Visit(Loop& aLoop, Socket aSocket, const Handler& aHandler)
+    : m_socket(std::move(aSocket))
+    , m_timer(aLoop.get_executor())
+    , m_handler(aHandler)
+  {
+  }
+
+  void Read()
+  {
+    m_request = {};
+    m_timer.expires_after(kIdleTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        error_code ignored; // it is not used again
+        self->m_socket.close(ignored);
+      }
+    });
+    http::async_read(
+      m_socket,
+      m_input,
+      m_request,
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        self->m_timer.cancel();
+        if (!aError) {
+          self->Answer();
+        }
+      });
+  }
+
+private:
+  void Answer()
+  {
+    const std::string_view target = platform::View(m_request.target());
+    Page page = m_handler(target.substr(0, target.find('?')));
+    m_response = {};
+    m_response.result(static_cast<unsigned>(page.m_status));
+    m_response.set(http::field::content_type, page.m_type);
+    m_response.body() = std::move(page.m_body);
+    m_response.keep_alive(m_request.keep_alive());
+    m_response.prepare_payload();
+    http::async_write(
+      m_socket,
+      m_response,
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (!aError && self->m_response.keep_alive()) {
+          self->Read();
+        }
+      });
+  }
+
+  Socket m_socket;
+  Timer m_timer;
+  const Handler& m_handler;
+  boost::beast::flat_buffer m_input;
+  http::request<http::empty_body> m_request;
+  http::response<http::string_body> m_response;
+};
+
+PageServer::PageServer(Loop& aLoop,
+                       const Tcp::endpoint& aEndpoint,
+                       Handler aHandler)
+  : m_loop(aLoop)
+  , m_acceptor(aLoop.get_executor())
+  , m_handler(std::move(aHandler))
+{
+  m_acceptor.open(aEndpoint.protocol());
+  m_acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_acceptor.bind(aEndpoint);
+  m_acceptor.listen();
+  Accept();
+}
+
+void
+PageServer::Accept()
+{
+  m_acceptor.async_accept([this](const error_code& aError, Socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      SetLivenessOptions(aSocket);
+      std::make_shared<Visit>(m_loop, std::move(aSocket), m_handler)->Read();
+    }
+    Accept();
+  });
+}
+
+} // namespace walnutwing::router
--- /dev/null
+++ b/router/page_server.h
@@ -0,0 +1,45 @@
+#ifndef WALNUTWING_ROUTER_PAGE_SERVER_H_
+#define WALNUTWING_ROUTER_PAGE_SERVER_H_
+
+// A small HTTP server for pages that the process makes at once: readiness and
+// metrics.
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+
+#include "router/asio.h"
+
+namespace walnutwing::router {
+
+struct Page
+{
+  int m_status = 200;
+  std::string m_type = "text/plain";
+  std::string m_body;
+};
+
+class PageServer
+{
+public:
+  using Handler = std::function<Page(std::string_view aPath)>;
+
+  // Throws boost::system::system_error if the address cannot be bound.
+  PageServer(Loop& aLoop, const Tcp::endpoint& aEndpoint, Handler aHandler);
+  PageServer(const PageServer&) = delete;
+  PageServer& operator=(const PageServer&) = delete;
+
+private:
+  class Visit;
+  void Accept();
+
+  Loop& m_loop;
+  asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
+  Handler m_handler;
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_PAGE_SERVER_H_
--- /dev/null
+++ b/router/router_settings.cc
@@ -0,0 +1,300 @@
+// One table declares every key and how its text becomes a member, as in
+// walnutwing/config/settings.cc. An empty value counts as a missing key: the
+// platform fills a field that it does not have with nothing.
+
+#include "router/router_settings.h"
+
+#include <cmath>
+#include <functional>
+#include <set>
+#include <utility>
+
+#include "walnutwing/config/ini.h"
+#include "walnutwing/config/text_value.h"
+
+namespace walnutwing::router {
+namespace {
+
+using Store = std::function<bool(RouterSettings&, std::string_view)>;
+
+struct Setting
+{
+  SettingDescription m_description;
+  Store m_store;
+};
+
+std::optional<double>
+ParseReal(std::string_view aText)
+{
+  const std::string text(aText);
+  char* end = nullptr;
+  const double number = std::strtod(text.c_str(), &end);
+  const bool whole = !text.empty() && end == text.c_str() + text.size();
+  return whole && std::isfinite(number) ? std::make_optional(number)
+                                        : std::nullopt;
+}
+
+template<typename Id>
+Setting
+NameSetting(const char* aKey, Id RouterSettings::*aMember, const char* aDoc)
+{
+  return {
+    { "router", aKey, "", "1 to 64 of A-Z a-z 0-9 . _ -", std::nullopt, aDoc },
+    [aMember](RouterSettings& aSettings, std::string_view aValue) {
+      aSettings.*aMember = Id(std::string(aValue));
+      return IsName(aValue);
+    }
+  };
+}
+
+Setting
+AddressSetting(const char* aSection,
+               const char* aKey,
+               std::string RouterSettings::*aMember,
+               const char* aDoc)
+{
+  return { { aSection,
+             aKey,
+             "IP:port",
+             "IP:port, port 1 to 65535",
+             std::nullopt,
+             aDoc },
+           [aMember](RouterSettings& aSettings, std::string_view aValue) {
+             aSettings.*aMember = std::string(aValue);
+             return IsAddress(aValue);
+           } };
+}
+
+Setting
+CountSetting(const char* aKey,
+             const char* aUnit,
+             std::uint64_t aLeast,
+             std::uint64_t aMost,
+             std::uint64_t aDefault,
+             std::uint64_t RouterSettings::*aMember,
+             const char* aDoc)
+{
+  return { { "router",
+             aKey,
+             aUnit,
+             RangeText(aLeast, aMost),
+             std::to_string(aDefault),
+             aDoc },
+           [=](RouterSettings& aSettings, std::string_view aValue) {
+             const auto number = ParseNumberBetween(aValue, aLeast, aMost);
+             aSettings.*aMember = number.value_or(0);
+             return number.has_value();
+           } };
+}
+
+// Ranges of the bounds.
+constexpr double kMostReal = 1'000'000;
+
+Setting
+RealSetting(const char* aKey,
+            const char* aUnit,
+            const char* aDefault,
+            double RouterSettings::*aMember,
+            const char* aDoc)
+{
+  return { { "bounds", aKey, aUnit, "0 to 1000000", aDefault, aDoc },
+           [=](RouterSettings& aSettings, std::string_view aValue) {
+             const auto number = ParseReal(aValue);
+             aSettings.*aMember = number.value_or(0);
+             return number && *number >= 0 && *number <= kMostReal;
+           } };
+}
+
+// aUnitMs: one unit of the key in milliseconds.
+Setting
+TimeSetting(const char* aKey,
+            const char* aUnit,
+            double aUnitMs,
+            const char* aDefault,
+            Duration RouterSettings::*aMember,
+            const char* aDoc)
+{
+  return { { "bounds", aKey, aUnit, "0 to 1000000", aDefault, aDoc },
+           [=](RouterSettings& aSettings, std::string_view aValue) {
+             const auto number = ParseReal(aValue);
+             aSettings.*aMember = Duration(
+               static_cast<Duration::rep>(number.value_or(0) * aUnitMs));
+             return number && *number >= 0 && *number <= kMostReal;
+           } };
+}
+
+const std::vector<Setting>&
+SettingTable()
+{
+  constexpr double kSecond = 1000;
+  static const std::vector<Setting> kTable = {
+    NameSetting("name",
+                &RouterSettings::m_name,
+                "name of this daemon, unique in the fleet"),
+    NameSetting("zone",
+                &RouterSettings::m_zone,
+                "availability zone that this VM stands in"),
+    AddressSetting(
+      "router", "listen", &RouterSettings::m_listen, "where callers connect"),
+    AddressSetting("router",
+                   "ready_listen",
+                   &RouterSettings::m_readyListen,
+                   "where the platform asks whether to send callers"),
+    CountSetting("metrics_port",
+                 "port",
+                 0,
+                 65535,
+                 9464,
+                 &RouterSettings::m_metricsPort,
+                 "port of /metrics on the address of listen; 0 for none"),
+    CountSetting("log_bytes_per_s",
+                 "bytes/s",
+                 1024,
+                 64U << 20U,
+                 128U << 10U,
+                 &RouterSettings::m_logBytesPerSecond,
+                 "log lines of requests that went well; more are dropped"),
+    AddressSetting("platform",
+                   "address",
+                   &RouterSettings::m_storeAddress,
+                   "the platform's store"),
+    TimeSetting("stop_limit_s",
+                "s",
+                kSecond,
+                "8",
+                &RouterSettings::m_stopLimit,
+                "time from SIGTERM until the process is killed"),
+    TimeSetting("drain_ms",
+                "ms",
+                1,
+                "2000",
+                &RouterSettings::m_drainLimit,
+                "by when an upstream that leaves gets no new work"),
+    TimeSetting("evacuation_ms",
+                "ms",
+                1,
+                "5000",
+                &RouterSettings::m_evacuationLimit,
+                "by when a zone that is taken out gets no new work"),
+    RealSetting("cold_factor",
+                "",
+                "1.5",
+                &RouterSettings::m_coldFactor,
+                "times what a cold upstream says it bears that it may get"),
+    RealSetting("repeat_ratio",
+                "repeats/request",
+                "0.2",
+                &RouterSettings::m_repeatRatio,
+                "repeats over the fleet, for each request of a service"),
+    TimeSetting("repeat_window_s",
+                "s",
+                kSecond,
+                "10",
+                &RouterSettings::m_repeatWindow,
+                "span in which repeats are counted"),
+    RealSetting("repeat_allowance",
+                "repeats",
+                "50",
+                &RouterSettings::m_repeatAllowance,
+                "repeats in a window beyond the ratio, over the fleet"),
+    RealSetting("load_factor",
+                "",
+                "2",
+                &RouterSettings::m_loadFactor,
+                "most load of an upstream, in means of its service"),
+  };
+  return kTable;
+}
+
+const Setting*
+FindSetting(const std::string& aSection, const std::string& aKey)
+{
+  for (const Setting& setting : SettingTable()) {
+    if (setting.m_description.m_section == aSection &&
+        setting.m_description.m_key == aKey) {
+      return &setting;
+    }
+  }
+  return nullptr;
+}
+
+IniProblem
+Problem(ResultCode aCode,
+        const std::string& aFile,
+        int aLine,
+        const SettingDescription& aSetting,
+        std::string aText)
+{
+  return { aCode,
+           aFile,
+           aLine,
+           aSetting.m_section,
+           aSetting.m_key,
+           std::move(aText),
+           aSetting.m_allowed };
+}
+
+} // namespace
+
+std::vector<SettingDescription>
+DescribeRouterSettings()
+{
+  std::vector<SettingDescription> descriptions;
+  for (const Setting& setting : SettingTable()) {
+    descriptions.push_back(setting.m_description);
+  }
+  return descriptions;
+}
+
+RouterSettings
+ParseRouterSettings(std::string_view aText, const std::string& aFile)
+{
+  IniFile file = ReadIni(aText, aFile);
+  std::vector<IniProblem> problems = std::move(file.m_problems);
+  RouterSettings settings;
+  std::set<const Setting*> seen;
+  for (const IniSection& section : file.m_sections) {
+    for (const IniEntry& entry : section.m_entries) {
+      const Setting* setting = FindSetting(section.m_name, entry.m_key);
+      if (setting == nullptr) {
+        problems.push_back({ ResultCode::SettingsUnknownKey,
+                             aFile,
+                             entry.m_line,
+                             section.m_name,
+                             entry.m_key,
+                             "no such key",
+                             "" });
+        continue;
+      }
+      if (entry.m_value.empty()) {
+        continue;
+      }
+      seen.insert(setting);
+      if (!setting->m_store(settings, entry.m_value)) {
+        problems.push_back(Problem(ResultCode::SettingsBadValue,
+                                   aFile,
+                                   entry.m_line,
+                                   setting->m_description,
+                                   "\"" + entry.m_value + "\""));
+      }
+    }
+  }
+  for (const Setting& setting : SettingTable()) {
+    if (seen.contains(&setting)) {
+      continue;
+    }
+    const SettingDescription& description = setting.m_description;
+    if (!description.m_default) {
+      problems.push_back(Problem(
+        ResultCode::SettingsKeyMissing, aFile, 0, description, "is missing"));
+      continue;
+    }
+    static_cast<void>(setting.m_store(settings, *description.m_default));
+  }
+  if (!problems.empty()) {
+    throw SettingsError(std::move(problems));
+  }
+  return settings;
+}
+
+} // namespace walnutwing::router
--- a/daemon/metrics.cc
+++ b/walnutwing/base/metrics.cc
@@ -1,7 +1,7 @@
 // Prometheus's buckets are cumulative; Boost.Histogram's are not, so Print
 // sums.
 
-#include "daemon/metrics.h"
+#include "walnutwing/base/metrics.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/daemon/metrics.h
+++ b/walnutwing/base/metrics.h
@@ -1,5 +1,5 @@
-#ifndef WALNUTWING_DAEMON_METRICS_H_
-#define WALNUTWING_DAEMON_METRICS_H_
+#ifndef WALNUTWING_BASE_METRICS_H_
+#define WALNUTWING_BASE_METRICS_H_
 
 // Counters, gauges and histograms of one daemon, and their Prometheus text form
 // for /metrics. Histograms are Boost.Histogram's.
@@ -62,4 +62,4 @@
 
 } // namespace walnutwing
 
-#endif // WALNUTWING_DAEMON_METRICS_H_
+#endif // WALNUTWING_BASE_METRICS_H_
--- a/daemon/metrics_test.cc
+++ b/walnutwing/base/metrics_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/metrics.h"
+#include "walnutwing/base/metrics.h"
 
 #include <gtest/gtest.h>
 
--- a/walnutwing/base/result_code.h
+++ b/walnutwing/base/result_code.h
@@ -26,6 +26,8 @@
   OrderKeyReused = 1007,
   NotFound = 1008,
   PeerOnly = 1009,
+  HeadersTooLarge = 1010,
+  RequestTimeout = 1011,
 
   NoConfiguration = 2001,
   NoUpstream = 2002,
--- /dev/null
+++ b/walnutwing/routing/repeat_budget.h
@@ -0,0 +1,62 @@
+#ifndef WALNUTWING_ROUTING_REPEAT_BUDGET_H_
+#define WALNUTWING_ROUTING_REPEAT_BUDGET_H_
+
+// Bounds how often this daemon sends requests of one service again, so that the
+// sum over the fleet stays within ratio x requests + allowance in every window,
+// also when daemons do not hear of each other: each daemon earns the ratio from
+// its own requests and takes an equal share of the allowance.
+
+#include <cstdint>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/routing/send_window.h"
+
+namespace walnutwing {
+
+struct RepeatBudgetOptions
+{
+  double m_ratio = 0.2;                         // repeats for each request
+  double m_allowance = 50;                      // repeats in a window, fleet
+  Duration m_window = std::chrono::seconds(10); // slides
+};
+
+class RepeatBudget
+{
+public:
+  explicit RepeatBudget(RepeatBudgetOptions aOptions)
+    : m_options(aOptions)
+    , m_requests(aOptions.m_window)
+    , m_repeats(aOptions.m_window)
+  {
+  }
+
+  // A caller's request for the service has arrived.
+  void OnRequest(Time aNow)
+  {
+    m_requests.Add(aNow);
+    m_requests.Count(aNow);
+  }
+
+  // Takes one repeat; false when the budget is spent. aDaemons shares the
+  // allowance, at least 1.
+  bool TryRepeat(std::uint32_t aDaemons, Time aNow)
+  {
+    const double earned =
+      m_options.m_ratio * static_cast<double>(m_requests.Count(aNow));
+    const double limit = earned + m_options.m_allowance / aDaemons;
+    if (static_cast<double>(m_repeats.Count(aNow)) + 1 > limit) {
+      return false;
+    }
+    m_repeats.Add(aNow);
+    return true;
+  }
+
+private:
+  RepeatBudgetOptions m_options;
+  SendWindow m_requests;
+  SendWindow m_repeats;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_REPEAT_BUDGET_H_
--- /dev/null
+++ b/walnutwing/routing/send_window.h
@@ -0,0 +1,46 @@
+#ifndef WALNUTWING_ROUTING_SEND_WINDOW_H_
+#define WALNUTWING_ROUTING_SEND_WINDOW_H_
+
+// Counts events of the last while. The window slides, so that a bound on its
+// count holds for every span of its length, not only for aligned ones.
+
+#include <cstddef>
+#include <deque>
+
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing {
+
+class SendWindow
+{
+public:
+  explicit SendWindow(Duration aLength)
+    : m_length(aLength)
+  {
+  }
+
+  void Add(Time aNow) { m_times.push_back(aNow); }
+
+  // Events younger than the window's length.
+  std::size_t Count(Time aNow)
+  {
+    while (!m_times.empty() && aNow - m_times.front() >= m_length) {
+      m_times.pop_front();
+    }
+    return m_times.size();
+  }
+
+  // When the oldest event leaves the window; aNow when there is none.
+  Time NextLeaves(Time aNow) const
+  {
+    return m_times.empty() ? aNow : m_times.front() + m_length;
+  }
+
+private:
+  Duration m_length;
+  std::deque<Time> m_times;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_SEND_WINDOW_H_
--- /dev/null
+++ b/walnutwing/routing/upstream_directory.cc
@@ -0,0 +1,126 @@
+#include "walnutwing/routing/upstream_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace walnutwing {
+
+bool
+UpstreamDirectory::StoreWasAway(Time aNow) const
+{
+  return m_away || (m_everAway && aNow - m_backSince < m_returnTime);
+}
+
+void
+UpstreamDirectory::OnStoreAway(Time /*aNow*/)
+{
+  m_away = true;
+  m_everAway = true;
+}
+
+void
+UpstreamDirectory::OnStoreAnswers(Time aNow)
+{
+  if (!std::exchange(m_away, false)) {
+    return;
+  }
+  m_backSince = aNow;
+  for (auto& [id, known] : m_known) {
+    if (known.m_doubtful) {
+      known.m_doubtfulUntil = aNow + m_returnTime;
+    }
+  }
+}
+
+UpstreamChange
+UpstreamDirectory::OnEntry(const UpstreamEntry& aEntry, Time aNow)
+{
+  const auto [entry, added] = m_known.try_emplace(aEntry.m_id);
+  KnownUpstream& known = entry->second;
+  const bool restarted = added || known.m_entry.m_bornMs != aEntry.m_bornMs ||
+                         known.m_entry.m_address != aEntry.m_address;
+  const bool changed = known.m_entry.m_draining != aEntry.m_draining ||
+                       known.m_entry.m_slots != aEntry.m_slots ||
+                       known.m_entry.m_zone != aEntry.m_zone ||
+                       known.m_entry.m_service != aEntry.m_service ||
+                       aEntry.m_coldRemaining > Duration::zero();
+  known.m_entry = aEntry;
+  known.m_doubtful = false;
+  known.m_coldUntil = aNow + aEntry.m_coldRemaining;
+  if (restarted) {
+    return UpstreamChange::Added;
+  }
+  return changed ? UpstreamChange::Updated : UpstreamChange::None;
+}
+
+UpstreamChange
+UpstreamDirectory::OnRemoved(const UpstreamId& aId, Time aNow)
+{
+  const auto found = m_known.find(aId);
+  if (found == m_known.end()) {
+    return UpstreamChange::None;
+  }
+  if (!StoreWasAway(aNow)) {
+    m_known.erase(found);
+    return UpstreamChange::Removed;
+  }
+  if (!found->second.m_doubtful) {
+    found->second.m_doubtful = true;
+    const Time since = m_away ? aNow : m_backSince;
+    found->second.m_doubtfulUntil = since + m_returnTime;
+  }
+  return UpstreamChange::None;
+}
+
+std::vector<std::pair<UpstreamId, UpstreamChange>>
+UpstreamDirectory::OnList(const std::vector<UpstreamEntry>& aEntries, Time aNow)
+{
+  std::vector<std::pair<UpstreamId, UpstreamChange>> changes;
+  std::set<UpstreamId> listed;
+  for (const UpstreamEntry& entry : aEntries) {
+    listed.insert(entry.m_id);
+    const UpstreamChange change = OnEntry(entry, aNow);
+    if (change != UpstreamChange::None) {
+      changes.emplace_back(entry.m_id, change);
+    }
+  }
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, known] : m_known) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : missing) {
+    if (OnRemoved(id, aNow) == UpstreamChange::Removed) {
+      changes.emplace_back(id, UpstreamChange::Removed);
+    }
+  }
+  return changes;
+}
+
+std::vector<UpstreamId>
+UpstreamDirectory::OnTick(Time aNow)
+{
+  std::vector<UpstreamId> gone;
+  if (m_away) {
+    return gone;
+  }
+  for (const auto& [id, known] : m_known) {
+    if (known.m_doubtful && aNow >= known.m_doubtfulUntil) {
+      gone.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : gone) {
+    m_known.erase(id);
+  }
+  return gone;
+}
+
+const KnownUpstream*
+UpstreamDirectory::Find(const UpstreamId& aId) const
+{
+  const auto found = m_known.find(aId);
+  return found == m_known.end() ? nullptr : &found->second;
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/upstream_selector.cc
@@ -0,0 +1,218 @@
+#include "walnutwing/routing/upstream_selector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace walnutwing {
+namespace {
+
+// An upstream with more failures than this is passed over only while it is in
+// the minority: when most fail, failures say nothing about the one.
+constexpr double kMostDropped = 0.4;
+// Distance that other zones add for requests that cache nothing, in requests.
+constexpr double kOtherZoneLoad = 0.5;
+
+double
+MeanLoad(const std::vector<double>& aLoads)
+{
+  double sum = 0;
+  for (const double load : aLoads) {
+    sum += load;
+  }
+  return aLoads.empty() ? 0 : sum / static_cast<double>(aLoads.size());
+}
+
+} // namespace
+
+UpstreamSelector::UpstreamSelector(ZoneId aZone, SelectorOptions aOptions)
+  : m_zone(std::move(aZone))
+  , m_options(aOptions)
+{
+}
+
+void
+UpstreamSelector::OnUpstream(const UpstreamDirectory& aDirectory,
+                             const UpstreamId& aId,
+                             UpstreamChange aChange)
+{
+  const KnownUpstream* known = aDirectory.Find(aId);
+  if (aChange == UpstreamChange::Removed || known == nullptr) {
+    m_upstreams.erase(aId);
+    return;
+  }
+  if (aChange == UpstreamChange::None) {
+    return;
+  }
+  if (aChange == UpstreamChange::Added) {
+    m_upstreams.erase(aId); // nothing of its last life holds
+  }
+  Upstream& upstream = m_upstreams[aId];
+  upstream.m_entry = known->m_entry;
+  upstream.m_node.m_hash = StableHash(aId.Value());
+  upstream.m_coldUntil = std::max(upstream.m_coldUntil, known->m_coldUntil);
+}
+
+void
+UpstreamSelector::SetZonesOut(const std::set<ZoneId>& aZones,
+                              Duration aColdTime,
+                              Time aNow)
+{
+  for (auto& [id, upstream] : m_upstreams) {
+    const ZoneId& zone = upstream.m_entry.m_zone;
+    if (m_zonesOut.contains(zone) && !aZones.contains(zone)) {
+      upstream.m_coldUntil = std::max(upstream.m_coldUntil, aNow + aColdTime);
+    }
+  }
+  m_zonesOut = aZones;
+}
+
+std::vector<UpstreamSelector::Candidate>
+UpstreamSelector::Candidates(const Selection& aSelection,
+                             Time aNow,
+                             NoChoice& aWhy)
+{
+  std::vector<Candidate> candidates;
+  aWhy = NoChoice::NoUpstream;
+  for (auto& [id, upstream] : m_upstreams) {
+    const UpstreamEntry& entry = upstream.m_entry;
+    if (entry.m_service != aSelection.m_service || entry.m_draining ||
+        m_zonesOut.contains(entry.m_zone) || aSelection.m_avoid.contains(id)) {
+      continue;
+    }
+    if (!upstream.m_tracker->Reachable(aNow)) {
+      aWhy = NoChoice::Unreachable;
+      continue;
+    }
+    Candidate candidate;
+    candidate.m_upstream = &upstream;
+    candidate.m_load = upstream.m_tracker->Load(aNow);
+    candidate.m_distance =
+      aSelection.m_affinity != 0
+        ? RendezvousDistance(aSelection.m_affinity, upstream.m_node)
+        : candidate.m_load + (entry.m_zone == m_zone ? 0 : kOtherZoneLoad);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void
+UpstreamSelector::DropFailing(std::vector<Candidate>& aCandidates,
+                              Time aNow) const
+{
+  if (aCandidates.empty()) {
+    return;
+  }
+  std::vector<double> rates;
+  rates.reserve(aCandidates.size());
+  for (const Candidate& candidate : aCandidates) {
+    rates.push_back(candidate.m_upstream->m_tracker->FailureRate(aNow));
+  }
+  std::nth_element(rates.begin(),
+                   rates.begin() +
+                     static_cast<std::ptrdiff_t>(rates.size() / 2),
+                   rates.end());
+  const double limit = rates[rates.size() / 2] + m_options.m_failureMargin;
+  const auto failing = [&](const Candidate& aCandidate) {
+    return aCandidate.m_upstream->m_tracker->FailureRate(aNow) > limit ||
+           aCandidate.m_upstream->m_tracker->RefusedLately(aNow);
+  };
+  const auto count = static_cast<double>(
+    std::count_if(aCandidates.begin(), aCandidates.end(), failing));
+  if (count <= kMostDropped * static_cast<double>(aCandidates.size())) {
+    std::erase_if(aCandidates, failing);
+  }
+}
+
+bool
+UpstreamSelector::MaySendCold(Upstream& aUpstream,
+                              const Selection& aSelection,
+                              Time aNow) const
+{
+  if (aSelection.m_coldPerSecond <= 0) {
+    return true;
+  }
+  const double share =
+    std::floor(m_options.m_coldUse * aSelection.m_coldPerSecond /
+               std::max(1U, aSelection.m_daemons));
+  return static_cast<double>(aUpstream.m_coldSends.Count(aNow)) < share;
+}
+
+Choice
+UpstreamSelector::Choose(const Selection& aSelection, Time aNow)
+{
+  Choice choice;
+  std::vector<Candidate> candidates =
+    Candidates(aSelection, aNow, choice.m_why);
+  DropFailing(candidates, aNow);
+  if (candidates.empty()) {
+    return choice;
+  }
+  std::sort(
+    candidates.begin(),
+    candidates.end(),
+    [](const Candidate& aLeft, const Candidate& aRight) {
+      return std::pair(aLeft.m_distance, aLeft.m_upstream->m_node.m_hash) <
+             std::pair(aRight.m_distance, aRight.m_upstream->m_node.m_hash);
+    });
+  std::vector<double> loads;
+  loads.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    loads.push_back(candidate.m_load);
+  }
+  choice.m_meanLoad = MeanLoad(loads);
+  const double bound =
+    m_options.m_loadBound * choice.m_meanLoad + m_options.m_loadSlack;
+
+  const Candidate* chosen = nullptr;
+  const Candidate* leastLoaded = nullptr;
+  const Candidate* cold = nullptr;
+  for (const Candidate& candidate : candidates) {
+    if (aNow < candidate.m_upstream->m_coldUntil) {
+      const bool first = cold == nullptr || candidate.m_load < cold->m_load;
+      if (first && MaySendCold(*candidate.m_upstream, aSelection, aNow)) {
+        cold = &candidate;
+      }
+      continue;
+    }
+    if (chosen == nullptr && candidate.m_load < bound) {
+      chosen = &candidate;
+    }
+    if (leastLoaded == nullptr || candidate.m_load < leastLoaded->m_load) {
+      leastLoaded = &candidate;
+    }
+  }
+  chosen = chosen != nullptr ? chosen : leastLoaded;
+  if (chosen == nullptr || (cold != nullptr && chosen->m_load >= bound)) {
+    chosen = cold;
+  }
+  if (chosen == nullptr) {
+    choice.m_why = NoChoice::Cold;
+    return choice;
+  }
+  const Upstream& upstream = *chosen->m_upstream;
+  choice.m_why = NoChoice::None;
+  choice.m_upstream = upstream.m_entry.m_id;
+  choice.m_address = upstream.m_entry.m_address;
+  choice.m_tracker = upstream.m_tracker;
+  choice.m_load = chosen->m_load;
+  choice.m_cold = aNow < upstream.m_coldUntil;
+  choice.m_rank = static_cast<std::size_t>(chosen - candidates.data());
+  return choice;
+}
+
+void
+UpstreamSelector::OnSent(const Choice& aChoice, Time aNow)
+{
+  aChoice.m_tracker->OnSent(aNow);
+  const auto found = m_upstreams.find(aChoice.m_upstream);
+  if (found == m_upstreams.end()) {
+    return;
+  }
+  // Counted also while warm: a request that has just been sent arrives at an
+  // upstream that turns cold in the same moment.
+  found->second.m_coldSends.Add(aNow);
+  found->second.m_coldSends.Count(aNow);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/upstream_selector.h
@@ -0,0 +1,135 @@
+#ifndef WALNUTWING_ROUTING_UPSTREAM_SELECTOR_H_
+#define WALNUTWING_ROUTING_UPSTREAM_SELECTOR_H_
+
+// Chooses the upstream for a request.
+//
+// A request that carries a prompt goes to the first of its engines, in the
+// rendezvous order of its longest shared part, that is within the load bound:
+// so requests with a common part meet its cache, and a hot part spreads over
+// the next engines in its own order. Any other request goes to the least
+// loaded. Upstreams that leave, whose zone is out, that cannot be reached or
+// that fail more often than their service are passed over; cold ones are used
+// only where no warm one is within the bound, and within this daemon's share of
+// what they bear.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "walnutwing/placement/rendezvous.h"
+#include "walnutwing/routing/send_window.h"
+#include "walnutwing/routing/upstream_directory.h"
+#include "walnutwing/routing/upstream_tracker.h"
+
+namespace walnutwing {
+
+struct SelectorOptions
+{
+  // Load of an upstream, in means of its service, up to which a request keeps
+  // to the engine that caches its part; plus a few, as means are small.
+  double m_loadBound = 1.5;
+  double m_loadSlack = 2.0;
+  // Share of failures, above that of the service, from which an upstream is
+  // passed over.
+  double m_failureMargin = 0.25;
+  // Part of what a cold upstream bears that the fleet uses; the rest covers
+  // daemons that count the fleet differently.
+  double m_coldUse = 0.8;
+};
+
+// What is asked of the selector for one request.
+struct Selection
+{
+  ServiceId m_service;
+  std::uint64_t m_affinity = 0; // of its longest shared part; 0: none
+  double m_coldPerSecond = 0;   // what a cold upstream bears; 0: any
+  std::uint32_t m_daemons = 1;  // in the fleet
+  std::set<UpstreamId> m_avoid; // that this request has been sent to
+};
+
+// Why there is no upstream.
+enum class NoChoice
+{
+  None,        // there is one
+  NoUpstream,  // the service has none that takes work
+  Unreachable, // none of them can be reached
+  Cold,        // the only ones left are cold and have had their share
+};
+
+struct Choice
+{
+  NoChoice m_why = NoChoice::NoUpstream;
+  UpstreamId m_upstream;
+  std::string m_address;
+  std::shared_ptr<UpstreamTracker> m_tracker; // of this incarnation
+  double m_load = 0;                          // its load before this request
+  double m_meanLoad = 0; // over the service's usable upstreams
+  bool m_cold = false;
+  std::size_t m_rank = 0; // place in the request's own order, from 0
+};
+
+class UpstreamSelector
+{
+public:
+  UpstreamSelector(ZoneId aZone, SelectorOptions aOptions);
+
+  // The list of upstreams has changed.
+  void OnUpstream(const UpstreamDirectory& aDirectory,
+                  const UpstreamId& aId,
+                  UpstreamChange aChange);
+
+  // Zones that operators have taken out. aColdTime: engines of a zone that
+  // comes back count as cold for so long.
+  void SetZonesOut(const std::set<ZoneId>& aZones,
+                   Duration aColdTime,
+                   Time aNow);
+
+  Choice Choose(const Selection& aSelection, Time aNow);
+
+  // The request is about to be handed to the chosen upstream. How it ends is
+  // told to the choice's tracker.
+  void OnSent(const Choice& aChoice, Time aNow);
+
+private:
+  struct Upstream
+  {
+    UpstreamEntry m_entry;
+    RendezvousNode m_node;
+    std::shared_ptr<UpstreamTracker> m_tracker =
+      std::make_shared<UpstreamTracker>();
+    Time m_coldUntil;
+    SendWindow m_coldSends{ kColdWindow };
+  };
+  struct Candidate
+  {
+    Upstream* m_upstream = nullptr;
+    double m_load = 0;
+    double m_distance = 0;
+  };
+  using Upstreams = std::map<UpstreamId, Upstream>;
+
+  // A little longer than the second over which what a cold upstream bears is
+  // counted: requests take their time to arrive.
+  static constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
+
+  std::vector<Candidate> Candidates(const Selection& aSelection,
+                                    Time aNow,
+                                    NoChoice& aWhy);
+  void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
+  bool MaySendCold(Upstream& aUpstream,
+                   const Selection& aSelection,
+                   Time aNow) const;
+
+  ZoneId m_zone;
+  SelectorOptions m_options;
+  Upstreams m_upstreams;
+  std::set<ZoneId> m_zonesOut;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_UPSTREAM_SELECTOR_H_
--- /dev/null
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -0,0 +1,125 @@
+#include "walnutwing/routing/upstream_tracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace walnutwing {
+namespace {
+
+// A request without a head for this long, while no other head came either,
+// means that the upstream is silent.
+constexpr Duration kSilence = std::chrono::milliseconds(1200);
+// An upstream that cannot be reached is left alone for this long, and for twice
+// as long after each further failure.
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(250);
+constexpr Duration kLongestBackoff = std::chrono::milliseconds(2000);
+constexpr std::uint32_t kMostDoublings = 3;
+// One that refused work for lack of room is passed over for this long.
+constexpr Duration kRefusedTime = std::chrono::milliseconds(150);
+// After this time a load report, or a failure, counts half.
+constexpr double kReportHalfLifeMs = 1500;
+constexpr double kFailureHalfLifeMs = 2500;
+// Weight of the newest answer in the failure rate.
+constexpr double kNewestWeight = 0.15;
+
+double
+Decay(Duration aAge, double aHalfLifeMs)
+{
+  return std::exp2(-static_cast<double>(aAge.count()) / aHalfLifeMs);
+}
+
+} // namespace
+
+void
+UpstreamTracker::OnSent(Time aNow)
+{
+  ++m_inFlight;
+  if (m_unanswered++ == 0) {
+    m_unansweredSince = aNow;
+  }
+}
+
+void
+UpstreamTracker::OnHead(Time aNow)
+{
+  --m_unanswered;
+  m_unansweredSince = aNow;
+  m_connectFailures = 0;
+}
+
+void
+UpstreamTracker::OnEnded(SendOutcome aOutcome, bool aHeadSeen, Time aNow)
+{
+  --m_inFlight;
+  m_unanswered -= aHeadSeen ? 0 : 1;
+  switch (aOutcome) {
+    case SendOutcome::Answered:
+      Count(false, aNow);
+      return;
+    case SendOutcome::Failed:
+      Count(true, aNow);
+      return;
+    case SendOutcome::Unreachable:
+      OnConnectFailed(aNow);
+      return;
+    case SendOutcome::Refused:
+      OnRefused(aNow);
+      return;
+    case SendOutcome::Abandoned:
+      return;
+  }
+}
+
+void
+UpstreamTracker::OnConnectFailed(Time aNow)
+{
+  const std::uint32_t doublings = std::min(m_connectFailures++, kMostDoublings);
+  const Duration backoff = kFirstBackoff * (1U << doublings);
+  m_unreachableUntil = aNow + std::min(backoff, kLongestBackoff);
+}
+
+void
+UpstreamTracker::OnRefused(Time aNow)
+{
+  m_refusedUntil = aNow + kRefusedTime;
+}
+
+void
+UpstreamTracker::OnLoadReport(const LoadReport& aReport, Time aNow)
+{
+  const double carried = aReport.m_running + aReport.m_waiting;
+  m_othersLoad = std::max(0.0, carried - m_inFlight);
+  m_reportedAt = aNow;
+}
+
+double
+UpstreamTracker::Load(Time aNow) const
+{
+  const double others =
+    m_reportedAt ? m_othersLoad * Decay(aNow - *m_reportedAt, kReportHalfLifeMs)
+                 : 0;
+  return m_inFlight + others;
+}
+
+bool
+UpstreamTracker::Reachable(Time aNow) const
+{
+  const bool silent = m_unanswered > 0 && aNow - m_unansweredSince > kSilence;
+  return aNow >= m_unreachableUntil && !silent;
+}
+
+void
+UpstreamTracker::Count(bool aFailed, Time aNow)
+{
+  const double decayed = FailureRate(aNow);
+  m_failures = decayed + kNewestWeight * ((aFailed ? 1.0 : 0.0) - decayed);
+  m_failuresAt = aNow;
+}
+
+double
+UpstreamTracker::FailureRate(Time aNow) const
+{
+  return m_failures * Decay(aNow - m_failuresAt, kFailureHalfLifeMs);
+}
+
+} // namespace walnutwing
