Load of other daemons falls back to the service's mean, not to nothing

Cause: most prompt parts that were read again came from requests that spilled because the mean of the load was underestimated: reports lost half of their weight each 1.5 s while the work that they counted goes on.

--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -87,14 +87,34 @@
     }
     Candidate candidate;
     candidate.m_upstream = &upstream;
-    candidate.m_load = upstream.m_tracker->Load(aNow);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+// Fills in loads, and the distances by which candidates are ordered.
+void
+UpstreamSelector::Weigh(std::vector<Candidate>& aCandidates,
+                        const Selection& aSelection,
+                        Time aNow) const
+{
+  std::vector<double> others;
+  for (const Candidate& candidate : aCandidates) {
+    if (const auto load = candidate.m_upstream->m_tracker->OthersLoad(aNow)) {
+      others.push_back(*load);
+    }
+  }
+  const double meanOthers = MeanLoad(others);
+  for (Candidate& candidate : aCandidates) {
+    const Upstream& upstream = *candidate.m_upstream;
+    candidate.m_load = upstream.m_tracker->Load(meanOthers, aNow);
+    const double away =
+      upstream.m_entry.m_zone == m_zone ? 0 : kOtherZoneLoad;
     candidate.m_distance =
       aSelection.m_affinity != 0
         ? RendezvousDistance(aSelection.m_affinity, upstream.m_node)
-        : candidate.m_load + (entry.m_zone == m_zone ? 0 : kOtherZoneLoad);
-    candidates.push_back(candidate);
+        : candidate.m_load + away;
   }
-  return candidates;
 }
 
 // A few that are missing have most likely left; when most are, the store has
@@ -165,6 +185,7 @@
   if (candidates.empty()) {
     return choice;
   }
+  Weigh(candidates, aSelection, aNow);
   std::sort(
     candidates.begin(),
     candidates.end(),
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -122,6 +122,9 @@
                                     NoChoice& aWhy);
   static void DropDoubtful(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
+  void Weigh(std::vector<Candidate>& aCandidates,
+             const Selection& aSelection,
+             Time aNow) const;
   bool MaySendCold(Upstream& aUpstream,
                    const Selection& aSelection,
                    Time aNow) const;
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -18,6 +18,8 @@
 constexpr Duration kRefusedTime = std::chrono::milliseconds(150);
 // After this time a load report, or a failure, counts half.
 constexpr double kReportHalfLifeMs = 1500;
+// Older reports do not count towards the mean.
+constexpr Duration kReportLifetime = std::chrono::milliseconds(3000);
 constexpr double kFailureHalfLifeMs = 2500;
 // Weight of the newest answer in the failure rate.
 constexpr double kNewestWeight = 0.15;
@@ -92,13 +94,23 @@
   m_reportedAt = aNow;
 }
 
+std::optional<double>
+UpstreamTracker::OthersLoad(Time aNow) const
+{
+  if (!m_reportedAt || aNow - *m_reportedAt > kReportLifetime) {
+    return std::nullopt;
+  }
+  return m_othersLoad;
+}
+
 double
-UpstreamTracker::Load(Time aNow) const
+UpstreamTracker::Load(double aMeanOthers, Time aNow) const
 {
-  const double others =
-    m_reportedAt ? m_othersLoad * Decay(aNow - *m_reportedAt, kReportHalfLifeMs)
-                 : 0;
-  return m_inFlight + others;
+  if (!m_reportedAt) {
+    return m_inFlight + aMeanOthers;
+  }
+  const double weight = Decay(aNow - *m_reportedAt, kReportHalfLifeMs);
+  return m_inFlight + weight * m_othersLoad + (1 - weight) * aMeanOthers;
 }
 
 bool
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -48,8 +48,13 @@
 
   std::uint32_t InFlight() const { return m_inFlight; }
 
-  // Requests that it carries, by all that is known here.
-  double Load(Time aNow) const;
+  // Requests of other daemons that it carries by its last report, or nothing
+  // when it sent none lately.
+  std::optional<double> OthersLoad(Time aNow) const;
+
+  // Requests that it carries, by all that is known here. aMeanOthers: the mean
+  // of OthersLoad over its service.
+  double Load(double aMeanOthers, Time aNow) const;
 
   // Whether new work may be sent: it was reachable at the last try, and it has
   // not been silent towards requests for longer than kSilence.
