--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -68,28 +68,42 @@
   m_zonesOut = aZones;
 }
 
-std::vector<UpstreamSelector::Candidate>
-UpstreamSelector::Candidates(const Selection& aSelection,
-                             Time aNow,
-                             NoChoice& aWhy)
+UpstreamSelector::Field
+UpstreamSelector::FieldOf(const Selection& aSelection, Time aNow)
 {
-  std::vector<Candidate> candidates;
-  aWhy = NoChoice::NoUpstream;
+  Field field;
   for (auto& [id, upstream] : m_upstreams) {
     const UpstreamEntry& entry = upstream.m_entry;
-    if (entry.m_service != aSelection.m_service || entry.m_draining ||
-        m_zonesOut.contains(entry.m_zone) || aSelection.m_avoid.contains(id)) {
+    if (entry.m_service != aSelection.m_service) {
+      continue;
+    }
+    ++field.m_listed;
+    if (entry.m_draining || m_zonesOut.contains(entry.m_zone) ||
+        aSelection.m_avoid.contains(id)) {
       continue;
     }
     if (!upstream.m_tracker->Reachable(aNow)) {
-      aWhy = NoChoice::Unreachable;
+      field.m_why = NoChoice::Unreachable;
       continue;
     }
     Candidate candidate;
     candidate.m_upstream = &upstream;
-    candidates.push_back(candidate);
+    field.m_candidates.push_back(candidate);
   }
-  return candidates;
+  return field;
+}
+
+// The load up to which a request keeps to the upstream that it prefers.
+double
+UpstreamSelector::BoundOf(const Field& aField, double aMeanLoad) const
+{
+  const double sum =
+    aMeanLoad * static_cast<double>(aField.m_candidates.size());
+  const double meanListed = sum / static_cast<double>(aField.m_listed);
+  const double most =
+    m_options.m_loadFactor * meanListed + m_options.m_loadFactorSlack;
+  return std::min(m_options.m_loadBound * aMeanLoad + m_options.m_loadSlack,
+                  m_options.m_loadFactorUse * most);
 }
 
 // Fills in loads, and the distances by which candidates are ordered.
@@ -178,8 +192,9 @@
 UpstreamSelector::Choose(const Selection& aSelection, Time aNow)
 {
   Choice choice;
-  std::vector<Candidate> candidates =
-    Candidates(aSelection, aNow, choice.m_why);
+  Field field = FieldOf(aSelection, aNow);
+  std::vector<Candidate>& candidates = field.m_candidates;
+  choice.m_why = field.m_why;
   DropDoubtful(candidates);
   DropFailing(candidates, aNow);
   if (candidates.empty()) {
@@ -199,8 +214,7 @@
     loads.push_back(candidate.m_load);
   }
   choice.m_meanLoad = MeanLoad(loads);
-  const double bound =
-    m_options.m_loadBound * choice.m_meanLoad + m_options.m_loadSlack;
+  const double bound = BoundOf(field, choice.m_meanLoad);
 
   const Candidate* chosen = nullptr;
   const Candidate* leastLoaded = nullptr;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -33,6 +33,12 @@
   // to the engine that caches its part; plus a few, as means are small.
   double m_loadBound = 1.5;
   double m_loadSlack = 2.0;
+  // The most that an upstream may carry, in means over all listed upstreams of
+  // its service, also those that take no work, plus a few; and the part of it
+  // that is used, as loads are known late.
+  double m_loadFactor = 2.0;
+  double m_loadFactorSlack = 3.0;
+  double m_loadFactorUse = 0.8;
   // Share of failures, above that of the service, from which an upstream is
   // passed over.
   double m_failureMargin = 0.25;
@@ -117,9 +123,16 @@
   // counted: requests take their time to arrive.
   static constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
 
-  std::vector<Candidate> Candidates(const Selection& aSelection,
-                                    Time aNow,
-                                    NoChoice& aWhy);
+  // What is known of a service when a request is to be sent.
+  struct Field
+  {
+    std::vector<Candidate> m_candidates;
+    std::size_t m_listed = 0; // upstreams of the service, candidates or not
+    NoChoice m_why = NoChoice::NoUpstream;
+  };
+
+  Field FieldOf(const Selection& aSelection, Time aNow);
+  double BoundOf(const Field& aField, double aMeanLoad) const;
   static void DropDoubtful(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
   void Weigh(std::vector<Candidate>& aCandidates,
