Daemons exchange loads through a hub of their zone, which also reads the store for them

Change: LoadExchange (walnutwing/routing): each daemon reports to the hub of its zone each 300 ms and hears what all others carry; two datagrams a period whatever the fleet's size. The same digests say how far the hub has read the store's topics and carry the records that changed something, so that the others do not poll.

--- /dev/null
+++ b/router/member_record.cc
@@ -0,0 +1,52 @@
+#include "router/member_record.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include "platform/json_value.h"
+
+namespace walnutwing::router {
+
+std::string
+EncodeMember(const RosterMember& aMember)
+{
+  rapidjson::StringBuffer text;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+  writer.StartObject();
+  writer.Key("zone");
+  writer.String(aMember.m_zone.Value().c_str());
+  writer.Key("address");
+  writer.String(aMember.m_address.c_str());
+  writer.Key("weight");
+  writer.Double(aMember.m_weight);
+  writer.Key("announced_ms");
+  writer.Int64(aMember.m_announcedAt.time_since_epoch().count());
+  writer.EndObject();
+  return { text.GetString(), text.GetSize() };
+}
+
+std::optional<RosterMember>
+DecodeMember(const DaemonId& aName, std::string_view aJson)
+{
+  rapidjson::Document json;
+  json.Parse(aJson.data(), aJson.size());
+  if (json.HasParseError() || !json.IsObject()) {
+    return std::nullopt;
+  }
+  const auto zone = platform::TextAt(json, "zone");
+  const auto address = platform::TextAt(json, "address");
+  const auto weight = platform::NumberAt(json, "weight");
+  const auto announced = platform::CountAt(json, "announced_ms");
+  if (!zone || !address || !weight || !announced) {
+    return std::nullopt;
+  }
+  return RosterMember{ aName,
+                       ZoneId(*zone),
+                       *address,
+                       *weight,
+                       WallTime(
+                         Duration(static_cast<Duration::rep>(*announced))) };
+}
+
+} // namespace walnutwing::router
--- /dev/null
+++ b/router/peers.h
@@ -0,0 +1,92 @@
+#ifndef WALNUTWING_ROUTER_PEERS_H_
+#define WALNUTWING_ROUTER_PEERS_H_
+
+// Datagrams with the other daemons: loads by LoadExchange, and, from the hub of
+// a zone to its daemons, how far it has read the topics of the platform's store
+// and which records changed something. So one daemon of a zone reads for all;
+// the others read themselves what a datagram cannot hold or did not bring, and
+// go back to reading on their own while their hub is silent or has lost the
+// store.
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include <boost/asio/basic_datagram_socket.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "router/context.h"
+#include "router/topic_feed.h"
+#include "router_peer.pb.h"
+#include "walnutwing/routing/load_exchange.h"
+
+namespace walnutwing::router {
+
+class Peers
+{
+public:
+  // Throws boost::system::system_error if the address cannot be bound.
+  Peers(Context& aContext,
+        LoadExchange& aExchange,
+        TopicFeed& aOperators,
+        TopicFeed& aUpstreams);
+  Peers(const Peers&) = delete;
+  Peers& operator=(const Peers&) = delete;
+
+  void Start();
+
+  // The whole upstreams' topic was read anew: changes are known from aNext on.
+  void OnWhole(std::uint64_t aNext);
+
+  // A record of the upstreams' topic that was read from the store, and changed
+  // something.
+  void OnChange(const platform::StoreRecord& aRecord);
+
+  // A topic was read: daemons that rely on this one hear of it at once.
+  void OnRead();
+
+  // The hub says whether the store answers it.
+  using OnStoreHealth = std::function<void(bool aAnswers)>;
+  void SetStoreHealth(OnStoreHealth aOnHealth)
+  {
+    m_onHealth = std::move(aOnHealth);
+  }
+
+private:
+  using Udp = asio::ip::udp;
+  struct Change
+  {
+    platform::StoreRecord m_record;
+    Time m_at;
+  };
+
+  void Receive();
+  void OnMessage(const proto::RouterPeerMessage& aMessage);
+  void OnTopics(const proto::RouterPeerMessage& aMessage);
+  void OnUpstreamTopic(const proto::TopicState& aState);
+  void Period();
+  void SendPeriod();
+  void Send(const LoadMessage& aLoads);
+  void AddTopics(proto::RouterPeerMessage& aMessage) const;
+  void AddChanges(proto::TopicState& aState) const;
+  void ForgetChanges();
+
+  Context& m_context;
+  LoadExchange& m_exchange;
+  TopicFeed& m_operators;
+  TopicFeed& m_upstreams;
+  asio::basic_datagram_socket<Udp, Executor> m_socket;
+  Timer m_timer;
+  Timer m_soon;
+  bool m_soonSet = false;
+  OnStoreHealth m_onHealth;
+  Udp::endpoint m_sender;
+  std::array<char, 64U << 10U> m_input{};
+  std::deque<Change> m_changes;
+  std::uint64_t m_changesFrom = 0; // offset from which they are complete
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_PEERS_H_
--- a/router/router.cc
+++ b/router/router.cc
@@ -18,7 +18,9 @@
 #include "platform/config_codec.h"
 #include "platform/http_names.h"
 #include "router/front.h"
+#include "router/member_record.h"
 #include "router/page_server.h"
+#include "router/peers.h"
 #include "router/topic_feed.h"
 
 namespace walnutwing::router {
@@ -28,17 +30,18 @@
 
 // How long a read of the operators' topic waits: a connection to the store that
 // has gone silent is noticed after this and the answer time.
-constexpr Duration kOperatorWait = std::chrono::milliseconds(1500);
+constexpr Duration kOperatorWait = std::chrono::milliseconds(900);
 // Reads of the upstreams' topic: upstreams register again every second or so,
 // so records are fetched in batches.
-constexpr Duration kUpstreamWait = std::chrono::milliseconds(1000);
-constexpr Duration kUpstreamInterval = std::chrono::milliseconds(500);
+constexpr Duration kUpstreamWait = std::chrono::milliseconds(400);
+constexpr Duration kUpstreamInterval = std::chrono::milliseconds(450);
 // By when a living upstream has registered again after the store came back.
 constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
 // Each daemon says that it is there this often, and looks who else is; one that
 // was not heard for three times as long no longer counts.
 constexpr Duration kMemberInterval = std::chrono::milliseconds(8000);
 constexpr Duration kMemberLifetime = 3 * kMemberInterval;
+constexpr Duration kFirstCount = std::chrono::milliseconds(1500);
 constexpr Duration kStoreAnswerTime = std::chrono::milliseconds(1500);
 // Budgets are shared by so many before the others are known.
 constexpr std::uint32_t kFleetUnknown = 16;
@@ -91,14 +94,18 @@
     , m_log(STDOUT_FILENO, aSettings.m_name.Value(), LogOptions(aSettings))
     , m_pool(m_loop)
     , m_directory(kReturnTime)
-    , m_selector(aSettings.m_zone, {})
+    , m_exchange(aSettings.m_name, aSettings.m_zone, {})
+    , m_selector(aSettings.m_zone, SelectorOptionsOf(aSettings), m_exchange)
+    , m_roster(kMemberLifetime)
     , m_context{ m_loop,
                  aSettings,
                  m_log,
                  m_metrics,
                  m_pool,
                  m_selector,
-                 std::mt19937_64(std::random_device{}()), {}, {} }
+                 std::mt19937_64(std::random_device{}()),
+                 {},
+                 {} }
     , m_operators(
         m_context,
         std::string(platform::kOperatorTopic),
@@ -110,13 +117,7 @@
         std::string(platform::kUpstreamTopic),
         { kUpstreamWait, kUpstreamInterval },
         [this](const TopicNews& aNews) { OnUpstreamNews(aNews); },
-        [this](bool aAnswers) {
-          if (!aAnswers) {
-            m_directory.OnStoreAway(Now());
-          } else {
-            m_directory.OnStoreAnswers(Now());
-          }
-        })
+        [this](bool aAnswers) { OnStoreHealth(aAnswers); })
     , m_members(
         m_context,
         std::string(platform::kMemberTopic),
@@ -126,6 +127,7 @@
     , m_announcements(std::make_shared<StoreChannel>(
         m_loop,
         ParseEndpoint(aSettings.m_storeAddress).value()))
+    , m_peers(m_context, m_exchange, m_operators, m_upstreams)
     , m_front(m_context)
     , m_readyPage(m_loop,
                   ParseEndpoint(aSettings.m_readyListen).value(),
@@ -133,6 +135,7 @@
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_tick(m_loop.get_executor())
     , m_announce(m_loop.get_executor())
+    , m_followMembers(m_loop.get_executor())
     , m_settingsCheck(m_loop.get_executor())
     , m_stopTimer(m_loop.get_executor())
     , m_stopLimit(m_loop.get_executor())
@@ -149,6 +152,8 @@
     CheckSettingsLater();
     m_operators.Start();
     m_upstreams.Start();
+    m_peers.SetStoreHealth([this](bool aAnswers) { OnStoreHealth(aAnswers); });
+    m_peers.Start();
     Announce();
     LogLine(Event::Started)
       .Add("zone", m_context.m_settings.m_zone.Value())
@@ -169,6 +174,13 @@
     return options;
   }
 
+  static SelectorOptions SelectorOptionsOf(const RouterSettings& aSettings)
+  {
+    SelectorOptions options;
+    options.m_loadFactor = aSettings.m_loadFactor;
+    return options;
+  }
+
   EventLog::Line LogLine(Event aEvent) { return { m_log, aEvent, Now() }; }
 
   void StartMetrics()
@@ -187,6 +199,15 @@
 
   // --- what the process believes ---
 
+  void OnStoreHealth(bool aAnswers)
+  {
+    if (aAnswers) {
+      m_directory.OnStoreAnswers(Now());
+    } else {
+      m_directory.OnStoreAway(Now());
+    }
+  }
+
   void OnOperatorNews(const TopicNews& aNews)
   {
     std::set<ZoneId> zonesOut = aNews.m_whole ? std::set<ZoneId>() : m_zonesOut;
@@ -206,6 +227,7 @@
       }
     }
     SetZonesOut(zonesOut);
+    m_peers.OnRead();
   }
 
   // Only a newer version comes into force: records may be read twice.
@@ -265,36 +287,48 @@
   {
     std::vector<UpstreamEntry> entries;
     for (const platform::StoreRecord& record : aNews.m_records) {
-      const UpstreamId id(record.m_key);
-      if (!record.m_value || record.m_value->empty()) {
-        OnUpstreamChange(id, m_directory.OnRemoved(id, Now()));
-        continue;
-      }
-      platform::DecodeProblem problem;
-      const std::optional<UpstreamEntry> entry =
-        platform::DecodeUpstream(record.m_key, *record.m_value, problem);
-      if (!entry) {
-        LogLine(Event::UpstreamUnreadable)
-          .Add("upstream", record.m_key)
-          .Add("where", problem.m_where)
-          .Add("why", problem.m_text);
-        OnUpstreamChange(id, m_directory.OnRemoved(id, Now()));
+      std::optional<UpstreamEntry> entry = ReadUpstream(record);
+      if (aNews.m_whole && entry) {
+        entries.push_back(std::move(*entry));
         continue;
       }
-      if (aNews.m_whole) {
-        entries.push_back(*entry);
-        continue;
+      const UpstreamId id(record.m_key);
+      const UpstreamChange change = entry ? m_directory.OnEntry(*entry, Now())
+                                          : m_directory.OnRemoved(id, Now());
+      if (change != UpstreamChange::None) {
+        m_peers.OnChange(record);
       }
-      OnUpstreamChange(id, m_directory.OnEntry(*entry, Now()));
+      OnUpstreamChange(id, change);
     }
     if (aNews.m_whole) {
+      m_peers.OnWhole(m_upstreams.Follower().Next());
       for (const auto& [id, change] : m_directory.OnList(entries, Now())) {
         OnUpstreamChange(id, change);
       }
     }
+    m_peers.OnRead();
     CheckReady();
   }
 
+  // Nothing for a record that names no upstream to use.
+  std::optional<UpstreamEntry> ReadUpstream(
+    const platform::StoreRecord& aRecord)
+  {
+    if (!aRecord.m_value || aRecord.m_value->empty()) {
+      return std::nullopt;
+    }
+    platform::DecodeProblem problem;
+    std::optional<UpstreamEntry> entry =
+      platform::DecodeUpstream(aRecord.m_key, *aRecord.m_value, problem);
+    if (!entry) {
+      LogLine(Event::UpstreamUnreadable)
+        .Add("upstream", aRecord.m_key)
+        .Add("where", problem.m_where)
+        .Add("why", problem.m_text);
+    }
+    return entry;
+  }
+
   void OnUpstreamChange(const UpstreamId& aId, UpstreamChange aChange)
   {
     if (aChange == UpstreamChange::None) {
@@ -318,17 +352,26 @@
 
   // --- the fleet's size ---
 
+  RosterMember Self() const
+  {
+    const RouterSettings& settings = m_context.m_settings;
+    return { settings.m_name,
+             settings.m_zone,
+             settings.m_peerListen,
+             settings.m_weight,
+             SteadyClock().WallNow() };
+  }
+
   void Announce()
   {
-    const auto wall = SteadyClock().WallNow().time_since_epoch().count();
     m_announcements->Call(
       platform::PutCall(platform::kMemberTopic,
                         m_context.m_settings.m_name.Value(),
-                        std::to_string(wall)),
+                        EncodeMember(Self())),
       kStoreAnswerTime,
       [this](const StoreAnswer& aAnswer) {
         if (!std::exchange(m_announced, true)) {
-          m_members.Start();
+          FollowMembersLater();
         }
         // A lost announcement is made up for by the next one.
         m_metrics.Gauge("announced_status") = aAnswer.m_status;
@@ -341,27 +384,41 @@
       });
   }
 
+  // A fleet that starts as a whole has announced itself by then; counting
+  // sooner would share its budgets by too few.
+  void FollowMembersLater()
+  {
+    m_followMembers.expires_after(kFirstCount);
+    m_followMembers.async_wait([this](const error_code& aError) {
+      if (!aError) {
+        m_members.Start();
+      }
+    });
+  }
+
   void OnMemberNews(const TopicNews& aNews)
   {
-    const auto wall = SteadyClock().WallNow().time_since_epoch().count();
     for (const platform::StoreRecord& record : aNews.m_records) {
-      if (!record.m_value) {
-        m_seen.erase(record.m_key);
-        continue;
+      const DaemonId name(record.m_key);
+      const auto member =
+        record.m_value ? DecodeMember(name, *record.m_value) : std::nullopt;
+      if (member) {
+        m_roster.OnAnnounced(*member);
+      } else {
+        m_roster.OnDropped(name);
       }
-      m_seen[record.m_key] = std::strtoll(record.m_value->c_str(), nullptr, 10);
     }
-    const auto alive = static_cast<std::uint32_t>(
-      std::count_if(m_seen.begin(), m_seen.end(), [&](const auto& aSeen) {
-        return wall - aSeen.second < kMemberLifetime.count();
-      }));
-    const std::uint32_t daemons = std::max(1U, alive);
+    std::vector<RosterMember> alive = m_roster.Alive(SteadyClock().WallNow());
+    const auto daemons =
+      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(alive.size()));
+    m_exchange.SetMembers(std::move(alive), Now());
     if (daemons == m_context.m_daemons) {
       return;
     }
     m_context.m_daemons = daemons;
     LogLine(Event::FleetSizeChanged)
-      .Add("daemons", static_cast<std::int64_t>(daemons));
+      .Add("daemons", static_cast<std::int64_t>(daemons))
+      .Add("hub", m_exchange.Hub().Value());
     m_metrics.Gauge("daemons") = daemons;
   }
 
@@ -529,23 +586,26 @@
   EventLog m_log;
   UpstreamPool m_pool;
   UpstreamDirectory m_directory;
+  LoadExchange m_exchange;
   UpstreamSelector m_selector;
+  FleetRoster m_roster;
   Context m_context;
   TopicFeed m_operators;
   TopicFeed m_upstreams;
   TopicFeed m_members;
   std::shared_ptr<StoreChannel> m_announcements;
+  Peers m_peers;
   Front m_front;
   PageServer m_readyPage;
   std::optional<PageServer> m_metricsPage;
   asio::signal_set m_signals;
   Timer m_tick;
   Timer m_announce;
+  Timer m_followMembers;
   Timer m_settingsCheck;
   Timer m_stopTimer;
   Timer m_stopLimit;
   std::set<ZoneId> m_zonesOut;
-  std::map<std::string, long long> m_seen; // daemons, by when they announced
   bool m_announced = false;
   bool m_ready = false;
   std::size_t m_cut = 0;
--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -87,17 +87,17 @@
            } };
 }
 
-// Ranges of the bounds.
 constexpr double kMostReal = 1'000'000;
 
 Setting
-RealSetting(const char* aKey,
+RealSetting(const char* aSection,
+            const char* aKey,
             const char* aUnit,
             const char* aDefault,
             double RouterSettings::*aMember,
             const char* aDoc)
 {
-  return { { "bounds", aKey, aUnit, "0 to 1000000", aDefault, aDoc },
+  return { { aSection, aKey, aUnit, "0 to 1000000", aDefault, aDoc },
            [=](RouterSettings& aSettings, std::string_view aValue) {
              const auto number = ParseReal(aValue);
              aSettings.*aMember = number.value_or(0);
@@ -140,6 +140,16 @@
                    "ready_listen",
                    &RouterSettings::m_readyListen,
                    "where the platform asks whether to send callers"),
+    AddressSetting("router",
+                   "peer_listen",
+                   &RouterSettings::m_peerListen,
+                   "where other daemons send datagrams"),
+    RealSetting("router",
+                "weight",
+                "cores",
+                "1",
+                &RouterSettings::m_weight,
+                "processor share of this VM; larger ones work for their zone"),
     CountSetting("metrics_port",
                  "port",
                  0,
@@ -176,12 +186,14 @@
                 "5000",
                 &RouterSettings::m_evacuationLimit,
                 "by when a zone that is taken out gets no new work"),
-    RealSetting("cold_factor",
+    RealSetting("bounds",
+                "cold_factor",
                 "",
                 "1.5",
                 &RouterSettings::m_coldFactor,
                 "times what a cold upstream says it bears that it may get"),
-    RealSetting("repeat_ratio",
+    RealSetting("bounds",
+                "repeat_ratio",
                 "repeats/request",
                 "0.2",
                 &RouterSettings::m_repeatRatio,
@@ -192,12 +204,14 @@
                 "10",
                 &RouterSettings::m_repeatWindow,
                 "span in which repeats are counted"),
-    RealSetting("repeat_allowance",
+    RealSetting("bounds",
+                "repeat_allowance",
                 "repeats",
                 "50",
                 &RouterSettings::m_repeatAllowance,
                 "repeats in a window beyond the ratio, over the fleet"),
-    RealSetting("load_factor",
+    RealSetting("bounds",
+                "load_factor",
                 "",
                 "2",
                 &RouterSettings::m_loadFactor,
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -22,6 +22,8 @@
   ZoneId m_zone;
   std::string m_listen;      // callers
   std::string m_readyListen; // the platform asks there whether to send callers
+  std::string m_peerListen;  // datagrams of other daemons
+  double m_weight = 0;       // processor share of this VM
   std::uint64_t m_metricsPort = 0;
   std::string m_storeAddress;
   Duration m_stopLimit{};       // from SIGTERM to the end, at most
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -7,6 +7,8 @@
 
 // Beyond the wait that a read asks for.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(700);
+// Between two calls to a store that does not answer.
+constexpr Duration kLeastPause = std::chrono::milliseconds(400);
 // Retries of daemons that lost the store together spread over this part of the
 // delay more.
 constexpr double kRetrySpread = 0.5;
@@ -33,6 +35,10 @@
 void
 TopicFeed::CallNext()
 {
+  m_calling = true;
+  m_calledAt = Now();
+  m_again = false;
+  m_timer.cancel();
   m_channel->Call(m_follower.NextCall(),
                   m_follower.CallWait() + kAnswerTime,
                   [this](const StoreAnswer& aAnswer) { OnAnswer(aAnswer); });
@@ -41,26 +47,57 @@
 void
 TopicFeed::OnAnswer(const StoreAnswer& aAnswer)
 {
+  m_calling = false;
   const TopicNews news = m_follower.OnAnswer(aAnswer.m_status, aAnswer.m_body);
   SetAnswers(news.m_understood, aAnswer);
   if (news.m_understood) {
+    m_answeredAt = Now();
     m_loaded = m_loaded || news.m_whole;
     m_onNews(news);
   }
-  Duration delay = m_follower.Delay();
+  Duration delay = m_again ? Duration::zero() : m_follower.Delay();
   if (!news.m_understood) {
     std::uniform_real_distribution<double> spread(1.0, 1.0 + kRetrySpread);
     delay = Duration(static_cast<Duration::rep>(
-      static_cast<double>(delay.count()) * spread(m_context.m_random)));
+      static_cast<double>(m_follower.Delay().count()) *
+      spread(m_context.m_random)));
   }
-  m_timer.expires_after(delay);
+  CallAfter(delay);
+}
+
+void
+TopicFeed::CallAfter(Duration aDelay)
+{
+  m_timer.expires_after(aDelay);
   m_timer.async_wait([this](const error_code& aError) {
-    if (!aError) {
-      CallNext();
+    if (aError || m_calling) {
+      return;
     }
+    const Time now = Now();
+    if (m_follower.Reading() && now < m_reliesUntil && !m_again) {
+      CallAfter(m_reliesUntil - now);
+      return;
+    }
+    CallNext();
   });
 }
 
+void
+TopicFeed::ReadNow()
+{
+  m_again = true;
+  if (!m_calling && (m_answers || Now() - m_calledAt >= kLeastPause)) {
+    CallNext();
+  }
+}
+
+void
+TopicFeed::OnPassed(const TopicNews& aNews, std::uint64_t aNext)
+{
+  m_follower.SkipTo(aNext);
+  m_onNews(aNews);
+}
+
 void
 TopicFeed::SetAnswers(bool aAnswers, const StoreAnswer& aAnswer)
 {
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -2,7 +2,8 @@
 #define WALNUTWING_ROUTER_TOPIC_FEED_H_
 
 // Drives a TopicFollower over a connection of its own to the platform's store,
-// and tells when the topic is lost and regained.
+// and tells when the topic is lost and regained. While another daemon passes
+// the topic on, it does not call the store itself.
 
 #include <functional>
 #include <memory>
@@ -31,12 +32,28 @@
 
   void Start() { CallNext(); }
 
+  // Another daemon reads the topic, and tells when it changes: no calls until
+  // aUntil, unless ReadNow asks for one.
+  void RelyOnOther(Time aUntil) { m_reliesUntil = aUntil; }
+
+  // Reads without delay.
+  void ReadNow();
+
+  // Records that another daemon has read, of the offsets before aNext.
+  void OnPassed(const TopicNews& aNews, std::uint64_t aNext);
+
+  // Whether the store answered the last call, and when.
+  bool Answers() const { return m_answers; }
+  Time AnsweredAt() const { return m_answeredAt; }
+  const TopicFollower& Follower() const { return m_follower; }
+
   // Whether the whole topic was read at least once.
   bool Loaded() const { return m_loaded; }
   const StoreChannel& Channel() const { return *m_channel; }
 
 private:
   void CallNext();
+  void CallAfter(Duration aDelay);
   void OnAnswer(const StoreAnswer& aAnswer);
   void SetAnswers(bool aAnswers, const StoreAnswer& aAnswer);
 
@@ -49,6 +66,11 @@
   Timer m_timer;
   bool m_loaded = false;
   bool m_answers = true;
+  bool m_calling = false;
+  bool m_again = false; // call once more after the present call
+  Time m_calledAt;
+  Time m_answeredAt;
+  Time m_reliesUntil;
 };
 
 } // namespace walnutwing::router
--- a/router/topic_follower.h
+++ b/router/topic_follower.h
@@ -10,6 +10,7 @@
 // that the first page named, and records that were seen before are applied
 // again.
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,6 +54,13 @@
   // How long that call may take by its own wait.
   Duration CallWait() const;
 
+  // Whether the newest records are known, and records are read from Next on.
+  bool Reading() const { return m_reading; }
+  std::uint64_t Next() const { return m_next; }
+
+  // The records before aNext came from another daemon.
+  void SkipTo(std::uint64_t aNext) { m_next = std::max(m_next, aNext); }
+
   // aStatus is 0 when no answer came.
   TopicNews OnAnswer(int aStatus, std::string_view aBody);
 
--- /dev/null
+++ b/walnutwing/routing/fleet_roster.h
@@ -0,0 +1,54 @@
+#ifndef WALNUTWING_ROUTING_FLEET_ROSTER_H_
+#define WALNUTWING_ROUTING_FLEET_ROSTER_H_
+
+// Which daemons there are, by what each announces of itself from time to time.
+// Their number shares the fleet's budgets; a daemon that has left counts on for
+// a while, which makes shares smaller and never larger.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/base/id.h"
+
+namespace walnutwing {
+
+struct RosterMember
+{
+  DaemonId m_name;
+  ZoneId m_zone;
+  std::string m_address; // "IP:port" for datagrams of other daemons
+  double m_weight = 1;   // processor share of its VM
+  WallTime m_announcedAt;
+};
+
+class FleetRoster
+{
+public:
+  // aLifetime: how long an announcement holds.
+  explicit FleetRoster(Duration aLifetime)
+    : m_lifetime(aLifetime)
+  {
+  }
+
+  void OnAnnounced(const RosterMember& aMember);
+  void OnDropped(const DaemonId& aName) { m_members.erase(aName); }
+
+  // Members whose announcement holds, in the order of their names.
+  std::vector<RosterMember> Alive(WallTime aNow) const;
+
+private:
+  Duration m_lifetime;
+  std::map<DaemonId, RosterMember> m_members;
+};
+
+// The members of a zone in the order in which they serve as its hub: the larger
+// VM first, then by a hash that differs from zone to zone.
+std::vector<RosterMember>
+RankHubs(const std::vector<RosterMember>& aMembers, const ZoneId& aZone);
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_FLEET_ROSTER_H_
--- /dev/null
+++ b/walnutwing/routing/load_exchange.cc
@@ -0,0 +1,229 @@
+#include "walnutwing/routing/load_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "walnutwing/placement/rendezvous.h"
+
+namespace walnutwing {
+namespace {
+
+// A zone's sum goes to so many of another zone's daemons, in the order in which
+// they serve as its hub, so that the next one has it when it takes over.
+constexpr std::size_t kHubsTold = 2;
+
+void
+AddLoads(const UpstreamLoads& aLoads, UpstreamLoads& aSum)
+{
+  for (const auto& [upstream, requests] : aLoads) {
+    aSum[upstream] += requests;
+  }
+}
+
+void
+TakeLoads(const UpstreamLoads& aLoads, UpstreamLoads& aSum)
+{
+  for (const auto& [upstream, requests] : aLoads) {
+    std::uint32_t& left = aSum[upstream];
+    left -= std::min(left, requests);
+  }
+}
+
+} // namespace
+
+std::uint32_t
+LoadKey(const UpstreamId& aUpstream)
+{
+  return static_cast<std::uint32_t>(StableHash(aUpstream.Value()));
+}
+
+LoadExchange::LoadExchange(DaemonId aSelf,
+                           ZoneId aZone,
+                           LoadExchangeOptions aOptions)
+  : m_self(std::move(aSelf))
+  , m_zone(std::move(aZone))
+  , m_options(aOptions)
+{
+}
+
+void
+LoadExchange::SetMembers(std::vector<RosterMember> aMembers, Time aNow)
+{
+  const DaemonId before = Hub();
+  m_members = std::move(aMembers);
+  m_hubs = RankHubs(m_members, m_zone);
+  const auto same =
+    std::find_if(m_hubs.begin(), m_hubs.end(), [&](const auto& aMember) {
+      return aMember.m_name == before;
+    });
+  if (same != m_hubs.end()) {
+    m_hub = static_cast<std::size_t>(same - m_hubs.begin());
+    return;
+  }
+  m_hub = 0;
+  m_hubSince = aNow;
+}
+
+DaemonId
+LoadExchange::Hub() const
+{
+  return m_hub < m_hubs.size() ? m_hubs[m_hub].m_name : DaemonId();
+}
+
+bool
+LoadExchange::Knows(const DaemonId& aName) const
+{
+  return std::any_of(m_members.begin(), m_members.end(), [&](const auto& aOne) {
+    return aOne.m_name == aName;
+  });
+}
+
+bool
+LoadExchange::Fresh(Time aAt, Time aNow) const
+{
+  return aNow - aAt <= m_options.m_lifetime;
+}
+
+// Goes on to the next hub when the present one is silent, and back to the first
+// that is heard again.
+void
+LoadExchange::AdvanceHub(Time aNow)
+{
+  for (std::size_t i = 0; i < std::min(m_hub, m_hubs.size()); ++i) {
+    const auto heard = m_lastHeard.find(m_hubs[i].m_name);
+    const bool back =
+      m_hubs[i].m_name == m_self ||
+      (heard != m_lastHeard.end() && Fresh(heard->second, aNow));
+    if (back) {
+      m_hub = i;
+      m_hubSince = aNow;
+      return;
+    }
+  }
+  if (m_hub >= m_hubs.size() || IsHub()) {
+    return;
+  }
+  const auto heard = m_lastHeard.find(Hub());
+  const Time last = heard == m_lastHeard.end()
+                      ? m_hubSince
+                      : std::max(heard->second, m_hubSince);
+  if (!Fresh(last, aNow)) {
+    m_hub = (m_hub + 1) % m_hubs.size();
+    m_hubSince = aNow;
+  }
+}
+
+void
+LoadExchange::OnReport(const DaemonId& aFrom, UpstreamLoads aLoads, Time aNow)
+{
+  m_lastHeard[aFrom] = aNow;
+  m_reports[aFrom] = { std::move(aLoads), aNow };
+}
+
+void
+LoadExchange::OnZoneSum(const DaemonId& aFrom,
+                        const ZoneId& aZone,
+                        UpstreamLoads aLoads,
+                        Time aNow)
+{
+  m_lastHeard[aFrom] = aNow;
+  if (aZone != m_zone) {
+    m_zoneSums[aZone] = { std::move(aLoads), aNow };
+  }
+}
+
+bool
+LoadExchange::OnDigest(const DaemonId& aFrom, UpstreamLoads aLoads, Time aNow)
+{
+  m_lastHeard[aFrom] = aNow;
+  AdvanceHub(aNow);
+  if (aFrom != Hub()) {
+    return false;
+  }
+  m_others = std::move(aLoads);
+  m_othersAt = aNow;
+  return true;
+}
+
+UpstreamLoads
+LoadExchange::SumOfZone(Time aNow) const
+{
+  UpstreamLoads sum;
+  for (const auto& [daemon, heard] : m_reports) {
+    if (Fresh(heard.m_at, aNow)) {
+      AddLoads(heard.m_loads, sum);
+    }
+  }
+  return sum;
+}
+
+UpstreamLoads
+LoadExchange::SumOfOtherZones(Time aNow) const
+{
+  UpstreamLoads sum;
+  for (const auto& [zone, heard] : m_zoneSums) {
+    if (Fresh(heard.m_at, aNow)) {
+      AddLoads(heard.m_loads, sum);
+    }
+  }
+  return sum;
+}
+
+std::vector<LoadMessage>
+LoadExchange::OnPeriod(const UpstreamLoads& aOwn, Time aNow)
+{
+  AdvanceHub(aNow);
+  std::vector<LoadMessage> messages;
+  if (m_hubs.empty()) {
+    return messages;
+  }
+  if (!IsHub()) {
+    messages.push_back(
+      { LoadMessageKind::Report, m_hubs[m_hub].m_address, aOwn });
+    return messages;
+  }
+  UpstreamLoads zone = SumOfZone(aNow);
+  m_others = SumOfOtherZones(aNow);
+  const UpstreamLoads abroad = m_others;
+  AddLoads(zone, m_others);
+  m_othersAt = aNow;
+  AddLoads(aOwn, zone);
+  for (const RosterMember& member : m_hubs) {
+    if (member.m_name == m_self) {
+      continue;
+    }
+    UpstreamLoads others = abroad;
+    AddLoads(zone, others);
+    const auto report = m_reports.find(member.m_name);
+    if (report != m_reports.end() && Fresh(report->second.m_at, aNow)) {
+      TakeLoads(report->second.m_loads, others);
+    }
+    messages.push_back(
+      { LoadMessageKind::Digest, member.m_address, std::move(others) });
+  }
+  std::map<ZoneId, std::vector<RosterMember>> zones;
+  for (const RosterMember& member : m_members) {
+    if (member.m_zone != m_zone) {
+      zones.try_emplace(member.m_zone);
+    }
+  }
+  for (auto& [name, hubs] : zones) {
+    hubs = RankHubs(m_members, name);
+    for (std::size_t i = 0; i < std::min(kHubsTold, hubs.size()); ++i) {
+      messages.push_back({ LoadMessageKind::ZoneSum, hubs[i].m_address, zone });
+    }
+  }
+  return messages;
+}
+
+std::optional<double>
+LoadExchange::OthersAt(std::uint32_t aUpstream, Time aNow) const
+{
+  if (!m_othersAt || !Fresh(*m_othersAt, aNow)) {
+    return std::nullopt;
+  }
+  const auto found = m_others.find(aUpstream);
+  return found == m_others.end() ? 0.0 : static_cast<double>(found->second);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/load_exchange.h
@@ -0,0 +1,115 @@
+#ifndef WALNUTWING_ROUTING_LOAD_EXCHANGE_H_
+#define WALNUTWING_ROUTING_LOAD_EXCHANGE_H_
+
+// How daemons learn what the others have in progress at each upstream.
+//
+// Each zone has a hub, the first of its daemons in RankHubs' order that is
+// heard of. Daemons report their requests to it in every period; it adds them
+// up, tells the sum to the hubs of the other zones, and tells each of its
+// daemons what all others carry. A daemon thus sends and receives one message a
+// period, whatever the fleet's size; a hub as many as its zone has daemons, and
+// two for each other zone. When a hub falls silent the next in order takes
+// over; meanwhile daemons go by what upstreams say of their load.
+//
+// Every message replaces the one before, so a lost one costs a period.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/base/id.h"
+#include "walnutwing/routing/fleet_roster.h"
+
+namespace walnutwing {
+
+// Requests in progress by upstream (a hash of its id).
+using UpstreamLoads = std::unordered_map<std::uint32_t, std::uint32_t>;
+
+std::uint32_t
+LoadKey(const UpstreamId& aUpstream);
+
+enum class LoadMessageKind
+{
+  Report,  // a daemon's own requests, to its hub
+  ZoneSum, // those of a zone's daemons, to the hubs of other zones
+  Digest,  // those of all daemons but the receiver, from its hub
+};
+
+struct LoadMessage
+{
+  LoadMessageKind m_kind = LoadMessageKind::Report;
+  std::string m_to; // address
+  UpstreamLoads m_loads;
+};
+
+struct LoadExchangeOptions
+{
+  Duration m_period = std::chrono::milliseconds(300);
+  // What was heard longer ago is not used, and who was not heard for so long is
+  // taken for silent.
+  Duration m_lifetime = std::chrono::milliseconds(1000);
+};
+
+class LoadExchange
+{
+public:
+  LoadExchange(DaemonId aSelf, ZoneId aZone, LoadExchangeOptions aOptions);
+
+  void SetMembers(std::vector<RosterMember> aMembers, Time aNow);
+
+  void OnReport(const DaemonId& aFrom, UpstreamLoads aLoads, Time aNow);
+  void OnZoneSum(const DaemonId& aFrom,
+                 const ZoneId& aZone,
+                 UpstreamLoads aLoads,
+                 Time aNow);
+  // False when it is not from the hub, and to be passed over.
+  bool OnDigest(const DaemonId& aFrom, UpstreamLoads aLoads, Time aNow);
+
+  // To be called every period: what to send.
+  std::vector<LoadMessage> OnPeriod(const UpstreamLoads& aOwn, Time aNow);
+
+  // Requests of all other daemons at an upstream; nothing while that is not
+  // known.
+  std::optional<double> OthersAt(std::uint32_t aUpstream, Time aNow) const;
+
+  // The hub of the own zone; may be this daemon. Empty before any member is
+  // known.
+  DaemonId Hub() const;
+  bool IsHub() const { return Hub() == m_self; }
+
+  // Whether a daemon of the roster has that name.
+  bool Knows(const DaemonId& aName) const;
+
+private:
+  struct Heard
+  {
+    UpstreamLoads m_loads;
+    Time m_at;
+  };
+
+  void AdvanceHub(Time aNow);
+  bool Fresh(Time aAt, Time aNow) const;
+  UpstreamLoads SumOfZone(Time aNow) const;
+  UpstreamLoads SumOfOtherZones(Time aNow) const;
+
+  DaemonId m_self;
+  ZoneId m_zone;
+  LoadExchangeOptions m_options;
+  std::vector<RosterMember> m_members;
+  std::vector<RosterMember> m_hubs; // of the own zone, in order
+  std::size_t m_hub = 0;            // index of the one in use
+  Time m_hubSince;                  // when it came into use
+  std::map<DaemonId, Time> m_lastHeard;
+  std::map<DaemonId, Heard> m_reports; // of the own zone's other daemons
+  std::map<ZoneId, Heard> m_zoneSums;  // of the other zones
+  UpstreamLoads m_others;              // by the last digest, or as hub
+  std::optional<Time> m_othersAt;
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_LOAD_EXCHANGE_H_
--- a/walnutwing/routing/upstream_directory.cc
+++ b/walnutwing/routing/upstream_directory.cc
@@ -1,9 +1,17 @@
 #include "walnutwing/routing/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace walnutwing {
+namespace {
+
+// Registrations of a cold upstream count down; a smaller difference than this
+// is the time that they took.
+constexpr Duration kColdJitter = std::chrono::milliseconds(400);
+
+} // namespace
 
 bool
 UpstreamDirectory::StoreWasAway(Time aNow) const
@@ -44,7 +52,8 @@
                        known.m_entry.m_slots != aEntry.m_slots ||
                        known.m_entry.m_zone != aEntry.m_zone ||
                        known.m_entry.m_service != aEntry.m_service ||
-                       aEntry.m_coldRemaining > Duration::zero();
+                       aNow + aEntry.m_coldRemaining >
+                         std::max(known.m_coldUntil, aNow) + kColdJitter;
   known.m_entry = aEntry;
   known.m_doubtful = false;
   known.m_coldUntil = aNow + aEntry.m_coldRemaining;
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -25,9 +25,12 @@
 
 } // namespace
 
-UpstreamSelector::UpstreamSelector(ZoneId aZone, SelectorOptions aOptions)
+UpstreamSelector::UpstreamSelector(ZoneId aZone,
+                                   SelectorOptions aOptions,
+                                   const LoadExchange& aExchange)
   : m_zone(std::move(aZone))
   , m_options(aOptions)
+  , m_exchange(aExchange)
 {
 }
 
@@ -51,6 +54,7 @@
   upstream.m_entry = known->m_entry;
   upstream.m_doubtful = known->m_doubtful;
   upstream.m_node.m_hash = StableHash(aId.Value());
+  upstream.m_loadKey = LoadKey(aId);
   upstream.m_coldUntil = std::max(upstream.m_coldUntil, known->m_coldUntil);
 }
 
@@ -112,18 +116,19 @@
                         const Selection& aSelection,
                         Time aNow) const
 {
-  std::vector<double> others;
+  std::vector<double> reported;
   for (const Candidate& candidate : aCandidates) {
     if (const auto load = candidate.m_upstream->m_tracker->OthersLoad(aNow)) {
-      others.push_back(*load);
+      reported.push_back(*load);
     }
   }
-  const double meanOthers = MeanLoad(others);
+  const double meanOthers = MeanLoad(reported);
   for (Candidate& candidate : aCandidates) {
     const Upstream& upstream = *candidate.m_upstream;
-    candidate.m_load = upstream.m_tracker->Load(meanOthers, aNow);
-    const double away =
-      upstream.m_entry.m_zone == m_zone ? 0 : kOtherZoneLoad;
+    const auto others = m_exchange.OthersAt(upstream.m_loadKey, aNow);
+    candidate.m_load = others ? upstream.m_tracker->InFlight() + *others
+                              : upstream.m_tracker->Load(meanOthers, aNow);
+    const double away = upstream.m_entry.m_zone == m_zone ? 0 : kOtherZoneLoad;
     candidate.m_distance =
       aSelection.m_affinity != 0
         ? RendezvousDistance(aSelection.m_affinity, upstream.m_node)
@@ -267,4 +272,16 @@
   found->second.m_coldSends.Count(aNow);
 }
 
+UpstreamLoads
+UpstreamSelector::OwnLoads() const
+{
+  UpstreamLoads loads;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (const std::uint32_t count = upstream.m_tracker->InFlight()) {
+      loads[upstream.m_loadKey] = count;
+    }
+  }
+  return loads;
+}
+
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "walnutwing/placement/rendezvous.h"
+#include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/send_window.h"
 #include "walnutwing/routing/upstream_directory.h"
 #include "walnutwing/routing/upstream_tracker.h"
@@ -31,14 +32,14 @@
 {
   // Load of an upstream, in means of its service, up to which a request keeps
   // to the engine that caches its part; plus a few, as means are small.
-  double m_loadBound = 1.5;
-  double m_loadSlack = 2.0;
+  double m_loadBound = 1.8;
+  double m_loadSlack = 3.0;
   // The most that an upstream may carry, in means over all listed upstreams of
   // its service, also those that take no work, plus a few; and the part of it
   // that is used, as loads are known late.
   double m_loadFactor = 2.0;
   double m_loadFactorSlack = 3.0;
-  double m_loadFactorUse = 0.8;
+  double m_loadFactorUse = 0.85;
   // Share of failures, above that of the service, from which an upstream is
   // passed over.
   double m_failureMargin = 0.25;
@@ -81,7 +82,11 @@
 class UpstreamSelector
 {
 public:
-  UpstreamSelector(ZoneId aZone, SelectorOptions aOptions);
+  // aExchange tells what other daemons have in progress; where it does not
+  // know, upstreams' own reports do.
+  UpstreamSelector(ZoneId aZone,
+                   SelectorOptions aOptions,
+                   const LoadExchange& aExchange);
 
   // The list of upstreams has changed.
   void OnUpstream(const UpstreamDirectory& aDirectory,
@@ -100,12 +105,16 @@
   // told to the choice's tracker.
   void OnSent(const Choice& aChoice, Time aNow);
 
+  // This daemon's own requests in progress.
+  UpstreamLoads OwnLoads() const;
+
 private:
   struct Upstream
   {
     UpstreamEntry m_entry;
     bool m_doubtful = false;
     RendezvousNode m_node;
+    std::uint32_t m_loadKey = 0;
     std::shared_ptr<UpstreamTracker> m_tracker =
       std::make_shared<UpstreamTracker>();
     Time m_coldUntil;
@@ -144,6 +153,7 @@
 
   ZoneId m_zone;
   SelectorOptions m_options;
+  const LoadExchange& m_exchange;
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
 };
