--- /dev/null
+++ b/router/router_settings_test.cc
@@ -0,0 +1,88 @@
+#include "router/router_settings.h"
+
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::router {
+namespace {
+
+constexpr const char* kGood = "[router]\n"
+                              "name = d1\n"
+                              "zone = z1\n"
+                              "listen = 10.0.0.1:80\n"
+                              "ready_listen = 10.0.0.1:81\n"
+                              "peer_listen = 10.0.0.1:82\n"
+                              "weight = 0.25\n"
+                              "[platform]\n"
+                              "address = 10.9.9.9:90\n"
+                              "[bounds]\n"
+                              "stop_limit_s = 8\n"
+                              "repeat_ratio = 0.2\n"
+                              "cold_factor =\n";
+
+std::vector<IniProblem>
+ProblemsOf(const std::string& aText)
+{
+  try {
+    ParseRouterSettings(aText, "f.ini");
+  } catch (const SettingsError& error) {
+    return error.Problems();
+  }
+  return {};
+}
+
+TEST(RouterSettings, ReadsValuesAndDefaults)
+{
+  const RouterSettings settings = ParseRouterSettings(kGood, "f.ini");
+  EXPECT_EQ("d1", settings.m_name.Value());
+  EXPECT_EQ(0.25, settings.m_weight);
+  EXPECT_EQ(std::chrono::seconds(8), settings.m_stopLimit);
+  EXPECT_EQ(0.2, settings.m_repeatRatio);
+  EXPECT_EQ(1.5, settings.m_coldFactor); // left empty: the default
+  EXPECT_EQ(9464U, settings.m_metricsPort);
+}
+
+TEST(RouterSettings, NamesEachProblemWithItsKeyAndWhatIsAllowed)
+{
+  const struct
+  {
+    const char* m_from;
+    const char* m_to;
+    ResultCode m_code;
+    const char* m_key;
+  } cases[] = {
+    { "name = d1\n", "", ResultCode::SettingsKeyMissing, "name" },
+    { "10.0.0.1:80\n", "here\n", ResultCode::SettingsBadValue, "listen" },
+    { "= 0.2\n", "= much\n", ResultCode::SettingsBadValue, "repeat_ratio" },
+    { "= 0.2\n", "= -1\n", ResultCode::SettingsBadValue, "repeat_ratio" },
+    { "= 0.2\n", "= nan\n", ResultCode::SettingsBadValue, "repeat_ratio" },
+    { "zone = z1", "colour = red\nzone = z1",
+      ResultCode::SettingsUnknownKey, "colour" },
+  };
+  for (const auto& one : cases) {
+    std::string text = kGood;
+    text.replace(text.find(one.m_from), std::string(one.m_from).size(), one.m_to);
+    const auto problems = ProblemsOf(text);
+    ASSERT_EQ(1U, problems.size()) << one.m_key;
+    EXPECT_EQ(one.m_code, problems[0].m_code) << one.m_key;
+    EXPECT_EQ(one.m_key, problems[0].m_key);
+  }
+  EXPECT_EQ(6U, ProblemsOf("").size()); // all required keys at once
+}
+
+TEST(RouterSettings, PageListsEveryKey)
+{
+  std::ifstream page(WALNUTWING_DOCS_DIR "/ROUTER.md");
+  const std::string text((std::istreambuf_iterator<char>(page)), {});
+  for (const SettingDescription& key : DescribeRouterSettings()) {
+    const std::string line = "| " + key.m_section + " | " + key.m_key + " | " +
+                             key.m_unit + " | " + key.m_allowed + " | " +
+                             key.m_default.value_or("required") + " | " +
+                             key.m_doc + " |\n";
+    EXPECT_NE(std::string::npos, text.find(line)) << line;
+  }
+}
+
+} // namespace
+} // namespace walnutwing::router
--- /dev/null
+++ b/router/topic_follower_test.cc
@@ -0,0 +1,130 @@
+#include "router/topic_follower.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr FollowerOptions kOptions{ milliseconds(900), milliseconds(400) };
+
+std::string
+Page(const std::string& aKeys, int aEnd, bool aMore = false)
+{
+  std::string items;
+  for (const char key : aKeys) {
+    items += items.empty() ? "" : ",";
+    items += std::string(R"({"key":")") + key + R"(","value":"dg==","offset":1})";
+  }
+  return R"({"items":[)" + items + R"(],"hasMore":)" +
+         (aMore ? "true" : "false") + R"(,"endOffset":)" +
+         std::to_string(aEnd) + "}";
+}
+
+std::string
+Records(const std::string& aKeys)
+{
+  std::string bytes(16, '\0');
+  for (const char key : aKeys) {
+    bytes += std::string({ 0, 0, 0, 3, 1, key, 'v' });
+  }
+  return bytes;
+}
+
+std::string
+Keys(const TopicNews& aNews)
+{
+  std::string keys;
+  for (const auto& record : aNews.m_records) {
+    keys += record.m_key;
+  }
+  return keys;
+}
+
+TEST(TopicFollower, ReadsOnFromTheEndOfTheFirstPage)
+{
+  TopicFollower follower("t", kOptions);
+  EXPECT_EQ("/api/log-newest?topic=t&part=0", follower.NextCall().m_target);
+  EXPECT_FALSE(follower.OnAnswer(200, Page("ab", 7, true)).m_whole);
+  EXPECT_EQ("/api/log-newest?topic=t&part=0&after=b",
+            follower.NextCall().m_target);
+  const TopicNews news = follower.OnAnswer(200, Page("c", 9));
+  EXPECT_TRUE(news.m_whole);
+  EXPECT_EQ("abc", Keys(news));
+  EXPECT_EQ(7U, follower.Next());
+  EXPECT_EQ(milliseconds(400), follower.Delay());
+  EXPECT_NE(std::string::npos,
+            follower.NextCall().m_target.find("from=7&maxKb=1024&waitMs=900"));
+  EXPECT_EQ("cd", Keys(follower.OnAnswer(200, Records("cd"))));
+  EXPECT_EQ(9U, follower.Next());
+}
+
+TEST(TopicFollower, StartsOverWhenTheHistoryIsGone)
+{
+  TopicFollower follower("t", kOptions);
+  follower.OnAnswer(200, Page("a", 1));
+  EXPECT_TRUE(follower.OnAnswer(410, R"({"firstOffset":50})").m_understood);
+  EXPECT_FALSE(follower.Reading());
+  EXPECT_EQ(Duration::zero(), follower.Delay());
+  EXPECT_TRUE(follower.OnAnswer(200, Page("b", 60)).m_whole);
+  EXPECT_EQ(60U, follower.Next());
+}
+
+// Failures of all sorts: later and later, but never later than the longest; a
+// read does not wait for records then, so that its answer shows that the store
+// is back (CONFIG, hamasaki trouble-3 --seed 13953440444).
+TEST(TopicFollower, TriesAgainSoonWhileTheStoreIsAway)
+{
+  TopicFollower follower("t", kOptions);
+  follower.OnAnswer(200, Page("a", 1));
+  EXPECT_EQ(milliseconds(900), follower.CallWait());
+  const int statuses[] = { 0, 503, 429, 500, 200 }; // the last one unreadable
+  const int delays[] = { 150, 300, 500, 500, 500 };
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_FALSE(follower.OnAnswer(statuses[i], "x").m_understood);
+    EXPECT_EQ(milliseconds(delays[i]), follower.Delay());
+    EXPECT_EQ(Duration::zero(), follower.CallWait());
+    EXPECT_EQ(1U, follower.Next());
+  }
+  EXPECT_TRUE(follower.OnAnswer(200, Records("b")).m_understood);
+  EXPECT_EQ(milliseconds(900), follower.CallWait());
+}
+
+TEST(TopicFollower, FailedPageStartsOver)
+{
+  TopicFollower follower("t", kOptions);
+  follower.OnAnswer(200, Page("a", 5, true));
+  follower.OnAnswer(0, "");
+  EXPECT_EQ("/api/log-newest?topic=t&part=0", follower.NextCall().m_target);
+  EXPECT_EQ("b", Keys(follower.OnAnswer(200, Page("b", 8))));
+  EXPECT_EQ(8U, follower.Next());
+}
+
+// A peer passes records on while a read is in progress: what the read brings of
+// them is not applied again, since it is older.
+TEST(TopicFollower, RecordsThatAPeerPassedOnAreNotAppliedAgain)
+{
+  TopicFollower follower("t", kOptions);
+  follower.OnAnswer(200, Page("", 10));
+  follower.NextCall();
+  follower.SkipTo(12);
+  EXPECT_EQ("c", Keys(follower.OnAnswer(200, Records("abc"))));
+  EXPECT_EQ(13U, follower.Next());
+  follower.NextCall();
+  follower.SkipTo(20);
+  EXPECT_EQ("", Keys(follower.OnAnswer(200, Records("de"))));
+  EXPECT_EQ(20U, follower.Next());
+}
+
+TEST(TopicFollower, TopicThatNobodyHasWrittenToIsEmpty)
+{
+  TopicFollower follower("t", kOptions);
+  const TopicNews news = follower.OnAnswer(404, "");
+  EXPECT_TRUE(news.m_understood);
+  EXPECT_TRUE(news.m_whole);
+  EXPECT_EQ(milliseconds(400), follower.Delay());
+}
+
+} // namespace
+} // namespace walnutwing::router
