Process tests of the router between raw stand-ins; walnutwing router and explain in the one binary

The repeat test waits for the fleet's size first: repeats are shared by 16 until then, and the fourth of them was refused, as the budget says.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,13 +1,16 @@
-// The one binary: `walnutwing daemon` runs a router, every other subcommand is
-// the operators' client.
+// The one binary: `walnutwing daemon` runs a router, `walnutwing router` one on
+// the users' platform, `walnutwing explain` reads the log lines of these, and
+// every other subcommand is the operators' client.
 
 #include <iostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "cli/explain.h"
 #include "cli/run_cli.h"
 #include "daemon/daemon.h"
+#include "router/router.h"
 #include "walnutwing/base/result_code.h"
 
 namespace {
@@ -17,6 +20,25 @@
   "Runs a router with the settings in FILE (docs/SETTINGS.md).\n"
   "SIGTERM stops it gracefully; a second one cuts what is still running.\n";
 
+constexpr const char* kRouterHelp =
+  "usage: walnutwing router [--config FILE]\n"
+  "Runs a router on the users' platform (docs/ROUTER.md). Without --config "
+  "the\n"
+  "file's path is taken from WALNUTWING_CONFIG.\n";
+
+int
+RunRouterCommand(const std::vector<std::string>& aArguments)
+{
+  if (aArguments.empty()) {
+    return walnutwing::router::RunRouter("");
+  }
+  if (aArguments.size() == 2 && aArguments[0] == "--config") {
+    return walnutwing::router::RunRouter(aArguments[1]);
+  }
+  std::cerr << kRouterHelp;
+  return walnutwing::ExitStatusOf(walnutwing::ResultCode::CommandLine);
+}
+
 int
 RunDaemonCommand(const std::vector<std::string>& aArguments)
 {
@@ -47,5 +69,13 @@
   if (!arguments.empty() && arguments[0] == "daemon") {
     return RunDaemonCommand({ arguments.begin() + 1, arguments.end() });
   }
+  const std::vector<std::string> rest(
+    arguments.begin() + (arguments.empty() ? 0 : 1), arguments.end());
+  if (!arguments.empty() && arguments[0] == "router") {
+    return RunRouterCommand(rest);
+  }
+  if (!arguments.empty() && arguments[0] == "explain") {
+    return walnutwing::RunExplain(rest, std::cin, std::cout, std::cerr);
+  }
   return walnutwing::RunCli(arguments, std::cout, std::cerr);
 }
--- a/router/event_log_test.cc
+++ b/router/event_log_test.cc
@@ -124,9 +124,8 @@
   options.m_bufferBytes = 32U << 10U;
   EventLog log(m_pipe[1], "d1", options);
   for (int i = 0; i < 50'000; ++i) {
-    LogRequest(log,
-               i % 10 == 0 ? Event::RequestFailed : Event::RequestAnswered,
-               i);
+    LogRequest(
+      log, i % 10 == 0 ? Event::RequestFailed : Event::RequestAnswered, i);
     m_clock.Advance(milliseconds(1));
     if (i % 100 == 0) {
       log.Flush(m_clock.Now());
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -105,10 +105,8 @@
         from, ZoneId(aMessage.zone()), std::move(loads), now);
       return;
     case proto::RouterPeerMessage::DIGEST:
-      if (m_exchange.OnDigest(from,
-                              std::move(loads),
-                              m_context.m_selector.OwnLoads(),
-                              now)) {
+      if (m_exchange.OnDigest(
+            from, std::move(loads), m_context.m_selector.OwnLoads(), now)) {
         OnTopics(aMessage);
       }
       return;
--- a/router/router_settings_test.cc
+++ b/router/router_settings_test.cc
@@ -57,12 +57,15 @@
     { "= 0.2\n", "= much\n", ResultCode::SettingsBadValue, "repeat_ratio" },
     { "= 0.2\n", "= -1\n", ResultCode::SettingsBadValue, "repeat_ratio" },
     { "= 0.2\n", "= nan\n", ResultCode::SettingsBadValue, "repeat_ratio" },
-    { "zone = z1", "colour = red\nzone = z1",
-      ResultCode::SettingsUnknownKey, "colour" },
+    { "zone = z1",
+      "colour = red\nzone = z1",
+      ResultCode::SettingsUnknownKey,
+      "colour" },
   };
   for (const auto& one : cases) {
     std::string text = kGood;
-    text.replace(text.find(one.m_from), std::string(one.m_from).size(), one.m_to);
+    text.replace(
+      text.find(one.m_from), std::string(one.m_from).size(), one.m_to);
     const auto problems = ProblemsOf(text);
     ASSERT_EQ(1U, problems.size()) << one.m_key;
     EXPECT_EQ(one.m_code, problems[0].m_code) << one.m_key;
--- a/router/topic_follower_test.cc
+++ b/router/topic_follower_test.cc
@@ -15,7 +15,8 @@
   std::string items;
   for (const char key : aKeys) {
     items += items.empty() ? "" : ",";
-    items += std::string(R"({"key":")") + key + R"(","value":"dg==","offset":1})";
+    items +=
+      std::string(R"({"key":")") + key + R"(","value":"dg==","offset":1})";
   }
   return R"({"items":[)" + items + R"(],"hasMore":)" +
          (aMore ? "true" : "false") + R"(,"endOffset":)" +
--- /dev/null
+++ b/standin/router_harness.cc
@@ -0,0 +1,652 @@
+// Addresses: each harness has an IP number of its own within 127.128.0.0/9,
+// made of the process's id and a count, so that tests that run side by side
+// never meet.
+
+#include "standin/router_harness.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <unistd.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using boost::system::error_code;
+
+constexpr unsigned kReadyPort = 8081;
+constexpr unsigned kListenPort = 8080;
+constexpr unsigned kPeerPort = 8082;
+
+std::string
+NextIp()
+{
+  static unsigned harnesses = 0;
+  const auto pid = static_cast<unsigned>(getpid());
+  const unsigned number = pid * 64 + harnesses++;
+  return "127." + std::to_string(128 + (number >> 16U & 127U)) + "." +
+         std::to_string(number >> 8U & 255U) + "." +
+         std::to_string(number & 255U);
+}
+
+Tcp::acceptor
+Listen(asio::io_context& aLoop, const std::string& aIp)
+{
+  return Tcp::acceptor(aLoop, Tcp::endpoint(asio::ip::make_address_v4(aIp), 0));
+}
+
+std::string
+AddressOf(const Tcp::acceptor& aAcceptor)
+{
+  const Tcp::endpoint endpoint = aAcceptor.local_endpoint();
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+std::string
+Base64(const std::string& aBytes)
+{
+  using boost::archive::iterators::base64_from_binary;
+  using boost::archive::iterators::transform_width;
+  using Encoder =
+    base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(Encoder(aBytes.begin()), Encoder(aBytes.end()));
+  text.append((4 - text.size() % 4) % 4, '=');
+  return text;
+}
+
+std::string
+BigEndian(std::uint64_t aNumber, int aBytes)
+{
+  std::string bytes;
+  for (int i = aBytes - 1; i >= 0; --i) {
+    bytes += static_cast<char>(aNumber >> (8 * i) & 255U);
+  }
+  return bytes;
+}
+
+std::map<std::string, std::string>
+QueryOf(const std::string& aTarget)
+{
+  std::map<std::string, std::string> values;
+  std::size_t at = aTarget.find('?');
+  while (at != std::string::npos) {
+    const std::size_t equals = aTarget.find('=', at);
+    const std::size_t next = aTarget.find('&', at + 1);
+    if (equals == std::string::npos) {
+      break;
+    }
+    values[aTarget.substr(at + 1, equals - at - 1)] =
+      aTarget.substr(equals + 1, next - equals - 1);
+    at = next;
+  }
+  return values;
+}
+
+} // namespace
+
+// --- the store ---
+
+class StoreStandin::Connection
+  : public std::enable_shared_from_this<StoreStandin::Connection>
+{
+public:
+  Connection(StoreStandin& aStore, Tcp::socket aSocket)
+    : m_store(aStore)
+    , m_socket(std::move(aSocket))
+    , m_timer(aStore.m_loop)
+  {
+  }
+
+  void Read()
+  {
+    m_request = {};
+    http::async_read(
+      m_socket,
+      m_input,
+      m_request,
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (!aError) {
+          self->OnCall();
+        }
+      });
+  }
+
+private:
+  void OnCall()
+  {
+    ++m_store.m_calls;
+    if (m_store.m_outage) {
+      if (*m_store.m_outage != 0) {
+        Answer(*m_store.m_outage, "");
+      }
+      return;
+    }
+    const std::string target(m_request.target());
+    m_query = QueryOf(target);
+    Topic& topic = m_store.m_topics[m_query["topic"]];
+    if (target.starts_with("/api/log-newest")) {
+      Answer(200, Newest(topic));
+    } else if (target.starts_with("/api/log-append")) {
+      Append(topic, m_request.body().substr(4));
+      Answer(200, "{}");
+    } else {
+      m_timer.expires_after(
+        std::chrono::milliseconds(std::stoul(m_query["waitMs"])));
+      m_timer.async_wait(
+        [self = shared_from_this(), call = m_call](const error_code& aError) {
+          if (!aError && call == self->m_call) {
+            self->AnswerRead(true);
+          }
+        });
+      AnswerRead(false);
+    }
+  }
+
+  static std::string Newest(const Topic& aTopic)
+  {
+    std::string items;
+    for (const auto& [key, value] : aTopic.m_newest) {
+      items += items.empty() ? "" : ",";
+      items += R"({"key":")" + key + R"(","value":")" + Base64(value.first) +
+               R"(","offset":)" + std::to_string(value.second) + "}";
+    }
+    const std::uint64_t end = aTopic.m_first + aTopic.m_records.size();
+    return R"({"items":[)" + items + R"(],"hasMore":false,"endOffset":)" +
+           std::to_string(end) + "}";
+  }
+
+  void AnswerRead(bool aLast)
+  {
+    if (m_answered == m_call) {
+      return;
+    }
+    Topic& topic = m_store.m_topics[m_query["topic"]];
+    const std::uint64_t from = std::stoull(m_query["from"]);
+    const std::uint64_t end = topic.m_first + topic.m_records.size();
+    if (from < topic.m_first) {
+      Answer(410, R"({"firstOffset":)" + std::to_string(topic.m_first) + "}");
+      return;
+    }
+    if (from >= end && !aLast) {
+      topic.m_waiting.push_back([self = shared_from_this(), call = m_call] {
+        if (call == self->m_call) {
+          self->AnswerRead(true);
+        }
+      });
+      return;
+    }
+    std::string body = BigEndian(end, 8) + BigEndian(topic.m_first, 8);
+    for (std::uint64_t i = from; i < end; ++i) {
+      const std::string& record = topic.m_records[i - topic.m_first];
+      body += BigEndian(record.size(), 4) + record;
+    }
+    Answer(200, body);
+  }
+
+  void Answer(int aStatus, const std::string& aBody)
+  {
+    m_answered = m_call;
+    ++m_call;
+    m_output = "HTTP/1.1 " + std::to_string(aStatus) +
+               " Answer\r\nContent-Length: " + std::to_string(aBody.size()) +
+               "\r\n\r\n" + aBody;
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_output),
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (!aError) {
+          self->Read();
+        }
+      });
+  }
+
+  StoreStandin& m_store;
+  Tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  boost::beast::flat_buffer m_input;
+  http::request<http::string_body> m_request;
+  std::map<std::string, std::string> m_query;
+  std::string m_output;
+  std::size_t m_call = 1;     // the number of the present call
+  std::size_t m_answered = 0; // the number of the last one answered
+};
+
+StoreStandin::StoreStandin(asio::io_context& aLoop, const std::string& aIp)
+  : m_loop(aLoop)
+  , m_acceptor(Listen(aLoop, aIp))
+{
+  Accept();
+}
+
+void
+StoreStandin::Accept()
+{
+  m_acceptor.async_accept(
+    [this](const error_code& aError, Tcp::socket aSocket) {
+      if (!aError) {
+        std::make_shared<Connection>(*this, std::move(aSocket))->Read();
+        Accept();
+      }
+    });
+}
+
+// A record is the length of its key, the key and the value.
+void
+StoreStandin::Append(Topic& aTopic, const std::string& aRecord)
+{
+  const std::size_t keySize = static_cast<unsigned char>(aRecord.at(0));
+  const std::string key = aRecord.substr(1, keySize);
+  const std::string value = aRecord.substr(1 + keySize);
+  const std::uint64_t offset = aTopic.m_first + aTopic.m_records.size();
+  aTopic.m_records.push_back(aRecord);
+  if (value.empty()) {
+    aTopic.m_newest.erase(key);
+  } else {
+    aTopic.m_newest[key] = { value, offset };
+  }
+  const auto waiting = std::exchange(aTopic.m_waiting, {});
+  for (const auto& wake : waiting) {
+    wake();
+  }
+}
+
+void
+StoreStandin::Put(const std::string& aTopic,
+                  const std::string& aKey,
+                  std::optional<std::string> aValue)
+{
+  std::string record(1, static_cast<char>(aKey.size()));
+  record += aKey + aValue.value_or("");
+  Append(m_topics[aTopic], record);
+}
+
+void
+StoreStandin::DropHistory(const std::string& aTopic)
+{
+  Topic& topic = m_topics[aTopic];
+  topic.m_first += topic.m_records.size();
+  topic.m_records.clear();
+}
+
+void
+StoreStandin::SetOutage(std::optional<int> aStatus)
+{
+  m_outage = aStatus;
+}
+
+std::string
+StoreStandin::Address() const
+{
+  return AddressOf(m_acceptor);
+}
+
+// --- upstreams ---
+
+std::string
+UpstreamAnswer(const http::request<http::string_body>& aRequest,
+               int aStatus,
+               const std::string& aBody,
+               const std::string& aMoreFields)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " Answer\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
+         "\r\nX-Response-Seal: seal." + aBody +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n" +
+         aMoreFields + "\r\n" + aBody;
+}
+
+std::string
+StreamHead(const http::request<http::string_body>& aRequest)
+{
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+         std::string(aRequest["X-Attempt-Id"]) +
+         "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  char size[32];
+  std::snprintf(size, sizeof(size), "%zx\r\n", aText.size());
+  return size + aText + "\r\n";
+}
+
+std::string
+EventChunk(int aId)
+{
+  return Chunk("id: " + std::to_string(aId) + "\ndata: e" +
+               std::to_string(aId) + "\n\n");
+}
+
+class UpstreamStandin::Connection
+  : public std::enable_shared_from_this<UpstreamStandin::Connection>
+{
+public:
+  Connection(UpstreamStandin& aUpstream, Tcp::socket aSocket)
+    : m_upstream(aUpstream)
+    , m_socket(std::move(aSocket))
+    , m_number(aUpstream.m_connections++)
+  {
+  }
+
+  void Read()
+  {
+    m_request = {};
+    http::async_read(
+      m_socket,
+      m_input,
+      m_request,
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (aError) {
+          self->m_peerClosed = true;
+          return;
+        }
+        auto exchange =
+          std::make_shared<Exchange>(self, std::move(self->m_request));
+        self->m_upstream.m_seen.push_back(exchange);
+        self->m_upstream.m_handler(exchange);
+        self->Read();
+      });
+  }
+
+private:
+  class Exchange : public UpstreamExchange
+  {
+  public:
+    Exchange(std::shared_ptr<Connection> aConnection,
+             http::request<http::string_body> aRequest)
+      : m_connection(std::move(aConnection))
+      , m_request(std::move(aRequest))
+    {
+    }
+    const http::request<http::string_body>& Request() const override
+    {
+      return m_request;
+    }
+    void Write(const std::string& aBytes) override
+    {
+      error_code ignored; // a caller that is gone shows in PeerClosed
+      asio::write(m_connection->m_socket, asio::buffer(aBytes), ignored);
+    }
+    void Close() override
+    {
+      error_code ignored; // the test is done with it
+      m_connection->m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+    void Reset() override
+    {
+      error_code ignored; // the test is done with it
+      m_connection->m_socket.set_option(asio::socket_base::linger(true, 0),
+                                        ignored);
+      m_connection->m_socket.close(ignored);
+    }
+    bool PeerClosed() const override { return m_connection->m_peerClosed; }
+    std::size_t ConnectionNumber() const override
+    {
+      return m_connection->m_number;
+    }
+
+  private:
+    std::shared_ptr<Connection> m_connection;
+    http::request<http::string_body> m_request;
+  };
+
+  UpstreamStandin& m_upstream;
+  Tcp::socket m_socket;
+  std::size_t m_number;
+  boost::beast::flat_buffer m_input;
+  http::request<http::string_body> m_request;
+  bool m_peerClosed = false;
+};
+
+UpstreamStandin::UpstreamStandin(asio::io_context& aLoop,
+                                 const std::string& aIp)
+  : m_acceptor(Listen(aLoop, aIp))
+  , m_handler([](const std::shared_ptr<UpstreamExchange>& aExchange) {
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "done"));
+  })
+{
+  Accept();
+}
+
+void
+UpstreamStandin::Accept()
+{
+  m_acceptor.async_accept(
+    [this](const error_code& aError, Tcp::socket aSocket) {
+      if (!aError) {
+        std::make_shared<Connection>(*this, std::move(aSocket))->Read();
+        Accept();
+      }
+    });
+}
+
+std::string
+UpstreamStandin::Address() const
+{
+  return AddressOf(m_acceptor);
+}
+
+// --- callers ---
+
+CallerStandin::CallerStandin(asio::io_context& aLoop,
+                             const std::string& aAddress)
+  : m_socket(aLoop)
+{
+  const std::size_t colon = aAddress.find(':');
+  m_socket.connect(
+    { asio::ip::make_address_v4(aAddress.substr(0, colon)),
+      static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1))) });
+  Read();
+}
+
+void
+CallerStandin::Read()
+{
+  m_socket.async_read_some(
+    asio::buffer(m_input),
+    [this](const error_code& aError, std::size_t aBytes) {
+      m_received.append(m_input.data(), aBytes);
+      if (!aError) {
+        Read();
+        return;
+      }
+      if (aError != asio::error::operation_aborted) {
+        m_ended = true;
+        m_reset = aError != asio::error::eof;
+      }
+    });
+}
+
+void
+CallerStandin::Send(const std::string& aBytes)
+{
+  error_code ignored; // shows in what is received
+  asio::write(m_socket, asio::buffer(aBytes), ignored);
+}
+
+void
+CallerStandin::Close()
+{
+  error_code ignored; // the test is done with it
+  m_socket.close(ignored);
+}
+
+// --- the whole ---
+
+RouterHarness::RouterHarness(std::size_t aUpstreams)
+  : m_ip(NextIp())
+  , m_store(std::make_unique<StoreStandin>(m_loop, m_ip))
+{
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "walnutwing-router-XXXXXX")
+      .string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("no temporary directory");
+  }
+  m_directory = pattern;
+  PutConfig(1);
+  for (std::size_t i = 0; i < aUpstreams; ++i) {
+    m_upstreams.push_back(std::make_unique<UpstreamStandin>(m_loop, m_ip));
+    RegisterUpstream(i);
+  }
+  WriteSettings();
+  m_router = std::make_unique<ChildProcess>(
+    std::vector<std::string>{ WALNUTWING_BUILD_DIR "/router/walnutwing-router",
+                              "router",
+                              "--config",
+                              m_directory + "/router.ini" },
+    m_directory + "/log");
+  if (!WaitUntil([this] { return ReadyStatus() == 200; })) {
+    throw std::runtime_error("the router does not get ready: " + LogText());
+  }
+}
+
+RouterHarness::~RouterHarness()
+{
+  m_router.reset();
+  std::error_code ignored; // a temporary directory
+  std::filesystem::remove_all(m_directory, ignored);
+}
+
+void
+RouterHarness::WriteSettings(const std::string& aMore)
+{
+  std::ofstream(m_directory + "/router.ini")
+    << "[router]\nname = d1\nzone = z1\nlisten = " << m_ip << ":" << kListenPort
+    << "\nready_listen = " << m_ip << ":" << kReadyPort
+    << "\npeer_listen = " << m_ip << ":" << kPeerPort
+    << "\nmetrics_port = 0\n[platform]\naddress = " << m_store->Address()
+    << "\n[bounds]\nstop_limit_s = 8\n"
+    << aMore;
+}
+
+bool
+RouterHarness::WaitUntil(const std::function<bool()>& aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kHarnessPatience;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    m_loop.run_for(std::chrono::milliseconds(5));
+    m_loop.restart();
+  }
+  return true;
+}
+
+void
+RouterHarness::Pass(Duration aTime)
+{
+  m_loop.run_for(aTime);
+  m_loop.restart();
+}
+
+void
+RouterHarness::PutConfig(int aVersion, const std::string& aOrderPrefix)
+{
+  const auto route = [](const std::string& aPrefix,
+                        const std::string& aKind,
+                        const std::string& aMore) {
+    return R"({"host":"h.example","pathPrefix":")" + aPrefix + R"(","kind":")" +
+           aKind +
+           R"(","service":"s","timeoutMs":8000,"targetLatencyMs":250,)" +
+           aMore + "}";
+  };
+  m_store->Put(
+    "keyed.op",
+    "config",
+    R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+      route(aOrderPrefix, "non_idempotent", R"("maxAttempts":1)") + "," +
+      route("/lookup/", "idempotent", R"("maxAttempts":2)") + "," +
+      route("/public/", "idempotent", R"("public":true)") + "," +
+      route("/stream/", "streaming", R"("maxAttempts":1)") + "," +
+      route("/resume/",
+            "streaming",
+            R"("maxAttempts":2,"resumable":true,"targetGapMs":100)") +
+      R"(],"services":[{"name":"s"}],)"
+      R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,)"
+      R"("headerTimeoutMs":300,"idleTimeoutMs":5000},)"
+      R"("tenants":[{"name":"c1","apiKeys":["k1"],"priority":3}]})");
+}
+
+void
+RouterHarness::RegisterUpstream(std::size_t aIndex, const std::string& aState)
+{
+  m_store->Put("keyed.servers",
+               "i-" + std::to_string(aIndex),
+               R"({"service":"s","address":")" +
+                 m_upstreams.at(aIndex)->Address() +
+                 R"(","zone":"z1","slots":8,"state":")" + aState + R"("})");
+}
+
+std::unique_ptr<CallerStandin>
+RouterHarness::Connect()
+{
+  return std::make_unique<CallerStandin>(
+    m_loop, m_ip + ":" + std::to_string(kListenPort));
+}
+
+std::string
+RouterHarness::Ask(const std::string& aMethod,
+                   const std::string& aPath,
+                   const std::string& aMoreFields,
+                   const std::string& aBody)
+{
+  const auto caller = Connect();
+  const bool hasKey = aMoreFields.find("Authorization") != std::string::npos;
+  caller->Send(
+    aMethod + " " + aPath +
+    " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n" +
+    (hasKey ? "" : "Authorization: Bearer k1\r\n") +
+    "Connection: close\r\nContent-Length: " + std::to_string(aBody.size()) +
+    "\r\n" + aMoreFields + "\r\n" + aBody);
+  WaitUntil([&] { return caller->Ended(); });
+  return caller->Received();
+}
+
+int
+RouterHarness::ReadyStatus()
+{
+  error_code error;
+  Tcp::socket socket(m_loop);
+  socket.connect({ asio::ip::make_address_v4(m_ip), kReadyPort }, error);
+  if (error) {
+    return 0;
+  }
+  asio::write(socket,
+              asio::buffer(std::string("GET /api/readyz HTTP/1.1\r\n\r\n")),
+              error);
+  boost::beast::flat_buffer input;
+  http::response<http::string_body> answer;
+  http::read(socket, input, answer, error);
+  return error ? 0 : static_cast<int>(answer.result_int());
+}
+
+std::size_t
+RouterHarness::SeenCount() const
+{
+  std::size_t count = 0;
+  for (const auto& upstream : m_upstreams) {
+    count += upstream->Seen().size();
+  }
+  return count;
+}
+
+std::string
+RouterHarness::LogText() const
+{
+  std::ifstream file(m_directory + "/log");
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/router_harness.h
@@ -0,0 +1,211 @@
+#ifndef WALNUTWING_STANDIN_ROUTER_HARNESS_H_
+#define WALNUTWING_STANDIN_ROUTER_HARNESS_H_
+
+// A router as a process of its own, with small stand-ins around it in the
+// test's process: the platform's store, upstreams and callers. Upstreams and
+// callers speak raw bytes, so that tests decide about every one of them. All
+// wait on one loop; each wait ends after kHarnessPatience.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "standin/child_process.h"
+#include "walnutwing/base/clock.h"
+
+namespace walnutwing::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+inline constexpr Duration kHarnessPatience{ 20'000 };
+
+// The platform's store as its page describes it, without limits or prices.
+class StoreStandin
+{
+public:
+  explicit StoreStandin(asio::io_context& aLoop, const std::string& aIp);
+
+  // Sets or drops a key; readers that wait are answered.
+  void Put(const std::string& aTopic,
+           const std::string& aKey,
+           std::optional<std::string> aValue);
+
+  // Forgets all records; the newest of each key stays.
+  void DropHistory(const std::string& aTopic);
+
+  // What calls are answered with from now on: nothing (0: they get no answer)
+  // or a status; nullopt answers them.
+  void SetOutage(std::optional<int> aStatus);
+
+  std::string Address() const;
+  std::size_t Calls() const { return m_calls; }
+
+private:
+  struct Topic
+  {
+    std::uint64_t m_first = 0;
+    std::vector<std::string> m_records; // from m_first on
+    std::map<std::string, std::pair<std::string, std::uint64_t>> m_newest;
+    std::vector<std::function<void()>> m_waiting;
+  };
+  class Connection;
+
+  void Accept();
+  static void Append(Topic& aTopic, const std::string& aRecord);
+
+  asio::io_context& m_loop;
+  Tcp::acceptor m_acceptor;
+  std::map<std::string, Topic> m_topics;
+  std::optional<int> m_outage;
+  std::size_t m_calls = 0;
+};
+
+// One request at an upstream, and the connection that it came on.
+class UpstreamExchange
+{
+public:
+  virtual ~UpstreamExchange() = default;
+  virtual const http::request<http::string_body>& Request() const = 0;
+  // Writes raw bytes.
+  virtual void Write(const std::string& aBytes) = 0;
+  virtual void Close() = 0; // orderly
+  virtual void Reset() = 0;
+  virtual bool PeerClosed() const = 0;
+  // Of the connection, from 0.
+  virtual std::size_t ConnectionNumber() const = 0;
+};
+
+// A whole answer of an upstream, with the fields that the platform names.
+std::string
+UpstreamAnswer(const http::request<http::string_body>& aRequest,
+               int aStatus,
+               const std::string& aBody,
+               const std::string& aMoreFields = "");
+
+// The head of a stream of events.
+std::string
+StreamHead(const http::request<http::string_body>& aRequest);
+
+std::string
+Chunk(const std::string& aText);
+
+std::string
+EventChunk(int aId);
+
+class UpstreamStandin
+{
+public:
+  using Handler = std::function<void(std::shared_ptr<UpstreamExchange>)>;
+
+  UpstreamStandin(asio::io_context& aLoop, const std::string& aIp);
+
+  void SetHandler(Handler aHandler) { m_handler = std::move(aHandler); }
+  std::string Address() const;
+  // Everything that reached it.
+  const std::vector<std::shared_ptr<UpstreamExchange>>& Seen() const
+  {
+    return m_seen;
+  }
+
+private:
+  class Connection;
+  void Accept();
+
+  Tcp::acceptor m_acceptor;
+  Handler m_handler;
+  std::vector<std::shared_ptr<UpstreamExchange>> m_seen;
+  std::size_t m_connections = 0;
+};
+
+// A caller's connection; collects what it receives.
+class CallerStandin
+{
+public:
+  CallerStandin(asio::io_context& aLoop, const std::string& aAddress);
+
+  void Send(const std::string& aBytes);
+  void Close();
+
+  const std::string& Received() const { return m_received; }
+  bool Ended() const { return m_ended; }    // the connection has ended
+  bool WasReset() const { return m_reset; } // and not in order
+
+private:
+  void Read();
+
+  Tcp::socket m_socket;
+  std::array<char, 16384> m_input{};
+  std::string m_received;
+  bool m_ended = false;
+  bool m_reset = false;
+};
+
+class RouterHarness
+{
+public:
+  // Starts the stand-ins and, with a configuration in place, the router; waits
+  // until it is ready.
+  explicit RouterHarness(std::size_t aUpstreams = 2);
+  ~RouterHarness();
+  RouterHarness(const RouterHarness&) = delete;
+  RouterHarness& operator=(const RouterHarness&) = delete;
+
+  // Turns the loop until aCondition holds; false when it did not in time.
+  bool WaitUntil(const std::function<bool()>& aCondition);
+  void Pass(Duration aTime);
+
+  // Writes a configuration with the routes of ConfigText.
+  void PutConfig(int aVersion, const std::string& aOrderPrefix = "/order/");
+  void RegisterUpstream(std::size_t aIndex,
+                        const std::string& aState = "ready");
+
+  std::unique_ptr<CallerStandin> Connect();
+
+  // Sends one request on a connection of its own, and waits for its whole
+  // answer (until the router closes, since the request asks for it).
+  std::string Ask(const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aMoreFields = "",
+                  const std::string& aBody = "");
+
+  // Status of the router's own page of readiness; 0 without an answer.
+  int ReadyStatus();
+
+  StoreStandin& Store() { return *m_store; }
+  UpstreamStandin& Upstream(std::size_t aIndex)
+  {
+    return *m_upstreams.at(aIndex);
+  }
+  std::size_t Upstreams() const { return m_upstreams.size(); }
+  ChildProcess& Router() { return *m_router; }
+  // All requests that reached any upstream.
+  std::size_t SeenCount() const;
+  std::string LogText() const;
+  // Writes the settings file anew, with one more line in [bounds].
+  void WriteSettings(const std::string& aMore = "");
+
+private:
+  std::string m_ip;
+  std::string m_directory;
+  asio::io_context m_loop;
+  std::unique_ptr<StoreStandin> m_store;
+  std::vector<std::unique_ptr<UpstreamStandin>> m_upstreams;
+  std::unique_ptr<ChildProcess> m_router;
+};
+
+} // namespace walnutwing::standin
+
+#endif // WALNUTWING_STANDIN_ROUTER_HARNESS_H_
--- /dev/null
+++ b/standin/router_test.cc
@@ -0,0 +1,474 @@
+// A router as a process, between stand-ins that misbehave. Outcomes are
+// asserted, never timings.
+
+#include "standin/router_harness.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using Exchange = std::shared_ptr<UpstreamExchange>;
+
+int
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12 ? 0 : std::atoi(aAnswer.substr(9, 3).c_str());
+}
+
+std::string
+BodyOf(const std::string& aAnswer)
+{
+  const std::size_t end = aAnswer.find("\r\n\r\n");
+  return end == std::string::npos ? "" : aAnswer.substr(end + 4);
+}
+
+void
+HandleAll(RouterHarness& aHarness, const UpstreamStandin::Handler& aHandler)
+{
+  for (std::size_t i = 0; i < aHarness.Upstreams(); ++i) {
+    aHarness.Upstream(i).SetHandler(aHandler);
+  }
+}
+
+TEST(Router, PassesRequestAndAnswerOnUnchanged)
+{
+  RouterHarness harness;
+  const std::string answer =
+    harness.Ask("POST", "/order/x?y=1", "X-Tenant: evil\r\n", "body");
+  EXPECT_EQ(200, StatusOf(answer));
+  EXPECT_EQ("done", BodyOf(answer));
+  EXPECT_NE(std::string::npos, answer.find("X-Response-Seal: seal.done\r\n"));
+  ASSERT_EQ(1U, harness.SeenCount());
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    for (const Exchange& exchange : harness.Upstream(i).Seen()) {
+      const auto& request = exchange->Request();
+      EXPECT_EQ("/order/x?y=1", request.target());
+      EXPECT_EQ("body", request.body());
+      EXPECT_EQ("h.example", request["Host"]);
+      EXPECT_EQ("c1", request["X-Tenant"]);
+      EXPECT_EQ("i-" + std::to_string(i), request["X-Expect-Instance"]);
+      EXPECT_EQ("3", request["X-Request-Priority"]);
+      EXPECT_EQ("", request["Authorization"]);
+    }
+  }
+}
+
+TEST(Router, RejectsWhatItMayNotServe)
+{
+  RouterHarness harness;
+  EXPECT_EQ(404, StatusOf(harness.Ask("GET", "/nowhere/")));
+  EXPECT_EQ(401,
+            StatusOf(harness.Ask(
+              "GET", "/lookup/", "Authorization: Bearer unknown\r\n")));
+  EXPECT_EQ(200,
+            StatusOf(harness.Ask(
+              "GET", "/public/", "Authorization: Bearer unknown\r\n")));
+  EXPECT_EQ(
+    413,
+    StatusOf(harness.Ask("POST", "/order/", "", std::string(20'000, 'b'))));
+  EXPECT_EQ(
+    431,
+    StatusOf(harness.Ask(
+      "GET", "/lookup/", "X-Long: " + std::string(8000, 'x') + "\r\n")));
+  EXPECT_EQ(1U, harness.SeenCount());
+}
+
+// Bytes that are no request, or two requests in one.
+TEST(Router, SmuggledAndUnreadableInputReachesNoUpstream)
+{
+  RouterHarness harness;
+  const char* inputs[] = {
+    "HELLO\r\n\r\n",
+    "POST /order/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /lookup/ HTTP/1.1\r\n\r\n",
+    "POST /order/ HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+    "POST /order/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: "
+    "chunked\r\n\r\nxyz\r\n",
+  };
+  for (const char* input : inputs) {
+    const auto caller = harness.Connect();
+    caller->Send(input);
+    EXPECT_TRUE(harness.WaitUntil([&] { return caller->Ended(); })) << input;
+    EXPECT_EQ(400, StatusOf(caller->Received())) << input;
+  }
+  const auto slow = harness.Connect();
+  slow->Send("GET /lookup/ HTTP/1.1\r\nHost:");
+  EXPECT_TRUE(harness.WaitUntil([&] { return slow->Ended(); }));
+  EXPECT_EQ(408, StatusOf(slow->Received()));
+  EXPECT_EQ(0U, harness.SeenCount());
+}
+
+TEST(Router, ServesRequestsThatAreSentAhead)
+{
+  RouterHarness harness;
+  const auto caller = harness.Connect();
+  std::string requests;
+  for (int i = 0; i < 3; ++i) {
+    requests += "GET /lookup/" + std::to_string(i) +
+                " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a" +
+                std::to_string(i) + "\r\nAuthorization: Bearer k1\r\n\r\n";
+  }
+  HandleAll(harness, [](const Exchange& aExchange) {
+    aExchange->Write(UpstreamAnswer(
+      aExchange->Request(), 200, std::string(aExchange->Request().target())));
+  });
+  caller->Send(requests);
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return caller->Received().find("\r\n\r\n/lookup/2") != std::string::npos;
+  }));
+  const std::string& all = caller->Received();
+  EXPECT_LT(all.find("\r\n\r\n/lookup/0"), all.find("\r\n\r\n/lookup/1"));
+  EXPECT_LT(all.find("\r\n\r\n/lookup/1"), all.find("\r\n\r\n/lookup/2"));
+}
+
+// --- what may be repeated, and what may be promised ---
+
+TEST(Router, OrderWhoseAnswerIsLostIsNeverSentAgainNorCalledNotRun)
+{
+  RouterHarness harness;
+  HandleAll(harness, [](const Exchange& aExchange) { aExchange->Reset(); });
+  EXPECT_EQ(502, StatusOf(harness.Ask("POST", "/order/", "", "x")));
+  EXPECT_EQ(1U, harness.SeenCount());
+}
+
+TEST(Router, OrderThatWasNotExecutedGoesToAnotherUpstream)
+{
+  RouterHarness harness;
+  HandleAll(harness, [&harness](const Exchange& aExchange) {
+    if (harness.SeenCount() == 1) {
+      aExchange->Write(UpstreamAnswer(
+        aExchange->Request(), 503, "full", "X-Not-Executed: 1\r\n"));
+      return;
+    }
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "done"));
+  });
+  const std::string answer = harness.Ask("POST", "/order/", "", "x");
+  EXPECT_EQ(200, StatusOf(answer));
+  EXPECT_EQ("done", BodyOf(answer));
+  EXPECT_EQ(2U, harness.SeenCount());
+}
+
+// A 503 that does not say "not executed" may have run: passed on it would be a
+// false promise.
+TEST(Router, PromiseThatMayBeFalseIsNotPassedOn)
+{
+  RouterHarness harness;
+  HandleAll(harness, [](const Exchange& aExchange) {
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 503, "busy"));
+  });
+  const std::string answer = harness.Ask("POST", "/order/", "", "x");
+  EXPECT_EQ(502, StatusOf(answer));
+  EXPECT_EQ(std::string::npos, answer.find("X-Response-Seal"));
+  EXPECT_EQ(1U, harness.SeenCount());
+}
+
+TEST(Router, RefusalWithoutUpstreamSaysNotRunAndWhenToComeBack)
+{
+  RouterHarness harness(1);
+  harness.Store().Put("keyed.servers", "i-0", std::nullopt);
+  ASSERT_TRUE(harness.WaitUntil(
+    [&] { return StatusOf(harness.Ask("POST", "/order/", "", "x")) == 503; }));
+  const std::string answer = harness.Ask("POST", "/order/", "", "x");
+  EXPECT_NE(std::string::npos, answer.find("Retry-After: "));
+  EXPECT_NE(std::string::npos, answer.find(R"("ran":"not run")"));
+}
+
+TEST(Router, LookupIsRepeatedAfterFailuresButOnNoMoreUpstreamsThanAllowed)
+{
+  RouterHarness harness(4);
+  // The budget of repeats is shared by many until the fleet is known.
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find("fleet_size_changed") != std::string::npos;
+  }));
+  const std::function<void(const Exchange&)> failures[] = {
+    [](const Exchange& aExchange) {
+      aExchange->Write(UpstreamAnswer(aExchange->Request(), 500, "oops"));
+    },
+    [](const Exchange& aExchange) { aExchange->Reset(); },
+    [](const Exchange& aExchange) {
+      const std::string whole =
+        UpstreamAnswer(aExchange->Request(), 200, "cut short");
+      aExchange->Write(whole.substr(0, whole.size() - 3));
+      aExchange->Close();
+    },
+    [](const Exchange& aExchange) {
+      aExchange->Write("this is not HTTP\r\n\r\n");
+    },
+  };
+  for (const auto& fail : failures) {
+    const std::size_t before = harness.SeenCount();
+    HandleAll(harness, [&](const Exchange& aExchange) {
+      if (harness.SeenCount() == before + 1) {
+        fail(aExchange);
+        return;
+      }
+      aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "whole"));
+    });
+    EXPECT_EQ("whole", BodyOf(harness.Ask("GET", "/lookup/")));
+    EXPECT_EQ(before + 2, harness.SeenCount());
+  }
+  const std::size_t before = harness.SeenCount();
+  HandleAll(harness, [](const Exchange& aExchange) { aExchange->Reset(); });
+  EXPECT_EQ(502, StatusOf(harness.Ask("GET", "/lookup/")));
+  EXPECT_EQ(before + 2, harness.SeenCount());
+}
+
+// --- whole answers, each to its own request ---
+
+// A second answer follows the first on the kept connection; it must not become
+// the next request's.
+TEST(Router, LateAnswerToAnEarlierRequestIsSkipped)
+{
+  RouterHarness harness(1);
+  const auto ask = [&](const std::string& aId) {
+    return BodyOf(
+      harness.Ask("GET", "/lookup/", "X-Attempt-Id2: " + aId + "\r\n"));
+  };
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    const auto& request = aExchange->Request();
+    http::request<http::string_body> other = request;
+    other.set("X-Attempt-Id", "someone-else");
+    aExchange->Write(UpstreamAnswer(other, 200, "crossed") +
+                     UpstreamAnswer(request, 200, "mine"));
+  });
+  EXPECT_EQ("mine", ask("1"));
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "first") +
+                     UpstreamAnswer(aExchange->Request(), 200, "second"));
+  });
+  EXPECT_EQ("first", ask("2"));
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "third"));
+  });
+  EXPECT_EQ("third", ask("3"));
+}
+
+TEST(Router, AnswerWithoutLengthIsWholeOnlyAfterAnOrderlyEnd)
+{
+  RouterHarness harness(2);
+  const auto unframed = [](const Exchange& aExchange) {
+    aExchange->Write(
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n\r\nhalf");
+  };
+  HandleAll(harness, [&](const Exchange& aExchange) {
+    unframed(aExchange);
+    aExchange->Close();
+  });
+  EXPECT_EQ("half", BodyOf(harness.Ask("POST", "/order/", "", "x")));
+  HandleAll(harness, [&](const Exchange& aExchange) {
+    unframed(aExchange);
+    aExchange->Reset();
+  });
+  EXPECT_EQ(502, StatusOf(harness.Ask("POST", "/order/", "", "x")));
+}
+
+TEST(Router, StreamIsPassedOnEventByEvent)
+{
+  RouterHarness harness(1);
+  Exchange stream;
+  harness.Upstream(0).SetHandler([&](const Exchange& aExchange) {
+    stream = aExchange;
+    stream->Write(StreamHead(stream->Request()) + EventChunk(1));
+  });
+  const auto caller = harness.Connect();
+  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
+               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  const auto got = [&](const std::string& aText) {
+    return harness.WaitUntil(
+      [&] { return caller->Received().find(aText) != std::string::npos; });
+  };
+  EXPECT_TRUE(got("data: e1"));
+  stream->Write(EventChunk(2));
+  EXPECT_TRUE(got("data: e2"));
+  stream->Write("0\r\n\r\n");
+  EXPECT_TRUE(got("\r\n0\r\n\r\n"));
+  EXPECT_FALSE(caller->Ended()); // the connection is kept
+}
+
+TEST(Router, BrokenStreamNeverLooksComplete)
+{
+  RouterHarness harness(2);
+  HandleAll(harness, [](const Exchange& aExchange) {
+    aExchange->Write(StreamHead(aExchange->Request()) + EventChunk(1));
+    aExchange->Close();
+  });
+  const std::string answer = harness.Ask("POST", "/stream/");
+  EXPECT_EQ(200, StatusOf(answer));
+  EXPECT_EQ(std::string::npos, answer.find("\r\n0\r\n\r\n"));
+  EXPECT_EQ(1U, harness.SeenCount());
+}
+
+// The stream breaks in the middle of an event, and goes on at the other
+// upstream behind the last whole one.
+TEST(Router, ResumableStreamGoesOnWithoutAGapOrADouble)
+{
+  RouterHarness harness(2);
+  HandleAll(harness, [&](const Exchange& aExchange) {
+    const auto& request = aExchange->Request();
+    if (harness.SeenCount() == 1) {
+      aExchange->Write(StreamHead(request) + EventChunk(1) + EventChunk(2) +
+                       Chunk("id: 3\ndata: lo"));
+      aExchange->Reset();
+      return;
+    }
+    EXPECT_EQ("2", request["Last-Event-Id"]);
+    aExchange->Write(StreamHead(request) + EventChunk(3) + EventChunk(4) +
+                     "0\r\n\r\n");
+  });
+  const std::string answer = harness.Ask("POST", "/resume/");
+  std::string events;
+  for (std::size_t at = answer.find("data: "); at != std::string::npos;
+       at = answer.find("data: ", at + 1)) {
+    events += answer.substr(at + 6, 2);
+  }
+  EXPECT_EQ("e1e2e3e4", events);
+  EXPECT_NE(std::string::npos, answer.find("\r\n0\r\n\r\n"));
+  EXPECT_EQ(std::string::npos, answer.find("lo\r\n"));
+}
+
+// --- callers that leave ---
+
+TEST(Router, UpstreamIsLetGoWhenTheCallerLeavesBeforeTheFirstEvent)
+{
+  RouterHarness harness(1);
+  harness.Upstream(0).SetHandler([](const Exchange&) {});
+  const auto caller = harness.Connect();
+  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
+               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil([&] { return harness.SeenCount() == 1; }));
+  caller->Close();
+  EXPECT_TRUE(harness.WaitUntil(
+    [&] { return harness.Upstream(0).Seen()[0]->PeerClosed(); }));
+}
+
+TEST(Router, OrderRunsOnWhenItsCallerLeaves)
+{
+  RouterHarness harness(1);
+  Exchange order;
+  harness.Upstream(0).SetHandler(
+    [&](const Exchange& aExchange) { order = aExchange; });
+  const auto caller = harness.Connect();
+  caller->Send("POST /order/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
+               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil([&] { return order != nullptr; }));
+  caller->Close();
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find("caller_gone") != std::string::npos;
+  }));
+  EXPECT_FALSE(order->PeerClosed());
+  order->Write(UpstreamAnswer(order->Request(), 200, "done"));
+}
+
+// --- configuration, upstreams, the store ---
+
+TEST(Router, ConfigurationOnlyMovesForward)
+{
+  RouterHarness harness;
+  harness.PutConfig(5, "/renamed/");
+  const auto status = [&](const char* aPath) {
+    return StatusOf(harness.Ask("POST", aPath, "", "x"));
+  };
+  ASSERT_TRUE(harness.WaitUntil([&] { return status("/renamed/") == 200; }));
+  EXPECT_EQ(404, status("/order/"));
+  harness.PutConfig(4, "/order/");
+  harness.Store().Put("keyed.op", "config", "{\"version\":9,\"routes\":[{}]}");
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find("config_refused") != std::string::npos;
+  }));
+  EXPECT_EQ(200, status("/renamed/"));
+  EXPECT_EQ(404, status("/order/"));
+}
+
+TEST(Router, LeavingUpstreamsAndZonesGetNoNewWork)
+{
+  RouterHarness harness(2);
+  harness.RegisterUpstream(0, "draining");
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find(R"("draining":1)") != std::string::npos;
+  }));
+  const std::size_t before = harness.Upstream(0).Seen().size();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(200, StatusOf(harness.Ask("GET", "/lookup/")));
+  }
+  EXPECT_EQ(before, harness.Upstream(0).Seen().size());
+  harness.Store().Put("keyed.op", "evacuate/z1", "{}");
+  ASSERT_TRUE(harness.WaitUntil(
+    [&] { return StatusOf(harness.Ask("GET", "/lookup/")) == 503; }));
+  harness.Store().Put("keyed.op", "evacuate/z1", std::nullopt);
+  EXPECT_TRUE(harness.WaitUntil(
+    [&] { return StatusOf(harness.Ask("GET", "/lookup/")) == 200; }));
+}
+
+// Outages of each sort; requests are served all the while, and what changes
+// after them is seen, also when the history is gone.
+TEST(Router, ServesThroughOutagesOfTheStore)
+{
+  RouterHarness harness;
+  int version = 1;
+  for (const int outage : { 0, 503, 429, 500 }) {
+    harness.Store().SetOutage(outage);
+    harness.Pass(Duration(1200));
+    EXPECT_EQ(200, StatusOf(harness.Ask("GET", "/lookup/"))) << outage;
+    EXPECT_EQ(200, harness.ReadyStatus()) << outage;
+    const std::string prefix = "/after" + std::to_string(outage) + "/";
+    harness.PutConfig(++version, prefix);
+    harness.Store().DropHistory("keyed.op");
+    harness.Store().SetOutage(std::nullopt);
+    EXPECT_TRUE(harness.WaitUntil(
+      [&] { return StatusOf(harness.Ask("POST", prefix, "", "x")) == 200; }))
+      << outage;
+  }
+}
+
+// --- settings and stops ---
+
+TEST(Router, SettingsAreReadAgainAndABadFileChangesNothing)
+{
+  RouterHarness harness;
+  const auto logged = [&](const char* aEvent) {
+    return harness.WaitUntil(
+      [&] { return harness.LogText().find(aEvent) != std::string::npos; });
+  };
+  harness.WriteSettings("drain_ms = never\n");
+  harness.Router().Signal(SIGHUP);
+  EXPECT_TRUE(logged("settings_refused"));
+  EXPECT_EQ(200, StatusOf(harness.Ask("GET", "/lookup/")));
+  harness.WriteSettings("drain_ms = 1500\n"); // without a signal
+  EXPECT_TRUE(logged("settings_reloaded"));
+  EXPECT_FALSE(harness.Router().ExitStatus());
+}
+
+TEST(Router, PlannedStopCutsNothing)
+{
+  RouterHarness harness(1);
+  Exchange stream;
+  harness.Upstream(0).SetHandler([&](const Exchange& aExchange) {
+    stream = aExchange;
+    stream->Write(StreamHead(stream->Request()) + EventChunk(1));
+  });
+  const auto caller = harness.Connect();
+  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
+               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil([&] { return stream != nullptr; }));
+  harness.Router().Signal(SIGTERM);
+  ASSERT_TRUE(harness.WaitUntil([&] { return harness.ReadyStatus() == 503; }));
+  // Callers that have not noticed yet are served, and told to go elsewhere.
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "done"));
+  });
+  EXPECT_EQ("done", BodyOf(harness.Ask("GET", "/lookup/")));
+  harness.Pass(Duration(3500));
+  EXPECT_FALSE(harness.Router().ExitStatus());
+  stream->Write(EventChunk(2) + "0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil(
+    [&] { return harness.Router().ExitStatus().has_value(); }));
+  EXPECT_EQ(0, harness.Router().ExitStatus());
+  EXPECT_NE(std::string::npos, caller->Received().find("data: e2"));
+  EXPECT_NE(std::string::npos, caller->Received().find("\r\n0\r\n\r\n"));
+}
+
+} // namespace
+} // namespace walnutwing::standin
