Silent upstreams and zones are found after 0.6 s and stay unreachable without work

Each daemon met each silent engine anew: one counted as silent only after 1.2 s without a head, and looked well again when the last caller had left; 81 callers left in four seconds. Change: any byte of an answer shows life, 600 ms without one is silence; a silent upstream that loses its last request counts as unreachable, and kept connections to it are closed; a zone with two silent upstreams and most of those at work is left alone. Ruled out: load (the others' engines answered at 40 ms), configuration (88 versions came into force on time).

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -337,7 +337,7 @@
   m_lastByteAt = now;
   m_notExecuted = aFacts.m_notExecuted;
   m_falsePromise = aFacts.m_falsePromise;
-  m_choice.m_tracker->OnHead(now);
+  m_choice.m_tracker->OnAlive(now);
   if (aFacts.m_load) {
     m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
   }
@@ -358,6 +358,7 @@
 RequestFlow::OnBody(std::string_view aPiece)
 {
   m_lastByteAt = Now();
+  m_choice.m_tracker->OnAlive(m_lastByteAt);
   if (m_ignoring || m_caller == nullptr) {
     return;
   }
@@ -516,7 +517,7 @@
   m_sending = false;
   m_connection.reset();
   m_progressTimer.cancel();
-  m_choice.m_tracker->OnEnded(aOutcome, m_attemptHead, Now());
+  m_choice.m_tracker->OnEnded(aOutcome, Now());
   m_self.reset();
 }
 
@@ -527,6 +528,11 @@
 {
   ++m_runs;
   m_connection->Cancel();
+  if (m_choice.m_tracker->Silent(Now())) {
+    // Kept connections to it may be as silent; a new one shows at once whether
+    // it can be reached.
+    m_context.m_pool.Forget(m_choice.m_address);
+  }
   EndAttempt(aOutcome);
 }
 
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -10,6 +10,8 @@
 // An upstream with more failures than this is passed over only while it is in
 // the minority: when most fail, failures say nothing about the one.
 constexpr double kMostDropped = 0.4;
+// So many silent upstreams may mean that their zone is cut off.
+constexpr std::size_t kFewestSilent = 2;
 // Distance that other zones add for requests that cache nothing, in requests.
 constexpr double kOtherZoneLoad = 0.5;
 
@@ -72,9 +74,35 @@
   m_zonesOut = aZones;
 }
 
+std::set<ZoneId>
+UpstreamSelector::SilentZones(Time aNow) const
+{
+  struct Count
+  {
+    std::size_t m_working = 0;
+    std::size_t m_silent = 0;
+  };
+  std::map<ZoneId, Count> counts;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const bool reachable = upstream.m_tracker->Reachable(aNow);
+    Count& count = counts[upstream.m_entry.m_zone];
+    count.m_working += !reachable || upstream.m_tracker->InFlight() > 0 ? 1 : 0;
+    count.m_silent += reachable ? 0 : 1;
+  }
+  std::set<ZoneId> silent;
+  for (const auto& [zone, count] : counts) {
+    if (count.m_silent >= kFewestSilent &&
+        2 * count.m_silent > count.m_working) {
+      silent.insert(zone);
+    }
+  }
+  return silent.size() < counts.size() ? silent : std::set<ZoneId>();
+}
+
 UpstreamSelector::Field
 UpstreamSelector::FieldOf(const Selection& aSelection, Time aNow)
 {
+  const std::set<ZoneId> silentZones = SilentZones(aNow);
   Field field;
   for (auto& [id, upstream] : m_upstreams) {
     const UpstreamEntry& entry = upstream.m_entry;
@@ -86,7 +114,8 @@
         aSelection.m_avoid.contains(id)) {
       continue;
     }
-    if (!upstream.m_tracker->Reachable(aNow)) {
+    if (!upstream.m_tracker->Reachable(aNow) ||
+        silentZones.contains(entry.m_zone)) {
       field.m_why = NoChoice::Unreachable;
       continue;
     }
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -141,6 +141,8 @@
   };
 
   Field FieldOf(const Selection& aSelection, Time aNow);
+  // Zones in which most upstreams with work are silent: nothing gets through.
+  std::set<ZoneId> SilentZones(Time aNow) const;
   double BoundOf(const Field& aField, double aMeanLoad) const;
   static void DropDoubtful(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
--- a/walnutwing/routing/upstream_selector_test.cc
+++ b/walnutwing/routing/upstream_selector_test.cc
@@ -66,8 +66,8 @@
     const Time now = m_fleet.m_clock.Now();
     while (!m_running.empty() && m_running.front().m_end <= now) {
       const Choice& choice = m_running.front().m_choice;
-      choice.m_tracker->OnHead(now);
-      choice.m_tracker->OnEnded(SendOutcome::Answered, true, now);
+      choice.m_tracker->OnAlive(now);
+      choice.m_tracker->OnEnded(SendOutcome::Answered, now);
       --m_load[choice.m_upstream];
       m_running.pop_front();
     }
@@ -251,16 +251,47 @@
     const Time now = fleet.m_clock.Now();
     const Choice choice = selector.Choose(For(0), now);
     selector.OnSent(choice, now);
-    choice.m_tracker->OnHead(now);
+    choice.m_tracker->OnAlive(now);
     const bool grey = choice.m_upstream.Value() == "e4" && random() % 2 == 0;
     choice.m_tracker->OnEnded(
-      grey ? SendOutcome::Failed : SendOutcome::Answered, true, now);
+      grey ? SendOutcome::Failed : SendOutcome::Answered, now);
     fleet.m_clock.Advance(milliseconds(5));
     late[choice.m_upstream.Value()] += i >= 300 ? 1 : 0;
   }
   EXPECT_LT(late["e4"], 15); // of 300; a sixth would be 50
 }
 
+// A zone is cut off: its upstreams fall silent one by one, as far as they have
+// work. Once two have, the others of the zone are left alone as well.
+TEST(UpstreamSelector, ZoneThatFallsSilentGetsNoNewWork)
+{
+  TestFleet fleet(1, 12); // four in each zone
+  UpstreamSelector& selector = fleet.Daemon(0).m_selector;
+  std::map<std::string, std::uint64_t>
+    partOf; // a part that an upstream is first
+  for (std::uint64_t part = 1; part < 500; ++part) {
+    partOf[ChosenBy(fleet, 0, For(part))] = part;
+  }
+  ASSERT_EQ(12U, partOf.size());
+  const auto send = [&](const std::string& aUpstream) {
+    const Time now = fleet.m_clock.Now();
+    const Choice choice = selector.Choose(For(partOf[aUpstream]), now);
+    EXPECT_EQ(aUpstream, choice.m_upstream.Value());
+    selector.OnSent(choice, now);
+    return choice;
+  };
+  send("e0"); // of zone z0, like e3, e6 and e9
+  send("e3");
+  const Choice other = send("e1");
+  fleet.m_clock.Advance(milliseconds(601));
+  other.m_tracker->OnAlive(fleet.m_clock.Now());
+  for (const char* silent : { "e0", "e3", "e6", "e9" }) {
+    const std::string chosen = ChosenBy(fleet, 0, For(partOf[silent]));
+    EXPECT_NE(0U, std::stoul(chosen.substr(1)) % kTestZones) << silent;
+  }
+  EXPECT_EQ("e1", ChosenBy(fleet, 0, For(partOf["e1"])));
+}
+
 // All fail alike: nobody is singled out, and work goes on.
 TEST(UpstreamSelector, ServiceThatFailsAsAWholeKeepsAllItsUpstreams)
 {
@@ -272,8 +303,8 @@
     const Choice choice = selector.Choose(For(i), now);
     ASSERT_EQ(NoChoice::None, choice.m_why);
     selector.OnSent(choice, now);
-    choice.m_tracker->OnHead(now);
-    choice.m_tracker->OnEnded(SendOutcome::Failed, true, now);
+    choice.m_tracker->OnAlive(now);
+    choice.m_tracker->OnEnded(SendOutcome::Failed, now);
     ++chosen[choice.m_upstream.Value()];
   }
   EXPECT_EQ(6U, chosen.size());
@@ -323,8 +354,7 @@
   EXPECT_EQ(NoChoice::NoUpstream, why(avoiding));
   const Choice choice = selector.Choose(For(0), fleet.m_clock.Now());
   selector.OnSent(choice, fleet.m_clock.Now());
-  choice.m_tracker->OnEnded(
-    SendOutcome::Unreachable, false, fleet.m_clock.Now());
+  choice.m_tracker->OnEnded(SendOutcome::Unreachable, fleet.m_clock.Now());
   EXPECT_EQ(NoChoice::Unreachable, why(For(0)));
 }
 
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -6,9 +6,9 @@
 namespace walnutwing {
 namespace {
 
-// A request without a head for this long, while no other head came either,
-// means that the upstream is silent.
-constexpr Duration kSilence = std::chrono::milliseconds(1200);
+// Work without any byte of an answer for this long means that the upstream is
+// silent: streams bring an event every few tens of milliseconds.
+constexpr Duration kSilence = std::chrono::milliseconds(600);
 // An upstream that cannot be reached is left alone for this long, and for twice
 // as long after each further failure.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(250);
@@ -35,25 +35,28 @@
 void
 UpstreamTracker::OnSent(Time aNow)
 {
-  ++m_inFlight;
-  if (m_unanswered++ == 0) {
-    m_unansweredSince = aNow;
+  if (m_inFlight++ == 0) {
+    m_aliveAt = aNow;
   }
 }
 
 void
-UpstreamTracker::OnHead(Time aNow)
+UpstreamTracker::OnAlive(Time aNow)
 {
-  --m_unanswered;
-  m_unansweredSince = aNow;
+  m_aliveAt = aNow;
   m_connectFailures = 0;
 }
 
 void
-UpstreamTracker::OnEnded(SendOutcome aOutcome, bool aHeadSeen, Time aNow)
+UpstreamTracker::OnEnded(SendOutcome aOutcome, Time aNow)
 {
+  // Work that is given up at a silent upstream leaves it as one that cannot be
+  // reached: without work it would look well again.
+  const bool silent = Silent(aNow);
   --m_inFlight;
-  m_unanswered -= aHeadSeen ? 0 : 1;
+  if (silent && aOutcome != SendOutcome::Unreachable) {
+    OnConnectFailed(aNow);
+  }
   switch (aOutcome) {
     case SendOutcome::Answered:
       Count(false, aNow);
@@ -113,11 +116,16 @@
   return m_inFlight + weight * m_othersLoad + (1 - weight) * aMeanOthers;
 }
 
+bool
+UpstreamTracker::Silent(Time aNow) const
+{
+  return m_inFlight > 0 && aNow - m_aliveAt > kSilence;
+}
+
 bool
 UpstreamTracker::Reachable(Time aNow) const
 {
-  const bool silent = m_unanswered > 0 && aNow - m_unansweredSince > kSilence;
-  return aNow >= m_unreachableUntil && !silent;
+  return aNow >= m_unreachableUntil && !Silent(aNow);
 }
 
 void
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -38,10 +38,9 @@
 {
 public:
   void OnSent(Time aNow);
-  // The head of an answer has come.
-  void OnHead(Time aNow);
-  // aHeadSeen: whether OnHead was called for the request.
-  void OnEnded(SendOutcome aOutcome, bool aHeadSeen, Time aNow);
+  // Bytes of an answer have come: it lives.
+  void OnAlive(Time aNow);
+  void OnEnded(SendOutcome aOutcome, Time aNow);
   void OnConnectFailed(Time aNow);
   void OnLoadReport(const LoadReport& aReport, Time aNow);
   void OnRefused(Time aNow);
@@ -56,10 +55,13 @@
   // of OthersLoad over its service.
   double Load(double aMeanOthers, Time aNow) const;
 
-  // Whether new work may be sent: it was reachable at the last try, and it has
-  // not been silent towards requests for longer than kSilence.
+  // Whether new work may be sent: it was reachable at the last try, and is not
+  // silent.
   bool Reachable(Time aNow) const;
 
+  // It has work of this daemon, and no byte of any answer has come for long.
+  bool Silent(Time aNow) const;
+
   // It said lately that it has no room.
   bool RefusedLately(Time aNow) const { return aNow < m_refusedUntil; }
 
@@ -70,9 +72,8 @@
   void Count(bool aFailed, Time aNow);
 
   std::uint32_t m_inFlight = 0;
-  std::uint32_t m_unanswered = 0; // in flight without a head
-  Time m_unansweredSince;         // or since the last head
-  double m_othersLoad = 0;        // of other daemons, by the last report
+  Time m_aliveAt;          // or when the first work was sent
+  double m_othersLoad = 0; // of other daemons, by the last report
   std::optional<Time> m_reportedAt;
   double m_failures = 0;
   Time m_failuresAt;
--- a/walnutwing/routing/upstream_tracker_test.cc
+++ b/walnutwing/routing/upstream_tracker_test.cc
@@ -15,8 +15,8 @@
   void Answer(SendOutcome aOutcome)
   {
     m_tracker.OnSent(Now());
-    m_tracker.OnHead(Now());
-    m_tracker.OnEnded(aOutcome, true, Now());
+    m_tracker.OnAlive(Now());
+    m_tracker.OnEnded(aOutcome, Now());
   }
 
   PausedClock m_clock;
@@ -66,13 +66,27 @@
 {
   m_tracker.OnSent(Now());
   m_tracker.OnSent(Now());
-  Pass(1000);
-  m_tracker.OnHead(Now()); // one of them: it is alive
-  Pass(1200);
+  Pass(500);
+  m_tracker.OnAlive(Now()); // an answer to one of them goes on
+  Pass(600);
   EXPECT_TRUE(m_tracker.Reachable(Now()));
   Pass(1);
   EXPECT_FALSE(m_tracker.Reachable(Now()));
-  m_tracker.OnEnded(SendOutcome::Failed, false, Now());
+  m_tracker.OnAlive(Now());
+  EXPECT_TRUE(m_tracker.Reachable(Now()));
+}
+
+// Callers leave a silent upstream's requests one by one; it does not become
+// reachable by that (the cut zone of vpm inc-56f0).
+TEST_F(TrackerTest, SilentUpstreamStaysUnreachableWhenItsCallersLeave)
+{
+  m_tracker.OnSent(Now());
+  Pass(2000);
+  m_tracker.OnEnded(SendOutcome::Abandoned, Now());
+  EXPECT_FALSE(m_tracker.Reachable(Now()));
+  Pass(249);
+  EXPECT_FALSE(m_tracker.Reachable(Now()));
+  Pass(1);
   EXPECT_TRUE(m_tracker.Reachable(Now()));
 }
 
@@ -100,8 +114,8 @@
 TEST_F(TrackerTest, RefusalHoldsForAMoment)
 {
   m_tracker.OnSent(Now());
-  m_tracker.OnHead(Now());
-  m_tracker.OnEnded(SendOutcome::Refused, true, Now());
+  m_tracker.OnAlive(Now());
+  m_tracker.OnEnded(SendOutcome::Refused, Now());
   EXPECT_TRUE(m_tracker.RefusedLately(Now()));
   Pass(150);
   EXPECT_FALSE(m_tracker.RefusedLately(Now()));
