--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -259,6 +259,7 @@
     .Add("rank", static_cast<std::int64_t>(aChoice.m_rank))
     .Add("load", aChoice.m_load)
     .Add("mean_load", aChoice.m_meanLoad)
+    .Add("load_age_ms", static_cast<std::int64_t>(aChoice.m_loadAge.count()))
     .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
     .Add("left_ms", static_cast<std::int64_t>(facts.m_deadline.count()));
 }
@@ -475,6 +476,7 @@
 void
 RequestFlow::OnBroken(const std::string& aWhy)
 {
+  m_cause = aWhy;
   m_avoid.insert(m_choice.m_upstream);
   m_events.DropRest();
   if (m_caller == nullptr) {
@@ -611,6 +613,7 @@
   LogLine(Event::RequestFailed)
     .Add("code", static_cast<std::int64_t>(aCode))
     .Add("why", RowOf(aCode).m_name)
+    .Add("cause", m_cause)
     .Add("upstream", m_choice.m_upstream.Value())
     .Add("attempts", static_cast<std::int64_t>(m_tries))
     .Add("runs", static_cast<std::int64_t>(m_runs))
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -140,6 +140,8 @@
   std::uint32_t m_runs = 0; // attempts that may have run, the present one apart
   std::uint32_t m_tries = 0; // attempts, also those that reached no upstream
 
+  std::string m_cause; // of the last attempt's failure
+
   // The answer.
   std::optional<platform::HttpAnswerHead> m_head;
   std::string m_body;     // kept until whole
--- a/walnutwing/routing/load_exchange.cc
+++ b/walnutwing/routing/load_exchange.cc
@@ -228,6 +228,15 @@
   return messages;
 }
 
+std::optional<Duration>
+LoadExchange::Age(Time aNow) const
+{
+  if (!m_othersAt || !Fresh(*m_othersAt, aNow)) {
+    return std::nullopt;
+  }
+  return aNow - *m_othersAt;
+}
+
 std::optional<double>
 LoadExchange::OthersAt(std::uint32_t aUpstream,
                        std::uint32_t aOwn,
--- a/walnutwing/routing/load_exchange.h
+++ b/walnutwing/routing/load_exchange.h
@@ -84,6 +84,10 @@
                                  std::uint32_t aOwn,
                                  Time aNow) const;
 
+  // How long ago the other daemons' requests were heard; nothing while they are
+  // not known.
+  std::optional<Duration> Age(Time aNow) const;
+
   // The hub of the own zone; may be this daemon. Empty before any member is
   // known.
   DaemonId Hub() const;
