--- a/cli/explain.cc
+++ b/cli/explain.cc
@@ -79,13 +79,13 @@
   aLine.m_upstream = MemberText(json, "upstream");
   aLine.m_topic = MemberText(json, "topic");
   aLine.m_text = MemberText(json, "name");
-  for (const auto& member : json.GetObject()) {
-    const std::string name = member.name.GetString();
+  for (auto member = json.MemberBegin(); member < json.MemberEnd(); ++member) {
+    const std::string name = member->name.GetString();
     if (name == "wall_ms" || name == "event" || name == "name" ||
         name == "daemon" || name == "id") {
       continue;
     }
-    aLine.m_text += " " + name + "=" + TextOf(member.value);
+    aLine.m_text += " " + name + "=" + TextOf(member->value);
   }
   return true;
 }
--- a/daemon/context.h
+++ b/daemon/context.h
@@ -10,12 +10,12 @@
 #include <random>
 #include <string>
 
-#include "walnutwing/base/metrics.h"
 #include "daemon/platform_client.h"
 #include "daemon/supervisor.h"
 #include "daemon/trace.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "walnutwing/base/metrics.h"
 #include "walnutwing/config/settings.h"
 #include "walnutwing/membership/byte_budget.h"
 #include "walnutwing/placement/chat_hint.h"
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -261,7 +261,7 @@
 void
 StoreStandin::Put(const std::string& aTopic,
                   const std::string& aKey,
-                  std::optional<std::string> aValue)
+                  const std::optional<std::string>& aValue)
 {
   std::string record(1, static_cast<char>(aKey.size()));
   record += aKey + aValue.value_or("");
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -41,7 +41,7 @@
   // Sets or drops a key; readers that wait are answered.
   void Put(const std::string& aTopic,
            const std::string& aKey,
-           std::optional<std::string> aValue);
+           const std::optional<std::string>& aValue);
 
   // Forgets all records; the newest of each key stays.
   void DropHistory(const std::string& aTopic);
