The roster's ages are by the own monotonic clock

Cause: announcements carried wall times and were compared with the own wall clock. A VM whose clock steps ahead by the lifetime takes itself for alone and would give itself the whole fleet's budgets of cold upstreams and repeats. Change: an announcement holds from when it was first read. Until the fleet is known, budgets are shared by 30 (16 before), so that cold upstreams get nothing: 80 daemons that start at once would have had 80 a second. AnnouncementsLapseByTheOwnClock fails with the old rule.

--- a/router/member_record.cc
+++ b/router/member_record.cc
@@ -20,8 +20,8 @@
   writer.String(aMember.m_address.c_str());
   writer.Key("weight");
   writer.Double(aMember.m_weight);
-  writer.Key("announced_ms");
-  writer.Int64(aMember.m_announcedAt.time_since_epoch().count());
+  writer.Key("announcement");
+  writer.Uint64(aMember.m_announcement);
   writer.EndObject();
   return { text.GetString(), text.GetSize() };
 }
@@ -37,16 +37,11 @@
   const auto zone = platform::TextAt(json, "zone");
   const auto address = platform::TextAt(json, "address");
   const auto weight = platform::NumberAt(json, "weight");
-  const auto announced = platform::CountAt(json, "announced_ms");
+  const auto announced = platform::CountAt(json, "announcement");
   if (!zone || !address || !weight || !announced) {
     return std::nullopt;
   }
-  return RosterMember{ aName,
-                       ZoneId(*zone),
-                       *address,
-                       *weight,
-                       WallTime(
-                         Duration(static_cast<Duration::rep>(*announced))) };
+  return RosterMember{ aName, ZoneId(*zone), *address, *weight, *announced };
 }
 
 } // namespace walnutwing::router
--- a/router/router.cc
+++ b/router/router.cc
@@ -43,8 +43,9 @@
 constexpr Duration kMemberLifetime = 3 * kMemberInterval;
 constexpr Duration kFirstCount = std::chrono::milliseconds(1500);
 constexpr Duration kStoreAnswerTime = std::chrono::milliseconds(1500);
-// Budgets are shared by so many before the others are known.
-constexpr std::uint32_t kFleetUnknown = 16;
+// Budgets are shared by so many before the others are known: cold upstreams get
+// nothing then.
+constexpr std::uint32_t kFleetUnknown = 30;
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(200);
 constexpr Duration kSettingsCheckInterval = std::chrono::milliseconds(1000);
@@ -359,7 +360,8 @@
              settings.m_zone,
              settings.m_peerListen,
              settings.m_weight,
-             SteadyClock().WallNow() };
+             static_cast<std::uint64_t>(
+               SteadyClock().WallNow().time_since_epoch().count()) };
   }
 
   void Announce()
@@ -403,12 +405,12 @@
       const auto member =
         record.m_value ? DecodeMember(name, *record.m_value) : std::nullopt;
       if (member) {
-        m_roster.OnAnnounced(*member);
+        m_roster.OnAnnounced(*member, Now());
       } else {
         m_roster.OnDropped(name);
       }
     }
-    std::vector<RosterMember> alive = m_roster.Alive(SteadyClock().WallNow());
+    std::vector<RosterMember> alive = m_roster.Alive(Now());
     const auto daemons =
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(alive.size()));
     m_exchange.SetMembers(std::move(alive), Now());
--- a/walnutwing/routing/fleet_roster.cc
+++ b/walnutwing/routing/fleet_roster.cc
@@ -8,21 +8,22 @@
 namespace walnutwing {
 
 void
-FleetRoster::OnAnnounced(const RosterMember& aMember)
+FleetRoster::OnAnnounced(const RosterMember& aMember, Time aNow)
 {
-  RosterMember& known = m_members[aMember.m_name];
-  if (aMember.m_announcedAt >= known.m_announcedAt) {
-    known = aMember;
+  const auto [entry, added] = m_members.try_emplace(aMember.m_name);
+  Known& known = entry->second;
+  if (added || known.m_member.m_announcement != aMember.m_announcement) {
+    known = { aMember, aNow };
   }
 }
 
 std::vector<RosterMember>
-FleetRoster::Alive(WallTime aNow) const
+FleetRoster::Alive(Time aNow) const
 {
   std::vector<RosterMember> alive;
-  for (const auto& [name, member] : m_members) {
-    if (aNow - member.m_announcedAt < m_lifetime) {
-      alive.push_back(member);
+  for (const auto& [name, known] : m_members) {
+    if (aNow - known.m_firstReadAt < m_lifetime) {
+      alive.push_back(known.m_member);
     }
   }
   return alive;
--- a/walnutwing/routing/fleet_roster.h
+++ b/walnutwing/routing/fleet_roster.h
@@ -3,7 +3,9 @@
 
 // Which daemons there are, by what each announces of itself from time to time.
 // Their number shares the fleet's budgets; a daemon that has left counts on for
-// a while, which makes shares smaller and never larger.
+// a while, which makes shares smaller and never larger. Ages are by the own
+// monotonic clock, from when an announcement was first read: wall clocks differ
+// and step.
 
 #include <cstdint>
 #include <map>
@@ -19,9 +21,9 @@
 {
   DaemonId m_name;
   ZoneId m_zone;
-  std::string m_address; // "IP:port" for datagrams of other daemons
-  double m_weight = 1;   // processor share of its VM
-  WallTime m_announcedAt;
+  std::string m_address;            // "IP:port" for datagrams of other daemons
+  double m_weight = 1;              // processor share of its VM
+  std::uint64_t m_announcement = 0; // differs from one announcement to the next
 };
 
 class FleetRoster
@@ -33,15 +35,22 @@
   {
   }
 
-  void OnAnnounced(const RosterMember& aMember);
+  // An announcement was read; the same one may be read many times.
+  void OnAnnounced(const RosterMember& aMember, Time aNow);
   void OnDropped(const DaemonId& aName) { m_members.erase(aName); }
 
   // Members whose announcement holds, in the order of their names.
-  std::vector<RosterMember> Alive(WallTime aNow) const;
+  std::vector<RosterMember> Alive(Time aNow) const;
 
 private:
+  struct Known
+  {
+    RosterMember m_member;
+    Time m_firstReadAt; // of its last announcement
+  };
+
   Duration m_lifetime;
-  std::map<DaemonId, RosterMember> m_members;
+  std::map<DaemonId, Known> m_members;
 };
 
 // The members of a zone in the order in which they serve as its hub: the larger
--- a/walnutwing/routing/load_exchange_test.cc
+++ b/walnutwing/routing/load_exchange_test.cc
@@ -147,26 +147,33 @@
 TEST(FleetRoster, LargerMachinesServeAsHub)
 {
   FleetRoster roster(milliseconds(24'000));
-  const WallTime now = PausedClock().WallNow();
-  roster.OnAnnounced({ DaemonId("small"), ZoneId("z"), "a", 0.12, now });
-  roster.OnAnnounced({ DaemonId("large"), ZoneId("z"), "b", 0.5, now });
-  roster.OnAnnounced({ DaemonId("other"), ZoneId("y"), "c", 9, now });
+  const Time now = PausedClock().Now();
+  roster.OnAnnounced({ DaemonId("small"), ZoneId("z"), "a", 0.12, 1 }, now);
+  roster.OnAnnounced({ DaemonId("large"), ZoneId("z"), "b", 0.5, 1 }, now);
+  roster.OnAnnounced({ DaemonId("other"), ZoneId("y"), "c", 9, 1 }, now);
   const auto hubs = RankHubs(roster.Alive(now), ZoneId("z"));
   ASSERT_EQ(2U, hubs.size());
   EXPECT_EQ("large", hubs[0].m_name.Value());
 }
 
-TEST(FleetRoster, AnnouncementsLapseAndAnOlderOneDoesNotReplaceANewer)
+// Whatever the clocks of the VMs say: an announcement holds from when it was
+// first read, and reading it again does not prolong it.
+TEST(FleetRoster, AnnouncementsLapseByTheOwnClock)
 {
   FleetRoster roster(milliseconds(24'000));
-  const WallTime now = PausedClock().WallNow();
-  roster.OnAnnounced({ DaemonId("d"), ZoneId("z"), "new", 1, now });
-  roster.OnAnnounced(
-    { DaemonId("d"), ZoneId("z"), "old", 1, now - milliseconds(5) });
-  ASSERT_EQ(1U, roster.Alive(now).size());
-  EXPECT_EQ("new", roster.Alive(now)[0].m_address);
-  EXPECT_EQ(1U, roster.Alive(now + milliseconds(23'999)).size());
-  EXPECT_TRUE(roster.Alive(now + milliseconds(24'000)).empty());
+  PausedClock clock;
+  roster.OnAnnounced({ DaemonId("d"), ZoneId("z"), "a", 1, 77 }, clock.Now());
+  clock.Advance(milliseconds(16'000));
+  roster.OnAnnounced({ DaemonId("d"), ZoneId("z"), "a", 1, 77 }, clock.Now());
+  clock.Advance(milliseconds(7999));
+  EXPECT_EQ(1U, roster.Alive(clock.Now()).size());
+  clock.Advance(milliseconds(1));
+  EXPECT_TRUE(roster.Alive(clock.Now()).empty());
+  // A clock that was set back announces a smaller number; it is news all the
+  // same.
+  roster.OnAnnounced({ DaemonId("d"), ZoneId("z"), "b", 1, 5 }, clock.Now());
+  ASSERT_EQ(1U, roster.Alive(clock.Now()).size());
+  EXPECT_EQ("b", roster.Alive(clock.Now())[0].m_address);
 }
 
 } // namespace
--- a/walnutwing/routing/selector_fixture.h
+++ b/walnutwing/routing/selector_fixture.h
@@ -97,7 +97,7 @@
                           m_daemons[i]->m_zone,
                           std::to_string(i), // its index is its address
                           1.0,
-                          m_clock.WallNow() });
+                          1 });
     }
     return members;
   }
