The roster is read by hubs while it does not change; large zones exchange loads less often

Change: digests carry a hash of the hub's roster; who knows the same one does not read it. The period of the exchange is 3 ms for each daemon of the zone, 100 to 300 ms, since a hub woke 852 times a second at 300 machines.

--- a/router/peers.cc
+++ b/router/peers.cc
@@ -39,11 +39,13 @@
 Peers::Peers(Context& aContext,
              LoadExchange& aExchange,
              TopicFeed& aOperators,
-             TopicFeed& aUpstreams)
+             TopicFeed& aUpstreams,
+             TopicFeed& aMembers)
   : m_context(aContext)
   , m_exchange(aExchange)
   , m_operators(aOperators)
   , m_upstreams(aUpstreams)
+  , m_members(aMembers)
   , m_socket(aContext.m_loop.get_executor())
   , m_timer(aContext.m_loop.get_executor())
   , m_soon(aContext.m_loop.get_executor())
@@ -118,6 +120,10 @@
 void
 Peers::OnTopics(const proto::RouterPeerMessage& aMessage)
 {
+  // The hub watches who comes and goes; reading it too shows nothing else.
+  if (aMessage.roster() == m_exchange.RosterHash()) {
+    m_members.RelyOnOther(Now() + kRelyFor);
+  }
   for (const proto::TopicState& state : aMessage.topics()) {
     const bool operators = state.topic() == proto::TopicState::OPERATORS;
     TopicFeed& feed = operators ? m_operators : m_upstreams;
@@ -167,7 +173,7 @@
 Peers::Period()
 {
   SendPeriod();
-  m_timer.expires_after(LoadExchangeOptions().m_period);
+  m_timer.expires_after(m_exchange.Period());
   m_timer.async_wait([this](const error_code& aError) {
     if (!aError) {
       Period();
@@ -245,6 +251,7 @@
     load.set_requests(requests);
   }
   if (aLoads.m_kind == LoadMessageKind::Digest) {
+    message.set_roster(m_exchange.RosterHash());
     AddTopics(message);
   }
   const std::string bytes = message.SerializeAsString();
--- a/router/peers.h
+++ b/router/peers.h
@@ -30,7 +30,8 @@
   Peers(Context& aContext,
         LoadExchange& aExchange,
         TopicFeed& aOperators,
-        TopicFeed& aUpstreams);
+        TopicFeed& aUpstreams,
+        TopicFeed& aMembers);
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
 
@@ -76,6 +77,7 @@
   LoadExchange& m_exchange;
   TopicFeed& m_operators;
   TopicFeed& m_upstreams;
+  TopicFeed& m_members;
   asio::basic_datagram_socket<Udp, Executor> m_socket;
   Timer m_timer;
   Timer m_soon;
--- a/router/router.cc
+++ b/router/router.cc
@@ -128,7 +128,7 @@
     , m_announcements(std::make_shared<StoreChannel>(
         m_loop,
         ParseEndpoint(aSettings.m_storeAddress).value()))
-    , m_peers(m_context, m_exchange, m_operators, m_upstreams)
+    , m_peers(m_context, m_exchange, m_operators, m_upstreams, m_members)
     , m_front(m_context)
     , m_readyPage(m_loop,
                   ParseEndpoint(aSettings.m_readyListen).value(),
--- a/walnutwing/routing/load_exchange.cc
+++ b/walnutwing/routing/load_exchange.cc
@@ -85,6 +85,24 @@
   });
 }
 
+Duration
+LoadExchange::Period() const
+{
+  const Duration wanted =
+    m_options.m_perMember * static_cast<Duration::rep>(m_hubs.size());
+  return std::clamp(wanted, m_options.m_period, m_options.m_longestPeriod);
+}
+
+std::uint32_t
+LoadExchange::RosterHash() const
+{
+  std::uint64_t hash = 0;
+  for (const RosterMember& member : m_members) {
+    hash += StableHash(member.m_name.Value()); // in any order
+  }
+  return static_cast<std::uint32_t>(hash ^ hash >> 32U);
+}
+
 bool
 LoadExchange::Fresh(Time aAt, Time aNow) const
 {
--- a/walnutwing/routing/load_exchange.h
+++ b/walnutwing/routing/load_exchange.h
@@ -48,7 +48,10 @@
 
 struct LoadExchangeOptions
 {
+  // Between two messages; longer in large zones, so that their hubs keep up.
   Duration m_period = std::chrono::milliseconds(100);
+  Duration m_perMember = std::chrono::milliseconds(3);
+  Duration m_longestPeriod = std::chrono::milliseconds(300);
   // What was heard longer ago is not used, and who was not heard for so long is
   // taken for silent.
   Duration m_lifetime = std::chrono::milliseconds(1000);
@@ -73,6 +76,12 @@
                 UpstreamLoads aOwn,
                 Time aNow);
 
+  Duration Period() const;
+
+  // Stands for the daemons that are known; the same at daemons that know the
+  // same ones.
+  std::uint32_t RosterHash() const;
+
   // To be called every period: what to send.
   std::vector<LoadMessage> OnPeriod(const UpstreamLoads& aOwn, Time aNow);
 
--- a/walnutwing/routing/load_exchange_test.cc
+++ b/walnutwing/routing/load_exchange_test.cc
@@ -1,5 +1,7 @@
 #include "walnutwing/routing/load_exchange.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "walnutwing/routing/selector_fixture.h"
@@ -144,6 +146,28 @@
   }
 }
 
+TEST(LoadExchange, LargeZonesTellEachOtherLessOften)
+{
+  EXPECT_EQ(milliseconds(100), TestFleet(8, 1).Daemon(0).m_exchange.Period());
+  EXPECT_EQ(milliseconds(150), TestFleet(150, 1).Daemon(0).m_exchange.Period());
+  EXPECT_EQ(milliseconds(300), TestFleet(600, 1).Daemon(0).m_exchange.Period());
+}
+
+TEST(LoadExchange, RosterHashTellsRostersApart)
+{
+  TestFleet fleet(6, 1);
+  LoadExchange& exchange = fleet.Daemon(0).m_exchange;
+  const std::uint32_t whole = exchange.RosterHash();
+  EXPECT_EQ(whole, fleet.Daemon(5).m_exchange.RosterHash());
+  std::vector<RosterMember> members = fleet.Members();
+  std::reverse(members.begin(), members.end());
+  exchange.SetMembers(members, fleet.m_clock.Now());
+  EXPECT_EQ(whole, exchange.RosterHash());
+  members.pop_back();
+  exchange.SetMembers(members, fleet.m_clock.Now());
+  EXPECT_NE(whole, exchange.RosterHash());
+}
+
 TEST(FleetRoster, LargerMachinesServeAsHub)
 {
   FleetRoster roster(milliseconds(24'000));
