--- /dev/null
+++ b/router/fleet_state.h
@@ -0,0 +1,86 @@
+#ifndef WALNUTWING_ROUTER_FLEET_STATE_H_
+#define WALNUTWING_ROUTER_FLEET_STATE_H_
+
+// What this process believes of the fleet: the configuration in force, the
+// zones that are out, the upstreams and the other daemons. Fed by three topics
+// of the platform's store and by the other daemons; what requests need of it is
+// written to the Context.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "router/context.h"
+#include "router/peers.h"
+#include "router/store_channel.h"
+#include "router/topic_feed.h"
+#include "walnutwing/routing/fleet_roster.h"
+#include "walnutwing/routing/load_exchange.h"
+#include "walnutwing/routing/upstream_directory.h"
+
+namespace walnutwing::router {
+
+class FleetState
+{
+public:
+  // aExchange is the one that the context's selector asks. Throws
+  // boost::system::system_error if the peers' address cannot be bound.
+  FleetState(Context& aContext, LoadExchange& aExchange);
+  FleetState(const FleetState&) = delete;
+  FleetState& operator=(const FleetState&) = delete;
+
+  void Start();
+
+  // To be called several times a second.
+  void Tick(Time aNow);
+
+  // Whether enough is known to serve callers.
+  bool Known() const;
+
+  // Calls to the store and bytes of its answers, since the start.
+  std::uint64_t StoreCalls() const;
+  std::uint64_t StoreBytesRead() const;
+
+private:
+  void OnStoreHealth(bool aAnswers);
+
+  void OnOperatorNews(const TopicNews& aNews);
+  void OnConfig(const std::string& aJson);
+  void SetZonesOut(const std::set<ZoneId>& aZones);
+  Duration LongestColdTime() const;
+
+  void OnUpstreamNews(const TopicNews& aNews);
+  std::optional<UpstreamEntry> ReadUpstream(
+    const platform::StoreRecord& aRecord);
+  void OnUpstreamChange(const UpstreamId& aId, UpstreamChange aChange);
+
+  RosterMember Self() const;
+  void Announce();
+  void FollowMembersLater();
+  void OnMemberNews(const TopicNews& aNews);
+
+  EventLog::Line LogLine(Event aEvent)
+  {
+    return { m_context.m_log, aEvent, Now() };
+  }
+
+  Context& m_context;
+  LoadExchange& m_exchange;
+  UpstreamDirectory m_directory;
+  FleetRoster m_roster;
+  TopicFeed m_operators;
+  TopicFeed m_upstreams;
+  TopicFeed m_members;
+  std::shared_ptr<StoreChannel> m_announcements;
+  Peers m_peers;
+  Timer m_announce;
+  Timer m_followMembers;
+  std::set<ZoneId> m_zonesOut;
+  bool m_announced = false;
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_FLEET_STATE_H_
