--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -119,12 +119,9 @@
 void
 FleetState::OnOperatorNews(const TopicNews& aNews)
 {
+  TakeNewestConfig(aNews.m_records);
   std::set<ZoneId> zonesOut = aNews.m_whole ? std::set<ZoneId>() : m_zonesOut;
   for (const platform::StoreRecord& record : aNews.m_records) {
-    if (record.m_key == platform::kConfigKey && record.m_value) {
-      OnConfig(*record.m_value);
-      continue;
-    }
     if (!record.m_key.starts_with(platform::kZoneOutPrefix)) {
       continue;
     }
@@ -139,24 +136,38 @@
   m_peers.OnRead();
 }
 
-// Only a newer version comes into force: records may be read twice.
+// Reads the last configuration of a batch that can be read: a batch may hold
+// many after an outage, and reading a large one takes tens of milliseconds.
 void
-FleetState::OnConfig(const std::string& aJson)
+FleetState::TakeNewestConfig(const std::vector<platform::StoreRecord>& aRecords)
 {
-  platform::DecodeProblem problem;
-  std::optional<RoutingConfig> config = platform::DecodeConfig(aJson, problem);
-  if (!config) {
+  for (auto record = aRecords.rbegin(); record != aRecords.rend(); ++record) {
+    if (record->m_key != platform::kConfigKey || !record->m_value) {
+      continue;
+    }
+    platform::DecodeProblem problem;
+    std::optional<RoutingConfig> config =
+      platform::DecodeConfig(*record->m_value, problem);
+    if (config) {
+      PutInForce(std::move(*config));
+      return;
+    }
     LogLine(Event::ConfigRefused)
       .Add("where", problem.m_where)
       .Add("why", problem.m_text);
-    return;
   }
+}
+
+// Only a newer version comes into force: records may be read twice.
+void
+FleetState::PutInForce(RoutingConfig aConfig)
+{
   if (m_context.m_routes != nullptr &&
-      config->m_version <= m_context.m_routes->Version()) {
+      aConfig.m_version <= m_context.m_routes->Version()) {
     return;
   }
-  const std::uint64_t version = config->m_version;
-  m_context.m_routes = std::make_shared<RouteTable>(std::move(*config));
+  const std::uint64_t version = aConfig.m_version;
+  m_context.m_routes = std::make_shared<RouteTable>(std::move(aConfig));
   const RoutingConfig& routing = m_context.m_routes->Config();
   LogLine(Event::ConfigInForce)
     .Add("version", static_cast<std::int64_t>(version))
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "router/context.h"
 #include "router/peers.h"
@@ -47,7 +48,8 @@
   void OnStoreHealth(bool aAnswers);
 
   void OnOperatorNews(const TopicNews& aNews);
-  void OnConfig(const std::string& aJson);
+  void TakeNewestConfig(const std::vector<platform::StoreRecord>& aRecords);
+  void PutInForce(RoutingConfig aConfig);
   void SetZonesOut(const std::set<ZoneId>& aZones);
   Duration LongestColdTime() const;
 
