Repeats keep a margin; no repeat where no upstream has room

Ruled out: daemons that count the fleet differently (all had 8). Change: 0.9 of the bound is used, repeats count 0.3 s longer and requests 0.3 s shorter; a request that was refused for lack of room goes only to upstreams that refused nothing in the last 150 ms, else it is refused at once (2004), and a repeat is taken from the budget only if there is an upstream for it.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -176,22 +176,30 @@
   return m_route->m_kind == RouteKind::Lookup || m_route->m_resumable;
 }
 
-void
-RequestFlow::SendNext()
+Selection
+RequestFlow::MakeSelection() const
 {
-  if (Left() < kLeastTime) {
-    OnDeadline();
-    return;
-  }
   Selection selection;
   selection.m_service = m_serviceId;
   selection.m_affinity = m_facts.m_sharedPart;
   selection.m_daemons = m_context.m_daemons;
   selection.m_avoid = m_avoid;
+  selection.m_needsRoom = m_refused;
   if (m_service != nullptr) {
     selection.m_coldPerSecond =
       m_service->m_coldPerSecond * m_context.m_settings.m_coldFactor;
   }
+  return selection;
+}
+
+void
+RequestFlow::SendNext()
+{
+  if (Left() < kLeastTime) {
+    OnDeadline();
+    return;
+  }
+  Selection selection = MakeSelection();
   for (; m_tries < kMostTries; ++m_tries) {
     const Choice choice = m_context.m_selector.Choose(selection, Now());
     if (choice.m_why != NoChoice::None) {
@@ -463,6 +471,7 @@
 RequestFlow::OnNotExecuted()
 {
   m_avoid.insert(m_choice.m_upstream);
+  m_refused = true;
   if (m_caller == nullptr) {
     Finish();
     return;
@@ -470,7 +479,8 @@
   if (TryRepeat("not executed")) {
     return;
   }
-  Refuse(ResultCode::RetryBudgetSpent, kRetryAfter);
+  Refuse(HasUpstream() ? ResultCode::RetryBudgetSpent : ResultCode::QueueFull,
+         kRetryAfter);
 }
 
 void
@@ -498,10 +508,19 @@
   return Repeatable() && intact && runs < m_route->m_maxAttempts;
 }
 
+// Whether there is an upstream to send the request to, before a repeat is taken
+// from the budget.
+bool
+RequestFlow::HasUpstream() const
+{
+  const Choice choice = m_context.m_selector.Choose(MakeSelection(), Now());
+  return choice.m_why == NoChoice::None;
+}
+
 bool
 RequestFlow::TryRepeat(const char* aWhy)
 {
-  if (m_tries >= kMostTries || Left() < kLeastTime ||
+  if (m_tries >= kMostTries || Left() < kLeastTime || !HasUpstream() ||
       !m_context.RepeatsOf(m_serviceId).TryRepeat(m_context.m_daemons, Now())) {
     return false;
   }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -89,6 +89,7 @@
   bool FindRoute();
   bool CheckKey();
   void SetDeadline();
+  Selection MakeSelection() const;
   void SendNext();
   void SendTo(const Choice& aChoice);
   void OnNoUpstream(NoChoice aWhy);
@@ -102,6 +103,7 @@
   void OnNotExecuted();
   void OnBroken(const std::string& aWhy);
   bool MayRunAgain() const;
+  bool HasUpstream() const;
   bool TryRepeat(const char* aWhy);
   void EndAttempt(SendOutcome aOutcome);
   void GiveUpAttempt(SendOutcome aOutcome);
@@ -137,6 +139,7 @@
   bool m_ignoring = false; // its answer is not to be passed on
 
   std::set<UpstreamId> m_avoid;
+  bool m_refused = false;   // an upstream did not execute it
   std::uint32_t m_runs = 0; // attempts that may have run, the present one apart
   std::uint32_t m_tries = 0; // attempts, also those that reached no upstream
 
--- a/walnutwing/routing/repeat_budget.h
+++ b/walnutwing/routing/repeat_budget.h
@@ -4,7 +4,9 @@
 // Bounds how often this daemon sends requests of one service again, so that the
 // sum over the fleet stays within ratio x requests + allowance in every window,
 // also when daemons do not hear of each other: each daemon earns the ratio from
-// its own requests and takes an equal share of the allowance.
+// its own requests and takes an equal share of the allowance. A part of both is
+// kept back, and repeats are counted for a little longer than requests, since
+// what is counted is when requests arrive at upstreams.
 
 #include <cstdint>
 
@@ -18,6 +20,9 @@
   double m_ratio = 0.2;                         // repeats for each request
   double m_allowance = 50;                      // repeats in a window, fleet
   Duration m_window = std::chrono::seconds(10); // slides
+  double m_use = 0.9; // part of the bound that is used
+  // Requests take up to so long on their way to upstreams.
+  Duration m_jitter = std::chrono::milliseconds(300);
 };
 
 class RepeatBudget
@@ -25,8 +30,8 @@
 public:
   explicit RepeatBudget(RepeatBudgetOptions aOptions)
     : m_options(aOptions)
-    , m_requests(aOptions.m_window)
-    , m_repeats(aOptions.m_window)
+    , m_requests(aOptions.m_window - aOptions.m_jitter)
+    , m_repeats(aOptions.m_window + aOptions.m_jitter)
   {
   }
 
@@ -43,7 +48,8 @@
   {
     const double earned =
       m_options.m_ratio * static_cast<double>(m_requests.Count(aNow));
-    const double limit = earned + m_options.m_allowance / aDaemons;
+    const double limit =
+      m_options.m_use * (earned + m_options.m_allowance / aDaemons);
     if (static_cast<double>(m_repeats.Count(aNow)) + 1 > limit) {
       return false;
     }
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -114,6 +114,9 @@
         aSelection.m_avoid.contains(id)) {
       continue;
     }
+    if (aSelection.m_needsRoom && upstream.m_tracker->RefusedLately(aNow)) {
+      continue;
+    }
     if (!upstream.m_tracker->Reachable(aNow) ||
         silentZones.contains(entry.m_zone)) {
       field.m_why = NoChoice::Unreachable;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -56,6 +56,8 @@
   double m_coldPerSecond = 0;   // what a cold upstream bears; 0: any
   std::uint32_t m_daemons = 1;  // in the fleet
   std::set<UpstreamId> m_avoid; // that this request has been sent to
+  // An upstream was full: others that refused work lately are no choice either.
+  bool m_needsRoom = false;
 };
 
 // Why there is no upstream.
--- a/walnutwing/routing/upstream_selector_test.cc
+++ b/walnutwing/routing/upstream_selector_test.cc
@@ -339,6 +339,36 @@
   EXPECT_EQ(6U, chosen.size());
 }
 
+// A service without room: a request that one of its upstreams refused is not
+// sent round all the others that refuse work too.
+TEST(UpstreamSelector, FullServiceIsNotAskedAgainUpstreamByUpstream)
+{
+  TestFleet fleet(1, 3);
+  UpstreamSelector& selector = fleet.Daemon(0).m_selector;
+  const auto refuse = [&](const Choice& aChoice) {
+    selector.OnSent(aChoice, fleet.m_clock.Now());
+    aChoice.m_tracker->OnEnded(SendOutcome::Refused, fleet.m_clock.Now());
+  };
+  Selection selection = For(0);
+  Choice first = selector.Choose(selection, fleet.m_clock.Now());
+  refuse(first);
+  selection.m_avoid.insert(first.m_upstream);
+  selection.m_needsRoom = true;
+  const Choice second = selector.Choose(selection, fleet.m_clock.Now());
+  ASSERT_EQ(NoChoice::None, second.m_why);
+  refuse(second);
+  Selection last = For(0);
+  last.m_avoid = { first.m_upstream, second.m_upstream };
+  refuse(selector.Choose(last, fleet.m_clock.Now()));
+  EXPECT_EQ(NoChoice::NoUpstream,
+            selector.Choose(selection, fleet.m_clock.Now()).m_why);
+  // New requests try all the same, and after a moment repeats do again.
+  EXPECT_EQ(NoChoice::None, selector.Choose(For(0), fleet.m_clock.Now()).m_why);
+  fleet.m_clock.Advance(milliseconds(150));
+  EXPECT_EQ(NoChoice::None,
+            selector.Choose(selection, fleet.m_clock.Now()).m_why);
+}
+
 TEST(UpstreamSelector, SaysWhyThereIsNoUpstream)
 {
   TestFleet fleet(1, 1);
