--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -25,6 +25,15 @@
   return end == std::string::npos ? "" : aAnswer.substr(end + 4);
 }
 
+// A request that keeps its connection.
+std::string
+EmptyPost(const std::string& aPath)
+{
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+         "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n";
+}
+
 void
 HandleAll(RouterHarness& aHarness, const UpstreamStandin::Handler& aHandler)
 {
@@ -274,8 +283,7 @@
     stream->Write(StreamHead(stream->Request()) + EventChunk(1));
   });
   const auto caller = harness.Connect();
-  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
-               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  caller->Send(EmptyPost("/stream/"));
   const auto got = [&](const std::string& aText) {
     return harness.WaitUntil(
       [&] { return caller->Received().find(aText) != std::string::npos; });
@@ -336,8 +344,7 @@
   RouterHarness harness(1);
   harness.Upstream(0).SetHandler([](const Exchange&) {});
   const auto caller = harness.Connect();
-  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
-               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  caller->Send(EmptyPost("/stream/"));
   ASSERT_TRUE(harness.WaitUntil([&] { return harness.SeenCount() == 1; }));
   caller->Close();
   EXPECT_TRUE(harness.WaitUntil(
@@ -351,8 +358,7 @@
   harness.Upstream(0).SetHandler(
     [&](const Exchange& aExchange) { order = aExchange; });
   const auto caller = harness.Connect();
-  caller->Send("POST /order/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
-               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  caller->Send(EmptyPost("/order/"));
   ASSERT_TRUE(harness.WaitUntil([&] { return order != nullptr; }));
   caller->Close();
   ASSERT_TRUE(harness.WaitUntil([&] {
@@ -450,8 +456,7 @@
     stream->Write(StreamHead(stream->Request()) + EventChunk(1));
   });
   const auto caller = harness.Connect();
-  caller->Send("POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1"
-               "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+  caller->Send(EmptyPost("/stream/"));
   ASSERT_TRUE(harness.WaitUntil([&] { return stream != nullptr; }));
   harness.Router().Signal(SIGTERM);
   ASSERT_TRUE(harness.WaitUntil([&] { return harness.ReadyStatus() == 503; }));
