The pace of reading the store follows the installation's bounds, also when they change

Cause: drain_ms and evacuation_ms were read from the settings and used nowhere; the times of reading and of relying on a hub were made for bounds of 2 s. Change: router/store_pace.h derives them from drain_ms and config_ms; a reload puts these, the load factor and the budgets in force. evacuation_ms is gone: zones that are out come by the operators' topic.

--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -9,17 +9,11 @@
 
 #include "platform/config_codec.h"
 #include "router/member_record.h"
+#include "router/store_pace.h"
 
 namespace walnutwing::router {
 namespace {
 
-// How long a read of the operators' topic waits: a connection to the store that
-// has gone silent is noticed after this and the answer time.
-constexpr Duration kOperatorWait = std::chrono::milliseconds(900);
-// Reads of the upstreams' topic: upstreams register again every second or so,
-// so records are fetched in batches.
-constexpr Duration kUpstreamWait = std::chrono::milliseconds(400);
-constexpr Duration kUpstreamInterval = std::chrono::milliseconds(450);
 // By when a living upstream has registered again after the store came back.
 constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
 // Each daemon says that it is there this often, and looks who else is; one that
@@ -32,6 +26,15 @@
 // nothing then.
 constexpr std::uint32_t kFleetUnknown = 30;
 
+FollowerOptions
+FollowerOptionsOf(const TopicPace& aPace)
+{
+  FollowerOptions options;
+  options.m_wait = aPace.m_wait;
+  options.m_interval = aPace.m_interval;
+  return options;
+}
+
 } // namespace
 
 FleetState::FleetState(Context& aContext, LoadExchange& aExchange)
@@ -42,13 +45,13 @@
   , m_operators(
       m_context,
       std::string(platform::kOperatorTopic),
-      { kOperatorWait, Duration::zero() },
+      FollowerOptionsOf(OperatorPace(m_context.m_settings)),
       [this](const TopicNews& aNews) { OnOperatorNews(aNews); },
       [](bool) {})
   , m_upstreams(
       m_context,
       std::string(platform::kUpstreamTopic),
-      { kUpstreamWait, kUpstreamInterval },
+      FollowerOptionsOf(UpstreamPace(m_context.m_settings)),
       [this](const TopicNews& aNews) { OnUpstreamNews(aNews); },
       [this](bool aAnswers) { OnStoreHealth(aAnswers); })
   , m_members(
@@ -85,6 +88,13 @@
   }
 }
 
+void
+FleetState::OnSettingsChanged()
+{
+  m_operators.SetOptions(FollowerOptionsOf(OperatorPace(m_context.m_settings)));
+  m_upstreams.SetOptions(FollowerOptionsOf(UpstreamPace(m_context.m_settings)));
+}
+
 bool
 FleetState::Known() const
 {
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -37,6 +37,9 @@
   // To be called several times a second.
   void Tick(Time aNow);
 
+  // The context's settings have other bounds.
+  void OnSettingsChanged();
+
   // Whether enough is known to serve callers.
   bool Known() const;
 
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -3,18 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "router/store_pace.h"
+
 namespace walnutwing::router {
 namespace {
 
 // A digest that follows news of the store waits so long for more of them.
 constexpr Duration kSoon = std::chrono::milliseconds(10);
-// What a hub says of a topic holds for so long, and only if the store told it
-// so itself no longer ago than this. Both together stay below the bounds on
-// leaving upstreams and on configurations, also when the hub has lost the
-// store.
-constexpr Duration kRelyFor = std::chrono::milliseconds(500);
-constexpr std::uint32_t kOldestOperatorsMs = 1200;
-constexpr std::uint32_t kOldestUpstreamsMs = 1000;
+// A hub's word of who is there holds for so long.
+constexpr Duration kRelyOnRoster = std::chrono::milliseconds(500);
 // Changes stay in digests for so long, for daemons that missed one.
 constexpr Duration kChangeLifetime = std::chrono::milliseconds(1000);
 // Records beyond this size are left to the daemons to read.
@@ -122,18 +119,19 @@
 {
   // The hub watches who comes and goes; reading it too shows nothing else.
   if (aMessage.roster() == m_exchange.RosterHash()) {
-    m_members.RelyOnOther(Now() + kRelyFor);
+    m_members.RelyOnOther(Now() + kRelyOnRoster);
   }
   for (const proto::TopicState& state : aMessage.topics()) {
     const bool operators = state.topic() == proto::TopicState::OPERATORS;
     TopicFeed& feed = operators ? m_operators : m_upstreams;
-    const std::uint32_t oldest =
-      operators ? kOldestOperatorsMs : kOldestUpstreamsMs;
-    const bool good = !state.away() && state.age_ms() <= oldest;
+    const TopicPace pace = operators ? OperatorPace(m_context.m_settings)
+                                     : UpstreamPace(m_context.m_settings);
+    const bool good =
+      !state.away() && Duration(state.age_ms()) <= pace.m_oldest;
     if (!feed.Follower().Reading() || !good) {
       continue;
     }
-    feed.RelyOnOther(Now() + kRelyFor);
+    feed.RelyOnOther(Now() + pace.m_relyFor);
     if (!operators) {
       m_onHealth(true);
       OnUpstreamTopic(state);
--- a/router/router.cc
+++ b/router/router.cc
@@ -212,7 +212,7 @@
       settings.m_metricsPort = m_context.m_settings.m_metricsPort;
       settings.m_storeAddress = m_context.m_settings.m_storeAddress;
       m_context.m_settings = settings;
-      m_log.SetOptions(LogOptions(settings));
+      ApplySettings();
       LogLine(Event::SettingsReloaded).Add("file", m_settingsFile);
     } catch (const SettingsError& error) {
       LogLine(Event::SettingsRefused)
@@ -221,6 +221,17 @@
     }
   }
 
+  void ApplySettings()
+  {
+    const RouterSettings& settings = m_context.m_settings;
+    m_log.SetOptions(LogOptions(settings));
+    m_selector.SetOptions(SelectorOptionsOf(settings));
+    m_state.OnSettingsChanged();
+    for (auto& [service, budget] : m_context.m_repeats) {
+      budget.SetBounds(settings.m_repeatRatio, settings.m_repeatAllowance);
+    }
+  }
+
   void Tick()
   {
     const Time now = Now();
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -26,11 +26,11 @@
   double m_weight = 0;       // processor share of this VM
   std::uint64_t m_metricsPort = 0;
   std::string m_storeAddress;
-  Duration m_stopLimit{};       // from SIGTERM to the end, at most
-  Duration m_drainLimit{};      // by when a leaving upstream gets no new work
-  Duration m_evacuationLimit{}; // by when a zone that is out gets none
-  double m_coldFactor = 0;      // of what a cold upstream says it bears
-  double m_repeatRatio = 0;     // repeats for each request, over the fleet
+  Duration m_stopLimit{};   // from SIGTERM to the end, at most
+  Duration m_drainLimit{};  // by when a leaving upstream gets no new work
+  Duration m_configLimit{}; // by when a configuration is in force
+  double m_coldFactor = 0;  // of what a cold upstream says it bears
+  double m_repeatRatio = 0; // repeats for each request, over the fleet
   Duration m_repeatWindow{};
   double m_repeatAllowance = 0; // repeats in a window beyond the ratio's
   double m_loadFactor = 0;      // most load of an upstream, in means
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -1,12 +1,17 @@
 #include "router/topic_feed.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "router/store_pace.h"
+
 namespace walnutwing::router {
 namespace {
 
-// Beyond the wait that a read asks for.
-constexpr Duration kAnswerTime = std::chrono::milliseconds(700);
+// Beyond the wait that a read asks for: at most this, and so much of the bound
+// on configurations.
+constexpr Duration kLongestAnswerTime = std::chrono::milliseconds(700);
+constexpr int kAnswerPercent = 35;
 // Between two calls to a store that does not answer.
 constexpr Duration kLeastPause = std::chrono::milliseconds(400);
 // Retries of daemons that lost the store together spread over this part of the
@@ -39,8 +44,11 @@
   m_calledAt = Now();
   m_again = false;
   m_timer.cancel();
+  const Duration answerTime =
+    std::min(PartOf(m_context.m_settings.m_configLimit, kAnswerPercent),
+             kLongestAnswerTime);
   m_channel->Call(m_follower.NextCall(),
-                  m_follower.CallWait() + kAnswerTime,
+                  m_follower.CallWait() + answerTime,
                   [this](const StoreAnswer& aAnswer) { OnAnswer(aAnswer); });
 }
 
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -36,6 +36,8 @@
   // aUntil, unless ReadNow asks for one.
   void RelyOnOther(Time aUntil) { m_reliesUntil = aUntil; }
 
+  void SetOptions(FollowerOptions aOptions) { m_follower.SetOptions(aOptions); }
+
   // Reads without delay.
   void ReadNow();
 
--- a/router/topic_follower.h
+++ b/router/topic_follower.h
@@ -54,6 +54,8 @@
   // How long that call may take by its own wait.
   Duration CallWait() const;
 
+  void SetOptions(FollowerOptions aOptions) { m_options = aOptions; }
+
   // Whether the newest records are known, and records are read from Next on.
   bool Reading() const { return m_reading; }
   std::uint64_t Next() const { return m_next; }
--- a/walnutwing/routing/repeat_budget.h
+++ b/walnutwing/routing/repeat_budget.h
@@ -35,6 +35,13 @@
   {
   }
 
+  // Other bounds, in the same window.
+  void SetBounds(double aRatio, double aAllowance)
+  {
+    m_options.m_ratio = aRatio;
+    m_options.m_allowance = aAllowance;
+  }
+
   // A caller's request for the service has arrived.
   void OnRequest(Time aNow)
   {
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -91,6 +91,8 @@
                    SelectorOptions aOptions,
                    const LoadExchange& aExchange);
 
+  void SetOptions(SelectorOptions aOptions) { m_options = aOptions; }
+
   // The list of upstreams has changed.
   void OnUpstream(const UpstreamDirectory& aDirectory,
                   const UpstreamId& aId,
