--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build test demo bench deps format lint models generate sanitize
+.PHONY: all build test demo bench deps format lint models generate sanitize fuzz
 
 all: build
 
@@ -40,3 +40,11 @@
 	@cmake --build build-sanitize -j $(JOBS)
 	@cd build-sanitize && LSAN_OPTIONS=suppressions=$(CURDIR)/tools/lsan.supp:print_suppressions=0 \
 		ctest --output-on-failure -j 4
+
+# Feeds arbitrary bytes to the decoders of the platform's records for a minute.
+FUZZ_SECONDS ?= 60
+fuzz: deps
+	@cmake -S . -B build-fuzz -G Ninja -DWALNUTWING_FUZZ=ON -DWALNUTWING_ROUTER_ONLY=ON \
+		-DCMAKE_CXX_COMPILER=clang++ --log-level=WARNING > /dev/null
+	@cmake --build build-fuzz -j $(JOBS) --target platform_fuzz
+	@cd build-fuzz && fuzz/platform_fuzz -max_total_time=$(FUZZ_SECONDS) -seed=1 -max_len=4096
