--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -1,5 +1,5 @@
-// What comes from outside is decoded without a crash, whatever its bytes: the first
-// byte chooses the decoder. Built with clang and -DWALNUTWING_FUZZ=ON;
+// What comes from outside is decoded without a crash, whatever its bytes: the
+// first byte chooses the decoder. Built with clang and -DWALNUTWING_FUZZ=ON;
 // `make fuzz` runs it for a while.
 
 #include <cstddef>
