Every way a request ends has its log line with inputs, by a test

Cause: a refusal's line told the code and not what decided it (which of the selector's three reasons, out of how many upstreams, what the budget had left, time until the deadline), counters had no service and no zone, and no test held a line to its code.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -86,7 +86,7 @@
   , m_request(std::move(aRequest))
   , m_caller(&aCaller)
   , m_facts(platform::DecodeCaller(m_request))
-  , m_arrivedAt(Now())
+  , m_record(aContext, m_facts.m_attemptId)
   , m_deadlineTimer(aContext.m_loop.get_executor())
   , m_progressTimer(aContext.m_loop.get_executor())
 {
@@ -109,7 +109,7 @@
     return;
   }
   SetDeadline();
-  m_context.RepeatsOf(m_serviceId).OnRequest(m_arrivedAt);
+  m_context.RepeatsOf(m_serviceId).OnRequest(m_record.ArrivedAt());
   SendNext();
 }
 
@@ -131,6 +131,7 @@
     RouteTable::ServiceOf(*m_route, StableHash(m_facts.m_attemptId));
   m_serviceId = service == nullptr ? ServiceId() : *service;
   m_service = m_routes->Service(m_serviceId);
+  m_record.SetRoute(*m_route, m_serviceId, m_routes->Version());
   return true;
 }
 
@@ -153,7 +154,7 @@
 {
   const Duration longest =
     std::min(m_route->m_timeout, m_facts.m_deadline.value_or(Duration::max()));
-  m_deadline = m_arrivedAt + longest;
+  m_deadline = m_record.ArrivedAt() + longest;
   m_deadlineTimer.expires_after(longest + kDeadlineGrace);
   m_deadlineTimer.async_wait(
     [weak = weak_from_this()](const error_code& aError) {
@@ -170,6 +171,12 @@
   return m_deadline - Now();
 }
 
+std::optional<Duration>
+RequestFlow::LeftIfKnown() const
+{
+  return m_deadline == Time() ? std::nullopt : std::optional(Left());
+}
+
 bool
 RequestFlow::Repeatable() const
 {
@@ -200,10 +207,11 @@
     return;
   }
   Selection selection = MakeSelection();
+  Choice choice;
   for (; m_tries < kMostTries; ++m_tries) {
-    const Choice choice = m_context.m_selector.Choose(selection, Now());
+    choice = m_context.m_selector.Choose(selection, Now());
     if (choice.m_why != NoChoice::None) {
-      OnNoUpstream(choice.m_why);
+      OnNoUpstream(choice);
       return;
     }
     SendTo(choice);
@@ -213,7 +221,8 @@
     }
     selection.m_avoid.insert(choice.m_upstream);
   }
-  OnNoUpstream(NoChoice::Unreachable);
+  choice.m_why = NoChoice::Unreachable;
+  OnNoUpstream(choice);
 }
 
 // Leaves m_sending false when there is no connection to be had.
@@ -262,23 +271,16 @@
   if (Repeatable() && m_runs + 1 < m_route->m_maxAttempts) {
     WatchProgress(Patience());
   }
-  LogLine(Event::RequestSent)
-    .Add("upstream", aChoice.m_upstream.Value())
-    .Add("rank", static_cast<std::int64_t>(aChoice.m_rank))
-    .Add("load", aChoice.m_load)
-    .Add("mean_load", aChoice.m_meanLoad)
-    .Add("load_age_ms", static_cast<std::int64_t>(aChoice.m_loadAge.count()))
-    .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
-    .Add("left_ms", static_cast<std::int64_t>(facts.m_deadline.count()));
+  m_record.Sent(aChoice, facts.m_deadline);
 }
 
 void
-RequestFlow::OnNoUpstream(NoChoice aWhy)
+RequestFlow::OnNoUpstream(const Choice& aChoice)
 {
-  const ResultCode code = aWhy == NoChoice::Unreachable
+  const ResultCode code = aChoice.m_why == NoChoice::Unreachable
                             ? ResultCode::UpstreamUnreachable
                             : ResultCode::NoUpstream;
-  Refuse(code, kRetryAfter);
+  Refuse(code, kRetryAfter, aChoice);
 }
 
 Duration
@@ -447,19 +449,7 @@
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
     m_caller->Write(m_body);
   }
-  const Time now = Now();
-  LogLine(Event::RequestAnswered)
-    .Add("upstream", m_choice.m_upstream.Value())
-    .Add("status", static_cast<std::int64_t>(m_head->result_int()))
-    .Add("attempts", static_cast<std::int64_t>(m_tries))
-    .Add("first_ms",
-         static_cast<std::int64_t>((*m_firstByteAt - m_arrivedAt).count()))
-    .Add("ms", static_cast<std::int64_t>((now - m_arrivedAt).count()));
-  ++m_context.m_metrics.Counter("requests_total",
-                                "code=\"0\",kind=\"" +
-                                  std::string(NameOf(m_route->m_kind)) + "\"");
-  m_context.m_metrics.Latency("first_byte_seconds")
-    .Record(*m_firstByteAt - m_arrivedAt);
+  m_record.Answered(m_choice, m_head->result_int(), m_tries, *m_firstByteAt);
   CallerAnswer* caller = m_caller;
   Finish();
   caller->End();
@@ -520,14 +510,14 @@
 bool
 RequestFlow::TryRepeat(const char* aWhy)
 {
-  if (m_tries >= kMostTries || Left() < kLeastTime || !HasUpstream() ||
-      !m_context.RepeatsOf(m_serviceId).TryRepeat(m_context.m_daemons, Now())) {
+  if (m_tries >= kMostTries || Left() < kLeastTime || !HasUpstream()) {
+    return false;
+  }
+  if (!m_context.RepeatsOf(m_serviceId).TryRepeat(m_context.m_daemons, Now())) {
+    m_record.RepeatDenied();
     return false;
   }
-  LogLine(m_passing ? Event::RequestResumed : Event::RequestRepeated)
-    .Add("upstream", m_choice.m_upstream.Value())
-    .Add("why", aWhy)
-    .Add("after_event", m_events.LastId());
+  m_record.Repeated(m_passing, m_choice, aWhy, m_events.LastId());
   SendNext();
   return true;
 }
@@ -565,10 +555,7 @@
   if (m_ended) {
     return;
   }
-  LogLine(Event::CallerGone)
-    .Add("sending", static_cast<std::int64_t>(m_sending))
-    .Add("ms", static_cast<std::int64_t>((Now() - m_arrivedAt).count()));
-  ++m_context.m_metrics.Counter("callers_gone_total");
+  m_record.CallerGone(m_sending);
   if (m_sending && m_route->m_kind == RouteKind::Order) {
     return; // it runs on; its answer is dropped
   }
@@ -593,7 +580,9 @@
 
 // "Not run" must be true: a request that may have run fails instead.
 void
-RequestFlow::Refuse(ResultCode aCode, std::optional<Duration> aRetryAfter)
+RequestFlow::Refuse(ResultCode aCode,
+                    std::optional<Duration> aRetryAfter,
+                    std::optional<Choice> aChoice)
 {
   if (m_runs != 0 || m_passing) {
     Fail(m_passing ? ResultCode::StreamBroken : ResultCode::UpstreamFailed);
@@ -604,17 +593,8 @@
                                                         aRetryAfter->count());
     *aRetryAfter += Duration(spread(m_context.m_random));
   }
-  LogLine(Event::RequestRefused)
-    .Add("code", static_cast<std::int64_t>(aCode))
-    .Add("why", RowOf(aCode).m_name)
-    .Add("attempts", static_cast<std::int64_t>(m_tries))
-    .Add(
-      "retry_after_ms",
-      static_cast<std::int64_t>(aRetryAfter.value_or(Duration::zero()).count()))
-    .Add("ms", static_cast<std::int64_t>((Now() - m_arrivedAt).count()));
-  ++m_context.m_metrics.Counter(
-    "requests_total",
-    "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
+  m_record.Refused(
+    { aCode, std::move(aChoice), m_tries, aRetryAfter, LeftIfKnown() });
   CallerAnswer* caller = m_caller;
   Finish();
   if (caller == nullptr) {
@@ -629,18 +609,8 @@
 void
 RequestFlow::Fail(ResultCode aCode)
 {
-  LogLine(Event::RequestFailed)
-    .Add("code", static_cast<std::int64_t>(aCode))
-    .Add("why", RowOf(aCode).m_name)
-    .Add("cause", m_cause)
-    .Add("upstream", m_choice.m_upstream.Value())
-    .Add("attempts", static_cast<std::int64_t>(m_tries))
-    .Add("runs", static_cast<std::int64_t>(m_runs))
-    .Add("in_answer", static_cast<std::int64_t>(m_passing))
-    .Add("ms", static_cast<std::int64_t>((Now() - m_arrivedAt).count()));
-  ++m_context.m_metrics.Counter(
-    "requests_total",
-    "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
+  m_record.Failed(
+    m_choice, { aCode, m_cause, m_tries, m_runs, m_passing, LeftIfKnown() });
   CallerAnswer* caller = m_caller;
   const bool passing = m_passing;
   Finish();
@@ -665,17 +635,4 @@
   m_progressTimer.cancel();
 }
 
-EventLog::Line
-RequestFlow::LogLine(Event aEvent) const
-{
-  return EventLog::Line(m_context.m_log, aEvent, Now(), [this](auto& aLine) {
-    aLine.Add("id", m_facts.m_attemptId);
-    if (m_route != nullptr) {
-      aLine.Add("route", m_route->m_name);
-      aLine.Add("service", m_serviceId.Value());
-      aLine.Add("config", static_cast<std::int64_t>(m_routes->Version()));
-    }
-  });
-}
-
 } // namespace walnutwing::router
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -20,6 +20,7 @@
 
 #include "platform/request_codec.h"
 #include "router/context.h"
+#include "router/request_record.h"
 #include "router/upstream_connection.h"
 #include "walnutwing/base/result_code.h"
 #include "walnutwing/relay/event_splitter.h"
@@ -92,7 +93,7 @@
   Selection MakeSelection() const;
   void SendNext();
   void SendTo(const Choice& aChoice);
-  void OnNoUpstream(NoChoice aWhy);
+  void OnNoUpstream(const Choice& aChoice);
   void WatchProgress(Duration aLongest);
   Duration Patience() const;
   void OnNoProgress();
@@ -108,11 +109,14 @@
   void EndAttempt(SendOutcome aOutcome);
   void GiveUpAttempt(SendOutcome aOutcome);
 
-  void Refuse(ResultCode aCode, std::optional<Duration> aRetryAfter);
+  // aChoice: the selector's, where it had none.
+  void Refuse(ResultCode aCode,
+              std::optional<Duration> aRetryAfter,
+              std::optional<Choice> aChoice = std::nullopt);
   void Fail(ResultCode aCode);
   void Finish();
-  EventLog::Line LogLine(Event aEvent) const;
   Duration Left() const;
+  std::optional<Duration> LeftIfKnown() const; // a deadline is set
   bool Repeatable() const;
 
   Context& m_context;
@@ -120,11 +124,11 @@
   CallerRequest m_request;
   CallerAnswer* m_caller; // null once the caller is gone
   platform::CallerFacts m_facts;
+  RequestRecord m_record;
   const Route* m_route = nullptr;
   const RoutingCustomer* m_customer = nullptr;
   const ServiceConfig* m_service = nullptr;
   ServiceId m_serviceId;
-  Time m_arrivedAt;
   Time m_deadline;
   Timer m_deadlineTimer;
   Timer m_progressTimer;
--- /dev/null
+++ b/router/request_record.cc
@@ -0,0 +1,192 @@
+#include "router/request_record.h"
+
+namespace walnutwing::router {
+namespace {
+
+std::string
+Label(std::string_view aName, std::string_view aValue)
+{
+  return std::string(aName) + "=\"" + std::string(aValue) + "\"";
+}
+
+std::int64_t
+Milliseconds(Duration aTime)
+{
+  return aTime.count();
+}
+
+} // namespace
+
+RequestRecord::RequestRecord(Context& aContext, const std::string& aAttemptId)
+  : m_context(aContext)
+  , m_attemptId(aAttemptId)
+  , m_arrivedAt(Now())
+{
+}
+
+void
+RequestRecord::SetRoute(const Route& aRoute,
+                        const ServiceId& aService,
+                        std::uint64_t aVersion)
+{
+  m_route = &aRoute;
+  m_service = aService;
+  m_version = aVersion;
+}
+
+void
+RequestRecord::Sent(const Choice& aChoice, Duration aLeft)
+{
+  Start(Event::RequestSent)
+    .Add("upstream", aChoice.m_upstream.Value())
+    .Add("rank", static_cast<std::int64_t>(aChoice.m_rank))
+    .Add("load", aChoice.m_load)
+    .Add("mean_load", aChoice.m_meanLoad)
+    .Add("load_age_ms", Milliseconds(aChoice.m_loadAge))
+    .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
+    .Add("left_ms", Milliseconds(aLeft));
+  ++m_context.m_metrics.Counter("attempts_total",
+                                Label("service", m_service.Value()) + "," +
+                                  Label("zone", aChoice.m_zone.Value()));
+}
+
+void
+RequestRecord::Repeated(bool aResumed,
+                        const Choice& aFailed,
+                        std::string_view aWhy,
+                        std::string_view aAfterEvent)
+{
+  Start(aResumed ? Event::RequestResumed : Event::RequestRepeated)
+    .Add("upstream", aFailed.m_upstream.Value())
+    .Add("why", aWhy)
+    .Add("after_event", aAfterEvent);
+  ++m_context.m_metrics.Counter("repeats_total",
+                                Label("service", m_service.Value()));
+}
+
+void
+RequestRecord::RepeatDenied()
+{
+  ++m_context.m_metrics.Counter("repeats_over_budget_total",
+                                Label("service", m_service.Value()));
+}
+
+void
+RequestRecord::Answered(const Choice& aChoice,
+                        unsigned aStatus,
+                        std::uint32_t aTries,
+                        Time aFirstByteAt)
+{
+  const Duration first = aFirstByteAt - m_arrivedAt;
+  Start(Event::RequestAnswered)
+    .Add("upstream", aChoice.m_upstream.Value())
+    .Add("status", static_cast<std::int64_t>(aStatus))
+    .Add("attempts", static_cast<std::int64_t>(aTries))
+    .Add("first_ms", Milliseconds(first))
+    .Add("ms", Age());
+  CountEnd(ResultCode::Ok, aChoice.m_zone.Value());
+  const std::string labels = Label("kind", NameOf(m_route->m_kind)) + "," +
+                             Label("service", m_service.Value());
+  m_context.m_metrics.Latency("first_byte_seconds", labels).Record(first);
+  m_context.m_metrics.Latency("request_seconds", labels)
+    .Record(Now() - m_arrivedAt);
+}
+
+void
+RequestRecord::Refused(const Refusal& aRefusal)
+{
+  const Duration retryAfter = aRefusal.m_retryAfter.value_or(Duration::zero());
+  EventLog::Line line = Start(Event::RequestRefused);
+  line.Add("code", static_cast<std::int64_t>(aRefusal.m_code))
+    .Add("why", RowOf(aRefusal.m_code).m_name)
+    .Add("attempts", static_cast<std::int64_t>(aRefusal.m_tries))
+    .Add("retry_after_ms", Milliseconds(retryAfter))
+    .Add("ms", Age());
+  if (aRefusal.m_left) {
+    line.Add("left_ms", Milliseconds(*aRefusal.m_left));
+  }
+  if (aRefusal.m_choice) {
+    const Choice& choice = *aRefusal.m_choice;
+    line.Add("no_choice", NameOf(choice.m_why))
+      .Add("listed", static_cast<std::int64_t>(choice.m_listed))
+      .Add("usable", static_cast<std::int64_t>(choice.m_usable));
+  }
+  if (aRefusal.m_code == ResultCode::RetryBudgetSpent) {
+    const double room =
+      m_context.RepeatsOf(m_service).Room(m_context.m_daemons, Now());
+    line.Add("budget_left", room)
+      .Add("daemons", static_cast<std::int64_t>(m_context.m_daemons));
+  }
+  CountEnd(aRefusal.m_code, "");
+}
+
+void
+RequestRecord::Failed(const Choice& aLast, const Failure& aFailure)
+{
+  EventLog::Line line = Start(Event::RequestFailed);
+  line.Add("code", static_cast<std::int64_t>(aFailure.m_code))
+    .Add("why", RowOf(aFailure.m_code).m_name)
+    .Add("cause", aFailure.m_cause)
+    .Add("upstream", aLast.m_upstream.Value())
+    .Add("attempts", static_cast<std::int64_t>(aFailure.m_tries))
+    .Add("runs", static_cast<std::int64_t>(aFailure.m_runs))
+    .Add("in_answer", static_cast<std::int64_t>(aFailure.m_inAnswer))
+    .Add("ms", Age());
+  if (aFailure.m_left) {
+    line.Add("left_ms", Milliseconds(*aFailure.m_left));
+  }
+  CountEnd(aFailure.m_code, aLast.m_zone.Value());
+}
+
+void
+RequestRecord::CallerGone(bool aSending)
+{
+  Start(Event::CallerGone)
+    .Add("code", static_cast<std::int64_t>(ResultCode::CallerGone))
+    .Add("sending", static_cast<std::int64_t>(aSending))
+    .Add("ms", Age());
+  CountEnd(ResultCode::CallerGone, "");
+}
+
+EventLog::Line
+RequestRecord::Start(Event aEvent) const
+{
+  return EventLog::Line(m_context.m_log, aEvent, Now(), [this](auto& aLine) {
+    aLine.Add("id", m_attemptId);
+    if (m_route != nullptr) {
+      aLine.Add("route", m_route->m_name);
+      aLine.Add("service", m_service.Value());
+      aLine.Add("config", static_cast<std::int64_t>(m_version));
+    }
+  });
+}
+
+void
+RequestRecord::CountEnd(ResultCode aCode, std::string_view aZone)
+{
+  const std::string code = std::to_string(static_cast<int>(aCode));
+  const std::string_view kind =
+    m_route == nullptr ? "" : NameOf(m_route->m_kind);
+  ++m_context.m_metrics.Counter(
+    "requests_total",
+    Label("code", code) + "," + Label("kind", kind) + "," +
+      Label("service", m_service.Value()) + "," + Label("zone", aZone));
+}
+
+std::int64_t
+RequestRecord::Age() const
+{
+  return Milliseconds(Now() - m_arrivedAt);
+}
+
+void
+ShowRepeatBudgets(Context& aContext, Time aNow)
+{
+  for (auto& [service, budget] : aContext.m_repeats) {
+    aContext.m_metrics.Gauge("repeat_budget_left",
+                             Label("service", service.Value())) =
+      budget.Room(aContext.m_daemons, aNow);
+  }
+}
+
+} // namespace walnutwing::router
--- a/router/router.cc
+++ b/router/router.cc
@@ -18,6 +18,7 @@
 #include "router/fleet_state.h"
 #include "router/front.h"
 #include "router/page_server.h"
+#include "router/request_record.h"
 
 namespace walnutwing::router {
 namespace {
@@ -179,6 +180,7 @@
     m_metrics.Counter("log_lines_dropped_total") = m_log.Dropped();
     m_metrics.Counter("store_calls_total") = m_state.StoreCalls();
     m_metrics.Counter("store_bytes_read_total") = m_state.StoreBytesRead();
+    ShowRepeatBudgets(m_context, Now());
     return { 200, "text/plain; version=0.0.4", m_metrics.PrometheusText() };
   }
 
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -27,6 +27,7 @@
 constexpr unsigned kReadyPort = 8081;
 constexpr unsigned kListenPort = 8080;
 constexpr unsigned kPeerPort = 8082;
+constexpr unsigned kMetricsPort = 8083;
 
 std::string
 NextIp()
@@ -502,8 +503,9 @@
 
 // --- the whole ---
 
-RouterHarness::RouterHarness(std::size_t aUpstreams)
+RouterHarness::RouterHarness(const HarnessOptions& aOptions)
   : m_ip(NextIp())
+  , m_options(aOptions)
   , m_store(std::make_unique<StoreStandin>(m_loop, m_ip))
 {
   std::string pattern =
@@ -513,8 +515,10 @@
     throw std::runtime_error("no temporary directory");
   }
   m_directory = pattern;
-  PutConfig(1);
-  for (std::size_t i = 0; i < aUpstreams; ++i) {
+  if (aOptions.m_config) {
+    PutConfig(1);
+  }
+  for (std::size_t i = 0; i < aOptions.m_upstreams; ++i) {
     m_upstreams.push_back(std::make_unique<UpstreamStandin>(m_loop, m_ip));
     RegisterUpstream(i);
   }
@@ -525,7 +529,8 @@
                               "--config",
                               m_directory + "/router.ini" },
     m_directory + "/log");
-  if (!WaitUntil([this] { return ReadyStatus() == 200; })) {
+  const int status = aOptions.m_config ? 200 : 503;
+  if (!WaitUntil([&] { return ReadyStatus() == status; })) {
     throw std::runtime_error("the router does not get ready: " + LogText());
   }
 }
@@ -544,9 +549,10 @@
     << "[router]\nname = d1\nzone = z1\nlisten = " << m_ip << ":" << kListenPort
     << "\nready_listen = " << m_ip << ":" << kReadyPort
     << "\npeer_listen = " << m_ip << ":" << kPeerPort
-    << "\nmetrics_port = 0\n[platform]\naddress = " << m_store->Address()
-    << "\n[bounds]\nstop_limit_s = 8\n"
-    << aMore;
+    << "\nmetrics_port = " << kMetricsPort
+    << "\n[platform]\naddress = " << m_store->Address()
+    << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds << "\n"
+    << m_options.m_moreBounds << aMore;
 }
 
 bool
@@ -633,22 +639,36 @@
   return caller->Received();
 }
 
-int
-RouterHarness::ReadyStatus()
+// An answer without a status: there was none.
+http::response<http::string_body>
+RouterHarness::Page(std::uint16_t aPort, const std::string& aPath)
 {
   error_code error;
   Tcp::socket socket(m_loop);
-  socket.connect({ asio::ip::make_address_v4(m_ip), kReadyPort }, error);
+  http::response<http::string_body> answer;
+  answer.result(0U);
+  socket.connect({ asio::ip::make_address_v4(m_ip), aPort }, error);
   if (error) {
-    return 0;
+    return answer;
   }
-  asio::write(socket,
-              asio::buffer(std::string("GET /api/readyz HTTP/1.1\r\n\r\n")),
-              error);
+  asio::write(
+    socket, asio::buffer("GET " + aPath + " HTTP/1.1\r\n\r\n"), error);
   boost::beast::flat_buffer input;
-  http::response<http::string_body> answer;
-  http::read(socket, input, answer, error);
-  return error ? 0 : static_cast<int>(answer.result_int());
+  http::response_parser<http::string_body> parser;
+  http::read(socket, input, parser, error);
+  return error ? answer : parser.release();
+}
+
+int
+RouterHarness::ReadyStatus()
+{
+  return static_cast<int>(Page(kReadyPort, "/api/readyz").result_int());
+}
+
+std::string
+RouterHarness::MetricsText()
+{
+  return Page(kMetricsPort, "/metrics").body();
 }
 
 std::size_t
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -157,12 +157,24 @@
   bool m_reset = false;
 };
 
+struct HarnessOptions
+{
+  std::size_t m_upstreams = 2;
+  bool m_config = true;       // in place before the router starts
+  int m_stopLimitSeconds = 8; // from SIGTERM until a router must be gone
+  std::string m_moreBounds{}; // lines of the settings' [bounds]
+};
+
 class RouterHarness
 {
 public:
-  // Starts the stand-ins and, with a configuration in place, the router; waits
-  // until it is ready.
-  explicit RouterHarness(std::size_t aUpstreams = 2);
+  // Starts the stand-ins and the router; waits until it is ready, or without a
+  // configuration until it runs.
+  explicit RouterHarness(const HarnessOptions& aOptions);
+  explicit RouterHarness(std::size_t aUpstreams = 2)
+    : RouterHarness(HarnessOptions{ .m_upstreams = aUpstreams })
+  {
+  }
   ~RouterHarness();
   RouterHarness(const RouterHarness&) = delete;
   RouterHarness& operator=(const RouterHarness&) = delete;
@@ -187,6 +199,8 @@
 
   // Status of the router's own page of readiness; 0 without an answer.
   int ReadyStatus();
+  // The router's page of metrics.
+  std::string MetricsText();
 
   StoreStandin& Store() { return *m_store; }
   UpstreamStandin& Upstream(std::size_t aIndex)
@@ -202,7 +216,11 @@
   void WriteSettings(const std::string& aMore = "");
 
 private:
+  http::response<http::string_body> Page(std::uint16_t aPort,
+                                         const std::string& aPath);
+
   std::string m_ip;
+  HarnessOptions m_options;
   std::string m_directory;
   asio::io_context m_loop;
   std::unique_ptr<StoreStandin> m_store;
--- a/walnutwing/base/metrics.cc
+++ b/walnutwing/base/metrics.cc
@@ -71,20 +71,24 @@
 }
 
 void
-LatencyHistogram::Print(const std::string& aName, std::string& aText) const
+LatencyHistogram::Print(const std::string& aName,
+                        const std::string& aLabels,
+                        std::string& aText) const
 {
+  const std::string more = aLabels.empty() ? "" : aLabels + ",";
   double cumulative = 0;
   for (int bin = 0; bin < kBins; ++bin) {
     cumulative += m_histogram.at(bin);
     const double upper = m_histogram.axis().bin(bin).upper();
     AppendLine(aName + "_bucket",
-               "le=\"" + Number(upper) + "\"",
+               more + "le=\"" + Number(upper) + "\"",
                Number(cumulative),
                aText);
   }
-  AppendLine(aName + "_bucket", "le=\"+Inf\"", std::to_string(m_count), aText);
-  AppendLine(aName + "_sum", "", Number(m_sum), aText);
-  AppendLine(aName + "_count", "", std::to_string(m_count), aText);
+  AppendLine(
+    aName + "_bucket", more + "le=\"+Inf\"", std::to_string(m_count), aText);
+  AppendLine(aName + "_sum", aLabels, Number(m_sum), aText);
+  AppendLine(aName + "_count", aLabels, std::to_string(m_count), aText);
 }
 
 std::uint64_t&
@@ -100,9 +104,9 @@
 }
 
 LatencyHistogram&
-Metrics::Latency(const std::string& aName)
+Metrics::Latency(const std::string& aName, const std::string& aLabels)
 {
-  return m_latencies[aName];
+  return m_latencies[{ aName, aLabels }];
 }
 
 std::string
@@ -118,9 +122,9 @@
     AppendType(key.first, "gauge", last, text);
     AppendLine(key.first, key.second, Number(value), text);
   }
-  for (const auto& [name, histogram] : m_latencies) {
-    AppendType(name, "histogram", last, text);
-    histogram.Print(name, text);
+  for (const auto& [key, histogram] : m_latencies) {
+    AppendType(key.first, "histogram", last, text);
+    histogram.Print(key.first, key.second, text);
   }
   return text;
 }
--- a/walnutwing/base/metrics.h
+++ b/walnutwing/base/metrics.h
@@ -27,8 +27,10 @@
 
   std::uint64_t Count() const { return m_count; }
 
-  // Appends NAME_bucket, NAME_sum and NAME_count lines.
-  void Print(const std::string& aName, std::string& aText) const;
+  // Appends NAME_bucket, NAME_sum and NAME_count lines, with these labels.
+  void Print(const std::string& aName,
+             const std::string& aLabels,
+             std::string& aText) const;
 
 private:
   using Axis =
@@ -48,7 +50,8 @@
   std::uint64_t& Counter(const std::string& aName,
                          const std::string& aLabels = "");
   double& Gauge(const std::string& aName, const std::string& aLabels = "");
-  LatencyHistogram& Latency(const std::string& aName);
+  LatencyHistogram& Latency(const std::string& aName,
+                            const std::string& aLabels = "");
 
   // All of them in the Prometheus text exposition format, version 0.0.4.
   std::string PrometheusText() const;
@@ -57,7 +60,7 @@
   using Key = std::pair<std::string, std::string>; // name, labels
   std::map<Key, std::uint64_t> m_counters;
   std::map<Key, double> m_gauges;
-  std::map<std::string, LatencyHistogram> m_latencies;
+  std::map<Key, LatencyHistogram> m_latencies;
 };
 
 } // namespace walnutwing
--- a/walnutwing/base/metrics_test.cc
+++ b/walnutwing/base/metrics_test.cc
@@ -26,13 +26,16 @@
     histogram.RecordSeconds(seconds);
   }
   std::string text;
-  histogram.Print("x", text);
+  histogram.Print("x", "kind=\"order\"", text);
   EXPECT_NE(std::string::npos,
-            text.find("walnutwing_x_bucket{le=\"+Inf\"} 6\n"))
+            text.find("walnutwing_x_bucket{kind=\"order\",le=\"+Inf\"} 6\n"))
     << text;
-  EXPECT_NE(std::string::npos, text.find("walnutwing_x_bucket{le=\"100\"} 5\n"))
+  EXPECT_NE(std::string::npos,
+            text.find("walnutwing_x_bucket{kind=\"order\",le=\"100\"} 5\n"))
+    << text;
+  EXPECT_NE(std::string::npos,
+            text.find("walnutwing_x_count{kind=\"order\"} 6\n"))
     << text;
-  EXPECT_NE(std::string::npos, text.find("walnutwing_x_count 6\n")) << text;
 }
 
 } // namespace
--- a/walnutwing/routing/repeat_budget.h
+++ b/walnutwing/routing/repeat_budget.h
@@ -49,15 +49,20 @@
     m_requests.Count(aNow);
   }
 
-  // Takes one repeat; false when the budget is spent. aDaemons shares the
-  // allowance, at least 1.
-  bool TryRepeat(std::uint32_t aDaemons, Time aNow)
+  // Repeats that may be sent now. aDaemons shares the allowance, at least 1.
+  double Room(std::uint32_t aDaemons, Time aNow)
   {
     const double earned =
       m_options.m_ratio * static_cast<double>(m_requests.Count(aNow));
     const double limit =
       m_options.m_use * (earned + m_options.m_allowance / aDaemons);
-    if (static_cast<double>(m_repeats.Count(aNow)) + 1 > limit) {
+    return limit - static_cast<double>(m_repeats.Count(aNow));
+  }
+
+  // Takes one repeat; false when the budget is spent.
+  bool TryRepeat(std::uint32_t aDaemons, Time aNow)
+  {
+    if (Room(aDaemons, aNow) < 1) {
       return false;
     }
     m_repeats.Add(aNow);
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -27,6 +27,22 @@
 
 } // namespace
 
+std::string_view
+NameOf(NoChoice aWhy)
+{
+  switch (aWhy) {
+    case NoChoice::None:
+      return "none";
+    case NoChoice::NoUpstream:
+      return "no_upstream";
+    case NoChoice::Unreachable:
+      return "unreachable";
+    case NoChoice::Cold:
+      return "cold";
+  }
+  return "unknown";
+}
+
 UpstreamSelector::UpstreamSelector(ZoneId aZone,
                                    SelectorOptions aOptions,
                                    const LoadExchange& aExchange)
@@ -233,6 +249,8 @@
   Field field = FieldOf(aSelection, aNow);
   std::vector<Candidate>& candidates = field.m_candidates;
   choice.m_why = field.m_why;
+  choice.m_listed = field.m_listed;
+  choice.m_usable = candidates.size();
   DropDoubtful(candidates);
   DropFailing(candidates, aNow);
   if (candidates.empty()) {
@@ -283,6 +301,7 @@
   const Upstream& upstream = *chosen->m_upstream;
   choice.m_why = NoChoice::None;
   choice.m_upstream = upstream.m_entry.m_id;
+  choice.m_zone = upstream.m_entry.m_zone;
   choice.m_address = upstream.m_entry.m_address;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "walnutwing/placement/rendezvous.h"
@@ -69,10 +70,16 @@
   Cold,        // the only ones left are cold and have had their share
 };
 
+std::string_view
+NameOf(NoChoice aWhy);
+
 struct Choice
 {
   NoChoice m_why = NoChoice::NoUpstream;
+  std::size_t m_listed = 0; // upstreams of the service
+  std::size_t m_usable = 0; // of these, that take work and can be reached
   UpstreamId m_upstream;
+  ZoneId m_zone;
   std::string m_address;
   std::shared_ptr<UpstreamTracker> m_tracker; // of this incarnation
   double m_load = 0;                          // its load before this request
