Routing bench on token engines; requests that would be late are refused at once

Change: standin/load_plan (seeded plans with patterns), standin/token_engine, and bench/routing_sim: routers, policies and engines in simulated time, with naive rivals (least loaded, power of two, hashing). routing/admission estimates a request's wait by Little's law and refuses what would miss its target, the less urgent first, a customer over its share before others.

--- /dev/null
+++ b/bench/routing_policies.h
@@ -0,0 +1,246 @@
+#ifndef WALNUTWING_BENCH_ROUTING_POLICIES_H_
+#define WALNUTWING_BENCH_ROUTING_POLICIES_H_
+
+// Policies for bench/routing_sim.h: the router's own selector, and naive ones
+// that it has to beat. A naive router knows the requests that it has sent
+// itself, and nothing of other routers.
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bench/routing_sim.h"
+#include "walnutwing/placement/rendezvous.h"
+#include "walnutwing/routing/admission.h"
+#include "walnutwing/routing/selector_fixture.h"
+
+namespace walnutwing::bench {
+
+// The router's selector, exchange and trackers.
+class RouterPolicy
+{
+public:
+  explicit RouterPolicy(const RoutingSimOptions& aOptions,
+                        SelectorOptions aSelector = {},
+                        AdmissionOptions aAdmission = {})
+    : m_fleet(aOptions.m_routers, aOptions.m_engines, aSelector)
+    , m_routers(static_cast<std::uint32_t>(aOptions.m_routers))
+    , m_admissions(aOptions.m_routers, Admission(aAdmission))
+  {
+  }
+
+  void Advance(Duration aStep) { m_fleet.m_clock.Advance(aStep); }
+  void OnPeriod() { m_fleet.Exchange(); }
+
+  std::optional<std::size_t> Choose(const SimRequest& aRequest)
+  {
+    Selection selection;
+    selection.m_service = ServiceId("s");
+    selection.m_affinity = aRequest.m_affinity;
+    selection.m_daemons = m_routers;
+    for (const std::size_t engine : aRequest.m_avoid) {
+      selection.m_avoid.insert(UpstreamId("e" + std::to_string(engine)));
+    }
+    UpstreamSelector& selector = m_fleet.Daemon(aRequest.m_router).m_selector;
+    const Time now = m_fleet.m_clock.Now();
+    const Choice choice = selector.Choose(selection, now);
+    if (choice.m_why != NoChoice::None || !Admits(aRequest, choice)) {
+      return std::nullopt;
+    }
+    selector.OnSent(choice, now);
+    m_admissions[aRequest.m_router].OnSent(CustomerOf(aRequest));
+    m_sent[aRequest.m_id] = { choice, now, Time() };
+    return std::stoul(choice.m_upstream.Value().substr(1));
+  }
+
+  void OnAlive(const SimRequest& aRequest)
+  {
+    const Time now = m_fleet.m_clock.Now();
+    Sent& sent = m_sent.at(aRequest.m_id);
+    sent.m_choice.m_tracker->OnAlive(now);
+    sent.m_firstAt = sent.m_firstAt == Time() ? now : sent.m_firstAt;
+  }
+
+  void OnEnded(const SimRequest& aRequest, SendOutcome aOutcome)
+  {
+    const Time now = m_fleet.m_clock.Now();
+    const auto found = m_sent.find(aRequest.m_id);
+    const Choice& choice = found->second.m_choice;
+    choice.m_tracker->OnEnded(aOutcome, now);
+    Admission& admission = m_admissions[aRequest.m_router];
+    admission.OnEnded(CustomerOf(aRequest));
+    if (aOutcome == SendOutcome::Answered) {
+      admission.OnServed(found->second.m_firstAt - found->second.m_at,
+                         now - found->second.m_at,
+                         choice.m_load,
+                         choice.m_places);
+    }
+    m_sent.erase(found);
+  }
+
+private:
+  struct Sent
+  {
+    Choice m_choice;
+    Time m_at;
+    Time m_firstAt;
+  };
+
+  static CustomerId CustomerOf(const SimRequest& aRequest)
+  {
+    return CustomerId("c" + std::to_string(aRequest.m_customer));
+  }
+
+  bool Admits(const SimRequest& aRequest, const Choice& aChoice)
+  {
+    AdmissionAsk ask;
+    ask.m_priority = aRequest.m_priority;
+    ask.m_target = aRequest.m_target;
+    ask.m_customer = CustomerOf(aRequest);
+    ask.m_load = aChoice.m_leastLoad;
+    ask.m_places = aChoice.m_places;
+    return m_admissions[aRequest.m_router].Ask(ask).m_admitted;
+  }
+
+  TestFleet m_fleet;
+  std::uint32_t m_routers;
+  std::vector<Admission> m_admissions;  // by router
+  std::map<std::uint64_t, Sent> m_sent; // by request
+};
+
+// The same without refusals, as before there was an admission.
+class AdmitAllPolicy : public RouterPolicy
+{
+public:
+  explicit AdmitAllPolicy(const RoutingSimOptions& aOptions)
+    : RouterPolicy(aOptions, {}, { .m_leastWait = std::chrono::hours(1) })
+  {
+  }
+};
+
+// What naive policies share: each router's own requests in progress.
+class NaivePolicy
+{
+public:
+  explicit NaivePolicy(const RoutingSimOptions& aOptions)
+    : m_inFlight(aOptions.m_routers,
+                 std::vector<std::uint32_t>(aOptions.m_engines))
+  {
+  }
+
+  void Advance(Duration) {}
+  void OnPeriod() {}
+  void OnAlive(const SimRequest&) {}
+  void OnEnded(const SimRequest& aRequest, SendOutcome)
+  {
+    const auto found = m_sent.find(aRequest.m_id);
+    --m_inFlight[aRequest.m_router][found->second];
+    m_sent.erase(found);
+  }
+
+protected:
+  std::vector<std::size_t> Candidates(const SimRequest& aRequest) const
+  {
+    std::vector<std::size_t> candidates;
+    for (std::size_t i = 0; i < m_inFlight.front().size(); ++i) {
+      if (!aRequest.m_avoid.contains(i)) {
+        candidates.push_back(i);
+      }
+    }
+    return candidates;
+  }
+
+  std::uint32_t LoadOf(const SimRequest& aRequest, std::size_t aEngine) const
+  {
+    return m_inFlight[aRequest.m_router][aEngine];
+  }
+
+  std::optional<std::size_t> Sent(const SimRequest& aRequest,
+                                  std::size_t aEngine)
+  {
+    ++m_inFlight[aRequest.m_router][aEngine];
+    m_sent[aRequest.m_id] = aEngine;
+    return aEngine;
+  }
+
+  std::mt19937_64 m_random{ 3 };
+
+private:
+  std::vector<std::vector<std::uint32_t>> m_inFlight; // by router and engine
+  std::map<std::uint64_t, std::size_t> m_sent;
+};
+
+class LeastLoadedPolicy : public NaivePolicy
+{
+public:
+  using NaivePolicy::NaivePolicy;
+
+  std::optional<std::size_t> Choose(const SimRequest& aRequest)
+  {
+    std::vector<std::size_t> candidates = Candidates(aRequest);
+    if (candidates.empty()) {
+      return std::nullopt;
+    }
+    std::shuffle(candidates.begin(), candidates.end(), m_random);
+    const auto lighter = [&](std::size_t aLeft, std::size_t aRight) {
+      return LoadOf(aRequest, aLeft) < LoadOf(aRequest, aRight);
+    };
+    return Sent(
+      aRequest,
+      *std::min_element(candidates.begin(), candidates.end(), lighter));
+  }
+};
+
+// The lighter of two that are drawn.
+class PowerOfTwoPolicy : public NaivePolicy
+{
+public:
+  using NaivePolicy::NaivePolicy;
+
+  std::optional<std::size_t> Choose(const SimRequest& aRequest)
+  {
+    const std::vector<std::size_t> candidates = Candidates(aRequest);
+    if (candidates.empty()) {
+      return std::nullopt;
+    }
+    const std::size_t one = candidates[m_random() % candidates.size()];
+    const std::size_t other = candidates[m_random() % candidates.size()];
+    const bool first = LoadOf(aRequest, one) <= LoadOf(aRequest, other);
+    return Sent(aRequest, first ? one : other);
+  }
+};
+
+// The first in the rendezvous order of the request's part, whatever its load.
+class HashingPolicy : public NaivePolicy
+{
+public:
+  using NaivePolicy::NaivePolicy;
+
+  std::optional<std::size_t> Choose(const SimRequest& aRequest)
+  {
+    const std::vector<std::size_t> candidates = Candidates(aRequest);
+    if (candidates.empty()) {
+      return std::nullopt;
+    }
+    const auto nearer = [&](std::size_t aLeft, std::size_t aRight) {
+      return Distance(aRequest, aLeft) < Distance(aRequest, aRight);
+    };
+    return Sent(
+      aRequest,
+      *std::min_element(candidates.begin(), candidates.end(), nearer));
+  }
+
+private:
+  static double Distance(const SimRequest& aRequest, std::size_t aEngine)
+  {
+    RendezvousNode node;
+    node.m_hash = StableHash("e" + std::to_string(aEngine));
+    return RendezvousDistance(aRequest.m_affinity, node);
+  }
+};
+
+} // namespace walnutwing::bench
+
+#endif // WALNUTWING_BENCH_ROUTING_POLICIES_H_
--- /dev/null
+++ b/bench/routing_sim_run.h
@@ -0,0 +1,227 @@
+#ifndef WALNUTWING_BENCH_ROUTING_SIM_RUN_H_
+#define WALNUTWING_BENCH_ROUTING_SIM_RUN_H_
+
+// The run of bench/routing_sim.h, which includes this.
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+#include <utility>
+
+namespace walnutwing::bench {
+
+// Everything of a run that does not depend on the policy: events in their
+// order, engines and their troubles, and what became of requests.
+class RoutingSimWorld
+{
+public:
+  enum class Kind
+  {
+    Arrival,  // of request m_index, or its return
+    Step,     // of engine m_index
+    Deadline, // of request m_index
+    Period,
+    TroubleBegins,
+    TroubleEnds,
+  };
+
+  struct Event
+  {
+    double m_atMs = 0;
+    std::uint64_t m_order = 0; // of events at the same time
+    Kind m_kind = Kind::Arrival;
+    std::size_t m_index = 0;
+
+    bool operator>(const Event& aOther) const
+    {
+      return std::pair(m_atMs, m_order) >
+             std::pair(aOther.m_atMs, aOther.m_order);
+    }
+  };
+
+  struct Request
+  {
+    SimRequest m_policy;
+    const standin::PlannedRequest* m_planned = nullptr;
+    std::optional<std::size_t> m_engine; // at work on it
+    double m_firstMs = -1;               // after it came
+    std::uint32_t m_returns = 0;         // after refusals
+    std::uint32_t m_sends = 0;           // since the last return
+    bool m_ended = false;
+    bool m_served = false;
+    bool m_refused = false;
+  };
+
+  explicit RoutingSimWorld(const RoutingSimOptions& aOptions);
+
+  bool Next(Event& aEvent);
+  double NowMs() const { return m_nowMs; }
+  std::size_t Requests() const { return m_requests.size(); }
+  Request& At(std::size_t aIndex) { return m_requests.at(aIndex); }
+  bool Lost(std::size_t aEngine) const;
+  // False when the engine is full.
+  bool Submit(std::size_t aRequest, std::size_t aEngine);
+  std::vector<standin::TokenOutput> Step(std::size_t aEngine);
+  void Cancel(std::size_t aRequest);
+  // The requests that the engines lose.
+  std::vector<std::size_t> BeginTrouble();
+  void EndTrouble();
+  // False when the caller does not come back.
+  bool ComeBack(std::size_t aRequest);
+  RoutingSimResult Result() const;
+
+private:
+  void Add(double aAtMs, Kind aKind, std::size_t aIndex);
+
+  const RoutingSimOptions& m_options;
+  std::vector<standin::PlannedRequest> m_plan;
+  std::vector<Request> m_requests;
+  std::vector<standin::TokenEngine> m_engines;
+  std::vector<std::size_t> m_sentTo; // requests, by engine
+  std::vector<bool> m_stepPending;   // by engine
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  std::uint64_t m_order = 0;
+  double m_nowMs = 0;
+  bool m_trouble = false;
+  std::mt19937_64 m_random{ 1 };
+};
+
+template<RoutingPolicy Policy>
+class RoutingSimRun
+{
+public:
+  RoutingSimRun(const RoutingSimOptions& aOptions, Policy& aPolicy)
+    : m_world(aOptions)
+    , m_policy(aPolicy)
+  {
+  }
+
+  RoutingSimResult Play()
+  {
+    RoutingSimWorld::Event event;
+    Duration told{ 0 };
+    while (m_world.Next(event)) {
+      const Duration now(static_cast<Duration::rep>(m_world.NowMs()));
+      m_policy.Advance(now - std::exchange(told, now));
+      Handle(event);
+    }
+    return m_world.Result();
+  }
+
+private:
+  using Kind = RoutingSimWorld::Kind;
+
+  // Sends of one request before it is refused.
+  static constexpr std::uint32_t kMostSends = 3;
+
+  void Handle(const RoutingSimWorld::Event& aEvent)
+  {
+    switch (aEvent.m_kind) {
+      case Kind::Arrival:
+        Send(aEvent.m_index);
+        return;
+      case Kind::Step:
+        Step(aEvent.m_index);
+        return;
+      case Kind::Deadline:
+        OnDeadline(aEvent.m_index);
+        return;
+      case Kind::Period:
+        m_policy.OnPeriod();
+        return;
+      case Kind::TroubleBegins:
+        for (const std::size_t request : m_world.BeginTrouble()) {
+          OnFailed(request, SendOutcome::Failed);
+        }
+        return;
+      case Kind::TroubleEnds:
+        m_world.EndTrouble();
+        return;
+    }
+  }
+
+  void Send(std::size_t aIndex)
+  {
+    RoutingSimWorld::Request& request = m_world.At(aIndex);
+    while (!request.m_ended && request.m_sends < kMostSends) {
+      const auto engine = m_policy.Choose(request.m_policy);
+      if (!engine) {
+        break;
+      }
+      ++request.m_sends;
+      request.m_policy.m_avoid.insert(*engine);
+      if (m_world.Lost(*engine)) {
+        m_policy.OnEnded(request.m_policy, SendOutcome::Unreachable);
+        continue;
+      }
+      if (m_world.Submit(aIndex, *engine)) {
+        return;
+      }
+      m_policy.OnAlive(request.m_policy);
+      m_policy.OnEnded(request.m_policy, SendOutcome::Refused);
+    }
+    if (request.m_ended) {
+      return;
+    }
+    request.m_policy.m_avoid.clear();
+    request.m_sends = 0;
+    if (!m_world.ComeBack(aIndex)) {
+      request.m_ended = true;
+      request.m_refused = true;
+    }
+  }
+
+  void OnFailed(std::size_t aIndex, SendOutcome aOutcome)
+  {
+    m_policy.OnEnded(m_world.At(aIndex).m_policy, aOutcome);
+    m_world.At(aIndex).m_engine.reset();
+    Send(aIndex);
+  }
+
+  void Step(std::size_t aEngine)
+  {
+    for (const standin::TokenOutput& output : m_world.Step(aEngine)) {
+      RoutingSimWorld::Request& request = m_world.At(output.m_id);
+      const double sinceMs =
+        m_world.NowMs() - static_cast<double>(request.m_planned->m_at.count());
+      m_policy.OnAlive(request.m_policy);
+      if (output.m_event == standin::TokenEvent::First) {
+        request.m_firstMs = request.m_firstMs < 0 ? sinceMs : request.m_firstMs;
+      }
+      if (output.m_event != standin::TokenEvent::Last) {
+        continue;
+      }
+      request.m_engine.reset();
+      request.m_ended = true;
+      request.m_served = true;
+      m_policy.OnEnded(request.m_policy, SendOutcome::Answered);
+    }
+  }
+
+  void OnDeadline(std::size_t aIndex)
+  {
+    RoutingSimWorld::Request& request = m_world.At(aIndex);
+    if (request.m_ended) {
+      return;
+    }
+    request.m_ended = true;
+    if (request.m_engine) {
+      m_world.Cancel(aIndex);
+      m_policy.OnEnded(request.m_policy, SendOutcome::Abandoned);
+    }
+  }
+
+  RoutingSimWorld m_world;
+  Policy& m_policy;
+};
+
+template<RoutingPolicy Policy>
+RoutingSimResult
+RunRoutingSim(const RoutingSimOptions& aOptions, Policy& aPolicy)
+{
+  return RoutingSimRun<Policy>(aOptions, aPolicy).Play();
+}
+
+} // namespace walnutwing::bench
+
+#endif // WALNUTWING_BENCH_ROUTING_SIM_RUN_H_
--- a/router/context.h
+++ b/router/context.h
@@ -14,6 +14,7 @@
 #include "router/router_settings.h"
 #include "router/upstream_pool.h"
 #include "walnutwing/base/metrics.h"
+#include "walnutwing/routing/admission.h"
 #include "walnutwing/routing/repeat_budget.h"
 #include "walnutwing/routing/route_table.h"
 #include "walnutwing/routing/upstream_selector.h"
@@ -31,10 +32,16 @@
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes; // null before the first version
   std::map<ServiceId, RepeatBudget> m_repeats;
+  std::map<ServiceId, Admission> m_admissions{};
   std::uint32_t m_daemons = 1; // that share the fleet's budgets
   std::size_t m_requests = 0;  // in progress
   bool m_stopping = false;
 
+  Admission& AdmissionOf(const ServiceId& aService)
+  {
+    return m_admissions.try_emplace(aService, AdmissionOptions()).first->second;
+  }
+
   RepeatBudget& RepeatsOf(const ServiceId& aService)
   {
     const auto found = m_repeats.find(aService);
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -32,6 +32,8 @@
 constexpr Duration kMostPatience = std::chrono::milliseconds(1500);
 // Callers that are refused come back after this time, spread over twice of it.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(400);
+// The same where there is more work than places: bursts last for seconds.
+constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
 constexpr int kFirstFailure = 500;
 
@@ -171,6 +173,20 @@
   return m_deadline - Now();
 }
 
+std::uint32_t
+RequestFlow::Priority() const
+{
+  return m_customer == nullptr
+           ? m_route->m_priority
+           : m_customer->m_priority.value_or(m_route->m_priority);
+}
+
+CustomerId
+RequestFlow::Customer() const
+{
+  return m_customer == nullptr ? CustomerId() : m_customer->m_id;
+}
+
 std::optional<Duration>
 RequestFlow::LeftIfKnown() const
 {
@@ -214,6 +230,9 @@
       OnNoUpstream(choice);
       return;
     }
+    if (m_tries == 0 && !Admit(choice)) {
+      return;
+    }
     SendTo(choice);
     if (m_sending) {
       ++m_tries;
@@ -225,6 +244,27 @@
   OnNoUpstream(choice);
 }
 
+bool
+RequestFlow::Admit(const Choice& aChoice)
+{
+  if (aChoice.m_loadAge < Duration::zero()) {
+    return true; // what other daemons have in progress is not known
+  }
+  AdmissionAsk ask;
+  ask.m_priority = Priority();
+  ask.m_target = m_route->m_targetLatency;
+  ask.m_customer = Customer();
+  ask.m_load = aChoice.m_leastLoad;
+  ask.m_places = aChoice.m_places;
+  const AdmissionAnswer answer = m_context.AdmissionOf(m_serviceId).Ask(ask);
+  if (answer.m_admitted) {
+    return true;
+  }
+  m_wait = answer;
+  Refuse(ResultCode::QueueFull, kOverloadRetryAfter, aChoice);
+  return false;
+}
+
 // Leaves m_sending false when there is no connection to be had.
 void
 RequestFlow::SendTo(const Choice& aChoice)
@@ -232,11 +272,8 @@
   platform::UpstreamFacts facts;
   facts.m_upstream = aChoice.m_upstream;
   facts.m_dropKey = m_routes->Config().m_keysRequired;
-  facts.m_priority = m_route->m_priority;
-  if (m_customer != nullptr) {
-    facts.m_customer = m_customer->m_id;
-    facts.m_priority = m_customer->m_priority.value_or(m_route->m_priority);
-  }
+  facts.m_priority = Priority();
+  facts.m_customer = Customer();
   facts.m_deadline = Left();
   facts.m_resumeAfter = m_events.LastId();
   UpstreamRequest request;
@@ -258,7 +295,9 @@
   if (m_connection == nullptr) {
     return;
   }
-  m_context.m_selector.OnSent(aChoice, Now());
+  m_sentAt = Now();
+  m_context.m_selector.OnSent(aChoice, m_sentAt);
+  m_context.AdmissionOf(m_serviceId).OnSent(Customer());
   m_choice = aChoice;
   m_sending = true;
   m_attemptHead = false;
@@ -528,7 +567,16 @@
   m_sending = false;
   m_connection.reset();
   m_progressTimer.cancel();
-  m_choice.m_tracker->OnEnded(aOutcome, Now());
+  const Time now = Now();
+  m_choice.m_tracker->OnEnded(aOutcome, now);
+  Admission& admission = m_context.AdmissionOf(m_serviceId);
+  admission.OnEnded(Customer());
+  if (aOutcome == SendOutcome::Answered) {
+    admission.OnServed(m_firstByteAt.value_or(now) - m_sentAt,
+                       now - m_sentAt,
+                       m_choice.m_load,
+                       m_choice.m_places);
+  }
   m_self.reset();
 }
 
@@ -594,7 +642,7 @@
     *aRetryAfter += Duration(spread(m_context.m_random));
   }
   m_record.Refused(
-    { aCode, std::move(aChoice), m_tries, aRetryAfter, LeftIfKnown() });
+    { aCode, std::move(aChoice), m_wait, m_tries, aRetryAfter, LeftIfKnown() });
   CallerAnswer* caller = m_caller;
   Finish();
   if (caller == nullptr) {
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -92,6 +92,8 @@
   void SetDeadline();
   Selection MakeSelection() const;
   void SendNext();
+  // False when the request would wait too long, and has been refused.
+  bool Admit(const Choice& aChoice);
   void SendTo(const Choice& aChoice);
   void OnNoUpstream(const Choice& aChoice);
   void WatchProgress(Duration aLongest);
@@ -116,6 +118,8 @@
   void Fail(ResultCode aCode);
   void Finish();
   Duration Left() const;
+  std::uint32_t Priority() const;
+  CustomerId Customer() const;                 // empty: none
   std::optional<Duration> LeftIfKnown() const; // a deadline is set
   bool Repeatable() const;
 
@@ -136,6 +140,7 @@
   // The attempt in progress.
   std::shared_ptr<UpstreamConnection> m_connection;
   Choice m_choice;
+  Time m_sentAt;
   bool m_sending = false;
   bool m_attemptHead = false; // its head has come
   bool m_notExecuted = false;
@@ -147,7 +152,8 @@
   std::uint32_t m_runs = 0; // attempts that may have run, the present one apart
   std::uint32_t m_tries = 0; // attempts, also those that reached no upstream
 
-  std::string m_cause; // of the last attempt's failure
+  std::string m_cause;                   // of the last attempt's failure
+  std::optional<AdmissionAnswer> m_wait; // where it was too long
 
   // The answer.
   std::optional<platform::HttpAnswerHead> m_head;
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -111,6 +111,13 @@
       .Add("listed", static_cast<std::int64_t>(choice.m_listed))
       .Add("usable", static_cast<std::int64_t>(choice.m_usable));
   }
+  if (aRefusal.m_wait) {
+    line.Add("least_load", aRefusal.m_choice->m_leastLoad)
+      .Add("places", static_cast<std::int64_t>(aRefusal.m_choice->m_places))
+      .Add("load_age_ms", Milliseconds(aRefusal.m_choice->m_loadAge))
+      .Add("wait_ms", Milliseconds(aRefusal.m_wait->m_wait))
+      .Add("allowed_wait_ms", Milliseconds(aRefusal.m_wait->m_allowed));
+  }
   if (aRefusal.m_code == ResultCode::RetryBudgetSpent) {
     const double room =
       m_context.RepeatsOf(m_service).Room(m_context.m_daemons, Now());
--- /dev/null
+++ b/standin/token_engine_test.cc
@@ -0,0 +1,137 @@
+#include "standin/token_engine.h"
+
+#include <map>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+constexpr PromptPart kCommon{ 1, 1000 };
+
+TokenJob
+Job(std::uint64_t aId,
+    std::vector<PromptPart> aParts,
+    std::uint32_t aOwn,
+    std::uint32_t aAnswer)
+{
+  return { aId, std::move(aParts), aOwn, aAnswer, 0 };
+}
+
+// Time of each job's first token, playing until all are done.
+std::map<std::uint64_t, double>
+FirstTokens(TokenEngine& aEngine)
+{
+  std::map<std::uint64_t, double> first;
+  while (aEngine.Busy()) {
+    const double at = aEngine.NextStepMs();
+    for (const TokenOutput& output : aEngine.Step()) {
+      if (output.m_event == TokenEvent::First) {
+        first[output.m_id] = at;
+      }
+    }
+  }
+  return first;
+}
+
+TEST(TokenEngine, TimeIsThatOfItsPromptAndSteps)
+{
+  TokenEngine engine({});
+  ASSERT_TRUE(engine.Submit(Job(1, { kCommon }, 0, 10), 0));
+  // One step that reads 1,000 tokens in 10 ms.
+  EXPECT_DOUBLE_EQ(13.03, engine.NextStepMs());
+  EXPECT_DOUBLE_EQ(13.03, FirstTokens(engine).at(1));
+  EXPECT_NEAR(13.03 + 9 * 3.03, engine.NextStepMs() - 3.0, 1e-9);
+}
+
+TEST(TokenEngine, CachedPartIsNotReadAgain)
+{
+  TokenEngine engine({});
+  engine.Submit(Job(1, { kCommon }, 100, 1), 0);
+  FirstTokens(engine);
+  EXPECT_TRUE(engine.Caches(kCommon.m_key));
+  EXPECT_EQ(1100U, engine.ReadTokens());
+  engine.Submit(Job(2, { kCommon }, 100, 1), 1000);
+  EXPECT_NEAR(1004.03, FirstTokens(engine).at(2), 1e-9);
+  EXPECT_EQ(1200U, engine.ReadTokens());
+  EXPECT_EQ(1000U, engine.FoundTokens());
+  // A part behind one that is not cached has to be read.
+  engine.Submit(Job(3, { { 9, 50 }, kCommon }, 0, 1), 2000);
+  FirstTokens(engine);
+  EXPECT_EQ(2250U, engine.ReadTokens());
+}
+
+TEST(TokenEngine, LongPromptDelaysOthersByOneChunkAStep)
+{
+  TokenEngine engine({});
+  engine.Submit(Job(1, {}, 1, 1000), 0);
+  engine.Step();
+  engine.Submit(Job(2, {}, 20'480, 1), 5);
+  engine.Step(); // admits it
+  const double before = engine.NextStepMs();
+  engine.Step();
+  EXPECT_NEAR(3.06 + 10.24, engine.NextStepMs() - before, 1e-9);
+}
+
+TEST(TokenEngine, WaitsBeyondItsBatchAndRefusesBeyondItsQueue)
+{
+  TokenEngineOptions options;
+  options.m_batch = 2;
+  options.m_queueLimit = 1;
+  TokenEngine engine(options);
+  EXPECT_TRUE(engine.Submit(Job(1, {}, 1, 5), 0));
+  EXPECT_TRUE(engine.Submit(Job(2, {}, 1, 5), 0));
+  EXPECT_TRUE(engine.Submit(Job(3, {}, 1, 5), 0));
+  engine.Step();
+  EXPECT_EQ(2U, engine.RunningCount());
+  EXPECT_EQ(1U, engine.WaitingCount());
+  EXPECT_FALSE(engine.Submit(Job(4, {}, 1, 5), 1));
+  engine.Cancel(3);
+  EXPECT_TRUE(engine.Submit(Job(5, {}, 1, 5), 2));
+  EXPECT_EQ(2U, FirstTokens(engine).size()); // job 1 has had its own
+}
+
+// Random work against the plain rules: memory is within its bound, parts in use
+// stay, everything that was taken ends once.
+TEST(TokenEngine, RandomWorkKeepsMemoryAndEndsEverythingOnce)
+{
+  std::mt19937_64 random(5);
+  TokenEngineOptions options;
+  options.m_batch = 6;
+  options.m_queueLimit = 20;
+  options.m_memoryTokens = 9000;
+  for (int round = 0; round < 20; ++round) {
+    TokenEngine engine(options);
+    std::map<std::uint64_t, int> ends;
+    double now = 0;
+    std::uint64_t accepted = 0;
+    for (std::uint64_t id = 1; id < 300; ++id) {
+      now += static_cast<double>(random() % 40);
+      while (engine.Busy() && engine.NextStepMs() <= now) {
+        for (const TokenOutput& output : engine.Step()) {
+          ends[output.m_id] += output.m_event == TokenEvent::Last ? 1 : 0;
+        }
+        EXPECT_LE(engine.MemoryTokens(), options.m_memoryTokens);
+      }
+      const std::uint64_t key = random() % 12;
+      const auto own = static_cast<std::uint32_t>(random() % 400);
+      accepted +=
+        engine.Submit(Job(id, { { key, 600 } }, own, 20), now) ? 1 : 0;
+    }
+    while (engine.Busy()) {
+      for (const TokenOutput& output : engine.Step()) {
+        ends[output.m_id] += output.m_event == TokenEvent::Last ? 1 : 0;
+      }
+    }
+    std::uint64_t ended = 0;
+    for (const auto& [id, count] : ends) {
+      EXPECT_LE(count, 1);
+      ended += static_cast<std::uint64_t>(count);
+    }
+    EXPECT_EQ(accepted, ended);
+  }
+}
+
+} // namespace
+} // namespace walnutwing::standin
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -305,6 +305,8 @@
   choice.m_address = upstream.m_entry.m_address;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
+  choice.m_leastLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
+  choice.m_places = std::max(1U, upstream.m_entry.m_slots);
   choice.m_loadAge = m_exchange.Age(aNow).value_or(Duration(-1));
   choice.m_cold = aNow < upstream.m_coldUntil;
   choice.m_rank = static_cast<std::size_t>(chosen - candidates.data());
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -83,8 +83,10 @@
   std::string m_address;
   std::shared_ptr<UpstreamTracker> m_tracker; // of this incarnation
   double m_load = 0;                          // its load before this request
-  double m_meanLoad = 0;    // over the service's usable upstreams
-  Duration m_loadAge{ -1 }; // of the other daemons' part; -1: by its reports
+  double m_meanLoad = 0;      // over the service's usable upstreams
+  std::uint32_t m_places = 1; // requests that it runs at once
+  double m_leastLoad = 0;     // of the least loaded warm upstream
+  Duration m_loadAge{ -1 };   // of the other daemons' part; -1: by its reports
   bool m_cold = false;
   std::size_t m_rank = 0; // place in the request's own order, from 0
 };
