walnutwing-standin load: open-loop load by seed, mix and pattern, with a report and a plot

The plan of standin/load_plan is played over the network against daemons, whatever became of earlier requests, and each answer is checked. Report by second, kind and outcome as a table, JSON and SVG (standin/bar_chart). Cause: the closed loop of caller slows down with its target, so that bursts and their refusals could not be played.

--- a/standin/caller.cc
+++ b/standin/caller.cc
@@ -123,23 +123,12 @@
   if (aEnd.m_stage == net::CallStage::NotSent) {
     return Outcome::Unreachable;
   }
-  const bool complete = aEnd.m_stage == net::CallStage::Complete;
-  if (aAttempt.m_status != 200) {
-    return complete ? JudgeError(aAttempt.m_headers, aAttempt.m_errorBody)
-                    : Outcome::Broken;
-  }
-  switch (aAttempt.m_check->Result()) {
-    case Verdict::Whole:
-      return Outcome::Whole;
-    case Verdict::NumberedError:
-      return Outcome::Failed;
-    case Verdict::Wrong:
-      return Outcome::Wrong;
-    case Verdict::Unfinished:
-      // An end that looks regular hides that the answer is short.
-      return complete ? Outcome::Wrong : Outcome::Broken;
+  if (aAttempt.m_status == 200) {
+    return standin::JudgeStream(*aAttempt.m_check, aEnd);
   }
-  return Outcome::Wrong;
+  return aEnd.m_stage == net::CallStage::Complete
+           ? JudgeError(aAttempt.m_headers, aAttempt.m_errorBody)
+           : Outcome::Broken;
 }
 
 void
--- a/standin/caller_request.cc
+++ b/standin/caller_request.cc
@@ -137,6 +137,27 @@
   return whole ? Outcome::Whole : Outcome::Wrong;
 }
 
+Outcome
+JudgeStream(const StreamCheck& aCheck, const net::CallEnd& aEnd)
+{
+  if (aEnd.m_stage == net::CallStage::NotSent) {
+    return Outcome::Unreachable;
+  }
+  switch (aCheck.Result()) {
+    case Verdict::Whole:
+      return Outcome::Whole;
+    case Verdict::NumberedError:
+      return Outcome::Failed;
+    case Verdict::Wrong:
+      return Outcome::Wrong;
+    case Verdict::Unfinished:
+      // An end that looks regular hides that the answer is short.
+      return aEnd.m_stage == net::CallStage::Complete ? Outcome::Wrong
+                                                      : Outcome::Broken;
+  }
+  return Outcome::Wrong;
+}
+
 Outcome
 JudgeError(const net::Headers& aHeaders, std::string_view aBody)
 {
--- a/standin/caller_request.h
+++ b/standin/caller_request.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "net/http_client.h"
+#include "standin/answer_check.h"
 #include "walnutwing/base/clock.h"
 
 namespace walnutwing::standin {
@@ -70,6 +71,10 @@
            const net::CallRequest& aRequest,
            const net::WholeAnswer& aAnswer);
 
+// What a streamed answer with status 200 is worth.
+Outcome
+JudgeStream(const StreamCheck& aCheck, const net::CallEnd& aEnd);
+
 // What an answer with an error status is worth.
 Outcome
 JudgeError(const net::Headers& aHeaders, std::string_view aBody);
--- a/standin/standin_main.cc
+++ b/standin/standin_main.cc
@@ -1,12 +1,13 @@
 // walnutwing-standin: test programs in place of the systems around walnutwing.
 //
-//   walnutwing-standin platform|engine|service|caller --FLAGS
+//   walnutwing-standin platform|engine|service|caller|load --FLAGS
 //
 // Each subcommand reads the flags it needs and runs one loop until SIGTERM or
 // SIGINT, or until its work is done.
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <sstream>
@@ -19,6 +20,7 @@
 #include "net/http_client.h"
 #include "standin/caller.h"
 #include "standin/engine_server.h"
+#include "standin/load_player.h"
 #include "standin/platform_server.h"
 #include "standin/service_server.h"
 
@@ -56,7 +58,7 @@
 DEFINE_bool(checks_fencing,
             true,
             "engine: refuses an order with an old fencing number");
-DEFINE_uint64(seed, 1, "engine: decides which cache events are lost");
+DEFINE_uint64(seed, 1, "engine: which cache events are lost; load: the plan");
 
 DEFINE_uint64(run_ms, 0, "service: time from a call to its answer");
 DEFINE_bool(checks_keys, false, "service: refuses a key that has run");
@@ -71,7 +73,20 @@
 DEFINE_uint64(chats, 100, "caller: chats that return");
 DEFINE_uint64(max_tokens, 32, "caller: tokens of an answer");
 DEFINE_uint64(deadline_ms, 30000, "caller: deadline of a request");
-DEFINE_string(run_id, "run", "caller: makes the order keys of this run unique");
+DEFINE_string(run_id,
+              "run",
+              "caller, load: makes the order keys of this run unique");
+
+DEFINE_double(rate, 50, "load: requests a second in calm times");
+DEFINE_uint64(seconds, 30, "load: length of the plan");
+DEFINE_string(mix,
+              "chat=7,lookup=2,order=1",
+              "load: weights of the kinds of request");
+DEFINE_string(pattern, "steady", "load: steady, burst, hot_key, hot_customer");
+DEFINE_string(keys, "key", "load: keys of customers, comma separated");
+DEFINE_string(order_service, "valves", "load: service of orders");
+DEFINE_string(json, "", "load: file for the report as JSON");
+DEFINE_string(svg, "", "load: file for the report as a plot");
 
 namespace walnutwing::standin {
 namespace {
@@ -203,6 +218,17 @@
   return 0;
 }
 
+std::vector<std::string>
+SplitAtCommas(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream stream(aText);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 Caller::Options
 CallerOptions()
 {
@@ -222,8 +248,7 @@
   options.m_requests = FLAGS_requests;
   options.m_concurrency = std::max<std::size_t>(FLAGS_concurrency, 1);
   options.m_timeLimit = Ms(FLAGS_time_limit_s * 1000);
-  std::istringstream targets(FLAGS_target);
-  for (std::string target; std::getline(targets, target, ',');) {
+  for (const std::string& target : SplitAtCommas(FLAGS_target)) {
     options.m_targets.push_back(ParseEndpoint(target));
   }
   return options;
@@ -243,17 +268,112 @@
   return caller.Count(Outcome::Wrong) == 0 ? 0 : 1;
 }
 
+// KIND=WEIGHT, comma separated.
+std::vector<LoadClass>
+ParseMix(const std::string& aText)
+{
+  std::vector<LoadClass> classes;
+  for (const std::string& part : SplitAtCommas(aText)) {
+    const std::size_t equals = part.find('=');
+    const auto kind = ParseLoadKind(part.substr(0, equals));
+    char* end = nullptr;
+    const std::string weight =
+      equals == std::string::npos ? "" : part.substr(equals + 1);
+    LoadClass one;
+    one.m_weight = std::strtod(weight.c_str(), &end);
+    if (!kind || weight.empty() || *end != '\0' || !(one.m_weight > 0)) {
+      throw UsageError("not KIND=WEIGHT with chat, lookup or order: " + part);
+    }
+    one.m_name = part.substr(0, equals);
+    one.m_kind = *kind;
+    one.m_answerTokens = static_cast<std::uint32_t>(FLAGS_max_tokens);
+    one.m_deadline = Ms(FLAGS_deadline_ms);
+    if (one.m_kind == LoadKind::Chat) {
+      one.m_parts = { { 0, static_cast<std::uint32_t>(FLAGS_chats) } };
+    }
+    classes.push_back(one);
+  }
+  return classes;
+}
+
+LoadPlayerOptions
+LoadOptions()
+{
+  const auto pattern = ParseLoadPattern(FLAGS_pattern);
+  if (!pattern) {
+    throw UsageError("no such pattern: " + FLAGS_pattern);
+  }
+  LoadPlayerOptions options;
+  options.m_plan.m_pattern = *pattern;
+  options.m_plan.m_perSecond = FLAGS_rate;
+  options.m_plan.m_length = Ms(FLAGS_seconds * 1000);
+  options.m_plan.m_seed = FLAGS_seed;
+  options.m_plan.m_classes = ParseMix(FLAGS_mix);
+  options.m_keys = SplitAtCommas(FLAGS_keys);
+  if (options.m_keys.empty()) {
+    throw UsageError("no customer's key");
+  }
+  options.m_plan.m_customers =
+    static_cast<std::uint32_t>(options.m_keys.size());
+  options.m_service = FLAGS_service;
+  options.m_orderService = FLAGS_order_service;
+  options.m_model = FLAGS_model;
+  options.m_runId = FLAGS_run_id;
+  for (const std::string& target : SplitAtCommas(FLAGS_target)) {
+    options.m_targets.push_back(ParseEndpoint(target));
+  }
+  return options;
+}
+
+void
+WriteFile(const std::string& aPath, const std::string& aText)
+{
+  std::ofstream file(aPath);
+  file << aText;
+  if (!file.flush()) {
+    throw std::runtime_error("cannot write " + aPath);
+  }
+}
+
+int
+RunLoad()
+{
+  net::EventLoop loop;
+  net::HttpClient client(loop);
+  const StopSignals signals(loop);
+  std::optional<LoadPlayer> player;
+  try {
+    player.emplace(loop, client, LoadOptions(), [&loop] { loop.Stop(); });
+  } catch (const std::invalid_argument& error) {
+    throw UsageError(error.what());
+  }
+  loop.After(Duration(0), [&player] { player->Start(); });
+  loop.Run();
+  const LoadReport& report = player->Report();
+  std::cout << report.Text();
+  if (!FLAGS_json.empty()) {
+    WriteFile(FLAGS_json, report.Json());
+  }
+  if (!FLAGS_svg.empty()) {
+    WriteFile(
+      FLAGS_svg,
+      report.Svg(FLAGS_pattern + ", seed " + std::to_string(FLAGS_seed)));
+  }
+  return report.Count(Outcome::Wrong) == 0 ? 0 : 1;
+}
+
 struct Subcommand
 {
   std::string_view m_name;
   int (*m_run)();
 };
 
-constexpr std::array<Subcommand, 4> kSubcommands{ {
+constexpr std::array<Subcommand, 5> kSubcommands{ {
   { "platform", RunPlatform },
   { "engine", RunEngine },
   { "service", RunService },
   { "caller", RunCaller },
+  { "load", RunLoad },
 } };
 
 constexpr int kUsageExit = 2;
@@ -262,7 +382,7 @@
 RunSubcommand(const std::vector<std::string>& aArguments)
 {
   if (aArguments.size() != 1) {
-    throw UsageError("name one of platform, engine, service, caller");
+    throw UsageError("name one of platform, engine, service, caller, load");
   }
   for (const Subcommand& subcommand : kSubcommands) {
     if (subcommand.m_name == aArguments.front()) {
@@ -278,7 +398,7 @@
 int
 main(int aCount, char** aValues)
 {
-  gflags::SetUsageMessage("platform|engine|service|caller [flags]");
+  gflags::SetUsageMessage("platform|engine|service|caller|load [flags]");
   gflags::ParseCommandLineFlags(&aCount, &aValues, true);
   try {
     return walnutwing::standin::RunSubcommand(
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -10,6 +10,7 @@
 
 #include "standin/caller.h"
 #include "standin/engine_server.h"
+#include "standin/load_player.h"
 #include "standin/platform_server.h"
 #include "standin/service_server.h"
 
@@ -240,6 +241,41 @@
   }
 }
 
+// Plays a plan of chats and lookups against the engine.
+LoadReport
+PlayPlan(const std::string& aFault)
+{
+  World& world = TheWorld();
+  world.SetFault(9001, aFault);
+  LoadPlayerOptions options;
+  options.m_plan.m_perSecond = 60;
+  options.m_plan.m_length = Duration(1000);
+  LoadClass chat;
+  chat.m_parts = { { 0, 10 } };
+  chat.m_answerTokens = 4;
+  LoadClass lookup = chat;
+  lookup.m_kind = LoadKind::Lookup;
+  options.m_plan.m_classes = { chat, lookup };
+  options.m_keys = { "key" };
+  options.m_targets = { World::At(9001) };
+  bool done = false;
+  LoadPlayer player(
+    world.m_loop, world.m_client, options, [&done] { done = true; });
+  player.Start();
+  world.TurnUntil([&] { return done; });
+  return player.Report();
+}
+
+TEST(LoadPlayer, PlaysEveryRequestOfItsPlanAndChecksAnswers)
+{
+  const LoadReport calm = PlayPlan("kind=none");
+  EXPECT_GT(calm.Requests(), 20U);
+  EXPECT_EQ(calm.Requests(), calm.Count(Outcome::Whole));
+  const LoadReport faulty = PlayPlan("kind=wrong_id&count=3");
+  EXPECT_EQ(calm.Requests(), faulty.Requests());
+  EXPECT_EQ(3U, faulty.Count(Outcome::Wrong));
+}
+
 TEST(Engine, ResumesAnAnswerAndCancelsOne)
 {
   World& world = TheWorld();
