walnutwing-soak: faults by seed against real routers, and the promises checked

Routers, upstreams and the store as processes on loopback; proxies between callers, routers, store and upstreams delay, reset, silence and cut one way; SIGKILL, SIGTERM, SIGSTOP, SIGHUP and restarts; operators change configurations and take zones out; the store pauses and forgets. Checked while it runs: whole right answers, orders once, "not run" true, upstreams that leave left alone, configurations in force in time and only forward, cold and repeat budgets, planned stops that cut nothing, recovery.

--- /dev/null
+++ b/soak/fault_plan.cc
@@ -0,0 +1,211 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <tuple>
+
+namespace walnutwing::soak {
+namespace {
+
+// Between two beginnings, on average.
+constexpr double kMeanGapMs = 700;
+constexpr std::int64_t kShortestMs = 150;
+constexpr std::int64_t kLongestMs = 3500;
+constexpr std::uint32_t kZones = 2;
+
+template<typename T>
+struct Name
+{
+  T m_value;
+  std::string_view m_name;
+};
+
+constexpr std::array<Name<FaultKind>, 15> kKinds{ {
+  { FaultKind::RouterKill, "router_kill" },
+  { FaultKind::RouterStop, "router_stop" },
+  { FaultKind::RouterPause, "router_pause" },
+  { FaultKind::RouterReload, "router_reload" },
+  { FaultKind::UpstreamKill, "upstream_kill" },
+  { FaultKind::UpstreamPause, "upstream_pause" },
+  { FaultKind::UpstreamDrain, "upstream_drain" },
+  { FaultKind::StorePause, "store_pause" },
+  { FaultKind::StoreForget, "store_forget" },
+  { FaultKind::LinkDelay, "link_delay" },
+  { FaultKind::LinkReset, "link_reset" },
+  { FaultKind::LinkSilence, "link_silence" },
+  { FaultKind::LinkOneWay, "link_one_way" },
+  { FaultKind::ConfigChange, "config_change" },
+  { FaultKind::ZoneOut, "zone_out" },
+} };
+
+constexpr auto kAllKinds = [] {
+  std::array<FaultKind, kKinds.size()> kinds{};
+  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    kinds[i] = kKinds[i].m_value;
+  }
+  return kinds;
+}();
+
+constexpr std::array<Name<Link>, 3> kLinks{ {
+  { Link::Callers, "callers" },
+  { Link::Store, "store" },
+  { Link::Upstream, "upstream" },
+} };
+
+template<typename T, std::size_t N>
+std::string_view
+NameIn(const std::array<Name<T>, N>& aTable, T aValue)
+{
+  for (const Name<T>& row : aTable) {
+    if (row.m_value == aValue) {
+      return row.m_name;
+    }
+  }
+  return "unknown";
+}
+
+template<typename T, std::size_t N>
+std::optional<T>
+ValueIn(const std::array<Name<T>, N>& aTable, std::string_view aName)
+{
+  for (const Name<T>& row : aTable) {
+    if (row.m_name == aName) {
+      return row.m_value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::uint32_t
+TargetsOf(const Fault& aFault, const FaultPlanOptions& aOptions)
+{
+  switch (aFault.m_kind) {
+    case FaultKind::UpstreamKill:
+    case FaultKind::UpstreamPause:
+    case FaultKind::UpstreamDrain:
+      return aOptions.m_upstreams;
+    case FaultKind::StorePause:
+    case FaultKind::StoreForget:
+    case FaultKind::ConfigChange:
+      return 1;
+    case FaultKind::ZoneOut:
+      return kZones;
+    case FaultKind::LinkDelay:
+    case FaultKind::LinkReset:
+    case FaultKind::LinkSilence:
+    case FaultKind::LinkOneWay:
+      return aFault.m_link == Link::Upstream ? aOptions.m_upstreams
+                                             : aOptions.m_routers;
+    default:
+      return aOptions.m_routers;
+  }
+}
+
+} // namespace
+
+std::span<const FaultKind>
+AllFaultKinds()
+{
+  return kAllKinds;
+}
+
+std::string_view
+NameOf(FaultKind aKind)
+{
+  return NameIn(kKinds, aKind);
+}
+
+std::optional<FaultKind>
+ParseFaultKind(std::string_view aName)
+{
+  return ValueIn(kKinds, aName);
+}
+
+std::string_view
+NameOf(Link aLink)
+{
+  return NameIn(kLinks, aLink);
+}
+
+FaultPlan
+MakeFaultPlan(const FaultPlanOptions& aOptions)
+{
+  // Only its raw numbers are used: they are the same with every library.
+  std::mt19937_64 random(aOptions.m_seed);
+  const auto below = [&random](std::uint64_t aCount) {
+    return random() % std::max<std::uint64_t>(1, aCount);
+  };
+  std::map<std::tuple<FaultKind, Link, std::uint32_t>, Duration> busyUntil;
+  FaultPlan plan;
+  Duration at(0);
+  while (true) {
+    at += Duration(below(static_cast<std::uint64_t>(2 * kMeanGapMs)));
+    Fault fault;
+    fault.m_at = at;
+    const FaultKind any = kAllKinds[below(kAllKinds.size())];
+    fault.m_kind = aOptions.m_only.value_or(any);
+    fault.m_link = kLinks[below(kLinks.size())].m_value;
+    fault.m_target =
+      static_cast<std::uint32_t>(below(TargetsOf(fault, aOptions)));
+    fault.m_length = Duration(kShortestMs + below(kLongestMs - kShortestMs));
+    if (at >= aOptions.m_length) {
+      return plan;
+    }
+    Duration& busy = busyUntil[{ fault.m_kind, fault.m_link, fault.m_target }];
+    if (fault.End() > aOptions.m_length || fault.m_at < busy) {
+      continue;
+    }
+    busy = fault.End() + Duration(1);
+    plan.push_back(fault);
+  }
+}
+
+std::string
+ToText(const FaultPlan& aPlan)
+{
+  std::string text;
+  for (const Fault& fault : aPlan) {
+    text += std::to_string(fault.m_at.count()) + " " +
+            std::string(NameOf(fault.m_kind)) + " " +
+            std::to_string(fault.m_target) + " " +
+            std::string(NameOf(fault.m_link)) + " " +
+            std::to_string(fault.m_length.count()) + "\n";
+  }
+  return text;
+}
+
+FaultPlan
+ParseFaultPlan(const std::string& aText)
+{
+  FaultPlan plan;
+  std::istringstream lines(aText);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.empty() || line.front() == '#') {
+      continue;
+    }
+    std::istringstream fields(line);
+    std::int64_t at = 0;
+    std::int64_t length = 0;
+    std::string kind;
+    std::string link;
+    Fault fault;
+    fields >> at >> kind >> fault.m_target >> link >> length;
+    const auto kindValue = ParseFaultKind(kind);
+    const auto linkValue = ValueIn(kLinks, link);
+    if (!fields || !kindValue || !linkValue || at < 0 || length < 0) {
+      throw std::invalid_argument("no fault: " + line);
+    }
+    fault.m_at = Duration(at);
+    fault.m_length = Duration(length);
+    fault.m_kind = *kindValue;
+    fault.m_link = *linkValue;
+    plan.push_back(fault);
+  }
+  return plan;
+}
+
+} // namespace walnutwing::soak
--- /dev/null
+++ b/soak/soak_caller.h
@@ -0,0 +1,84 @@
+#ifndef WALNUTWING_SOAK_SOAK_CALLER_H_
+#define WALNUTWING_SOAK_SOAK_CALLER_H_
+
+// A caller of the soak: one request after the other on a connection that it
+// keeps for as long as the router does, and checks of every answer.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "soak/promises.h"
+
+namespace walnutwing::soak {
+
+struct SoakCallerOptions
+{
+  std::string m_name;                 // makes attempt ids unique
+  std::vector<std::string> m_routers; // addresses, "IP:port"
+  std::uint64_t m_seed = 1;
+  // The newest version and the one before it, to ask for their own routes.
+  std::function<std::pair<std::uint64_t, std::uint64_t>()> m_versions;
+  std::function<void(const Asked&, Ending, Time)> m_onAnswer;
+};
+
+class SoakCaller
+{
+public:
+  SoakCaller(boost::asio::io_context& aLoop, SoakCallerOptions aOptions);
+
+  void Start();
+  // The request in progress is the last.
+  void Stop() { m_stopping = true; }
+  bool Ended() const { return m_ended; }
+
+private:
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Next();
+  void Connect();
+  void Send();
+  void Read();
+  void OnRead(const boost::system::error_code& aError);
+  Ending Judge() const;
+  void Finish(Ending aEnding, bool aKeep);
+  void Close();
+  void SetPatience();
+
+  boost::asio::io_context& m_loop;
+  SoakCallerOptions m_options;
+  std::mt19937_64 m_random;
+  boost::asio::ip::tcp::socket m_socket;
+  boost::asio::steady_timer m_pause;
+  boost::asio::steady_timer m_patience;
+  bool m_connected = false;
+  bool m_stopping = false;
+  bool m_ended = false;
+  std::uint32_t m_router = 0;
+  std::uint64_t m_count = 0;
+  std::uint64_t m_turn = 0; // of the request in progress
+  Asked m_asked;
+  std::string m_request;
+  boost::beast::flat_buffer m_input;
+  std::optional<Parser> m_parser;
+};
+
+// What an answer to the request is worth; for tests.
+Ending
+JudgeAnswer(const Asked& aAsked, unsigned aStatus, const std::string& aBody);
+
+} // namespace walnutwing::soak
+
+#endif // WALNUTWING_SOAK_SOAK_CALLER_H_
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -41,9 +41,10 @@
 }
 
 Tcp::acceptor
-Listen(asio::io_context& aLoop, const std::string& aIp)
+Listen(asio::io_context& aLoop, const std::string& aIp, std::uint16_t aPort)
 {
-  return Tcp::acceptor(aLoop, Tcp::endpoint(asio::ip::make_address_v4(aIp), 0));
+  return Tcp::acceptor(aLoop,
+                       Tcp::endpoint(asio::ip::make_address_v4(aIp), aPort));
 }
 
 std::string
@@ -239,9 +240,11 @@
   std::size_t m_answered = 0; // the number of the last one answered
 };
 
-StoreStandin::StoreStandin(asio::io_context& aLoop, const std::string& aIp)
+StoreStandin::StoreStandin(asio::io_context& aLoop,
+                           const std::string& aIp,
+                           std::uint16_t aPort)
   : m_loop(aLoop)
-  , m_acceptor(Listen(aLoop, aIp))
+  , m_acceptor(Listen(aLoop, aIp, aPort))
 {
   Accept();
 }
@@ -271,6 +274,7 @@
     aTopic.m_newest.erase(key);
   } else {
     aTopic.m_newest[key] = { value, offset };
+    aTopic.m_setAt[key] = SteadyClock().Now();
   }
   const auto waiting = std::exchange(aTopic.m_waiting, {});
   for (const auto& wake : waiting) {
@@ -288,6 +292,21 @@
   Append(m_topics[aTopic], record);
 }
 
+void
+StoreStandin::DropOlder(const std::string& aTopic, Duration aAge)
+{
+  const Time now = SteadyClock().Now();
+  std::vector<std::string> old;
+  for (const auto& [key, record] : m_topics[aTopic].m_newest) {
+    if (now - m_topics[aTopic].m_setAt[key] > aAge) {
+      old.push_back(key);
+    }
+  }
+  for (const std::string& key : old) {
+    Put(aTopic, key, std::nullopt);
+  }
+}
+
 void
 StoreStandin::DropHistory(const std::string& aTopic)
 {
@@ -372,7 +391,9 @@
         }
         auto exchange =
           std::make_shared<Exchange>(self, std::move(self->m_request));
-        self->m_upstream.m_seen.push_back(exchange);
+        if (self->m_upstream.m_keepsSeen) {
+          self->m_upstream.m_seen.push_back(exchange);
+        }
         self->m_upstream.m_handler(exchange);
         self->Read();
       });
@@ -429,8 +450,9 @@
 };
 
 UpstreamStandin::UpstreamStandin(asio::io_context& aLoop,
-                                 const std::string& aIp)
-  : m_acceptor(Listen(aLoop, aIp))
+                                 const std::string& aIp,
+                                 std::uint16_t aPort)
+  : m_acceptor(Listen(aLoop, aIp, aPort))
   , m_handler([](const std::shared_ptr<UpstreamExchange>& aExchange) {
     aExchange->Write(UpstreamAnswer(aExchange->Request(), 200, "done"));
   })
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -36,7 +36,10 @@
 class StoreStandin
 {
 public:
-  explicit StoreStandin(asio::io_context& aLoop, const std::string& aIp);
+  // aPort 0: any.
+  explicit StoreStandin(asio::io_context& aLoop,
+                        const std::string& aIp,
+                        std::uint16_t aPort = 0);
 
   // Sets or drops a key; readers that wait are answered.
   void Put(const std::string& aTopic,
@@ -46,6 +49,9 @@
   // Forgets all records; the newest of each key stays.
   void DropHistory(const std::string& aTopic);
 
+  // Drops the keys of a topic that have not been set for so long.
+  void DropOlder(const std::string& aTopic, Duration aAge);
+
   // What calls are answered with from now on: nothing (0: they get no answer)
   // or a status; nullopt answers them.
   void SetOutage(std::optional<int> aStatus);
@@ -62,6 +68,7 @@
     std::uint64_t m_first = 0;
     std::vector<std::string> m_records; // from m_first on
     std::map<std::string, std::pair<std::string, std::uint64_t>> m_newest;
+    std::map<std::string, Time> m_setAt; // by key
     std::vector<std::function<void()>> m_waiting;
   };
   class Connection;
@@ -114,10 +121,15 @@
 public:
   using Handler = std::function<void(std::shared_ptr<UpstreamExchange>)>;
 
-  UpstreamStandin(asio::io_context& aLoop, const std::string& aIp);
+  // aPort 0: any.
+  UpstreamStandin(asio::io_context& aLoop,
+                  const std::string& aIp,
+                  std::uint16_t aPort = 0);
 
   void SetHandler(Handler aHandler) { m_handler = std::move(aHandler); }
   std::string Address() const;
+  // Whether Seen grows; each entry keeps its connection open.
+  void SetKeepsSeen(bool aKeeps) { m_keepsSeen = aKeeps; }
   // Everything that reached it.
   const std::vector<std::shared_ptr<UpstreamExchange>>& Seen() const
   {
@@ -132,6 +144,7 @@
   Handler m_handler;
   std::vector<std::shared_ptr<UpstreamExchange>> m_seen;
   std::size_t m_connections = 0;
+  bool m_keepsSeen = true;
 };
 
 // A caller's connection; collects what it receives.
