--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -173,7 +173,8 @@
   const Time due = m_written.at(aAsked.m_version) + m_options.m_configLimit +
                    m_options.m_slack;
   if (newest && aAsked.m_at > due &&
-      !Touched(aAsked.m_router, due - m_options.m_configLimit, aAsked.m_at)) {
+      !Touched(
+        aAsked.m_router, aAsked.m_at - m_options.m_configLimit, aAsked.m_at)) {
     Add("a configuration is not in force in time: " + aAsked.m_id);
   }
 }
@@ -216,7 +217,7 @@
        { std::pair(drain == m_drains.end() ? aAt : drain->second, "drains"),
          std::pair(zone == m_zonesOut.end() ? aAt : zone->second,
                    "is in a zone that is out") }) {
-    if (aAt > since + limit && !Touched(kAllRouters, since, aAt)) {
+    if (aAt > since + limit && !Touched(kAllRouters, aAt - limit, aAt)) {
       Add("work for an upstream that " + std::string(what) + ": " + aUpstream);
     }
   }
