One table of settings for daemon and router; a repeat chooses its upstream once

walnutwing/config/setting_table holds the rows that both tables declared for themselves; the router refuses a key that is given twice, as the daemon did, and tells once when its settings file cannot be read (it was passed over without a line). RequestFlow chose an upstream twice for each repeat; now the choice that was looked at is the one that is sent to, and a refusal after "not executed" says 2008 only when the budget is what stopped it (five attempts, or no time left, said so too).

--- a/bench/routing_sim.cc
+++ b/bench/routing_sim.cc
@@ -6,7 +6,6 @@
 namespace {
 
 using standin::LoadClass;
-using standin::LoadKind;
 using standin::PlannedRequest;
 using standin::PromptPart;
 
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -222,26 +222,31 @@
     OnDeadline();
     return;
   }
+  SendNext(m_context.m_selector.Choose(MakeSelection(), Now()));
+}
+
+void
+RequestFlow::SendNext(Choice aChoice)
+{
   Selection selection = MakeSelection();
-  Choice choice;
   for (; m_tries < kMostTries; ++m_tries) {
-    choice = m_context.m_selector.Choose(selection, Now());
-    if (choice.m_why != NoChoice::None) {
-      OnNoUpstream(choice);
+    if (aChoice.m_why != NoChoice::None) {
+      OnNoUpstream(aChoice);
       return;
     }
-    if (m_tries == 0 && !Admit(choice)) {
+    if (m_tries == 0 && !Admit(aChoice)) {
       return;
     }
-    SendTo(choice);
+    SendTo(aChoice);
     if (m_sending) {
       ++m_tries;
       return;
     }
-    selection.m_avoid.insert(choice.m_upstream);
+    selection.m_avoid.insert(aChoice.m_upstream);
+    aChoice = m_context.m_selector.Choose(selection, Now());
   }
-  choice.m_why = NoChoice::Unreachable;
-  OnNoUpstream(choice);
+  aChoice.m_why = NoChoice::Unreachable;
+  OnNoUpstream(aChoice);
 }
 
 bool
@@ -482,7 +487,8 @@
   }
   if (m_passing) {
     m_caller->Write(m_events.Rest());
-  } else if (failure && MayRunAgain() && TryRepeat("failure")) {
+  } else if (failure && MayRunAgain() &&
+             TryRepeat("failure") == RepeatResult::Sent) {
     return;
   } else {
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
@@ -505,11 +511,12 @@
     Finish();
     return;
   }
-  if (TryRepeat("not executed")) {
-    return;
+  const RepeatResult result = TryRepeat("not executed");
+  if (result != RepeatResult::Sent) {
+    Refuse(result == RepeatResult::NoBudget ? ResultCode::RetryBudgetSpent
+                                            : ResultCode::QueueFull,
+           kRetryAfter);
   }
-  Refuse(HasUpstream() ? ResultCode::RetryBudgetSpent : ResultCode::QueueFull,
-         kRetryAfter);
 }
 
 void
@@ -522,7 +529,7 @@
     Finish();
     return;
   }
-  if (MayRunAgain() && TryRepeat(aWhy.c_str())) {
+  if (MayRunAgain() && TryRepeat(aWhy.c_str()) == RepeatResult::Sent) {
     return;
   }
   Fail(m_passing ? ResultCode::StreamBroken : ResultCode::UpstreamFailed);
@@ -537,28 +544,24 @@
   return Repeatable() && intact && runs < m_route->m_maxAttempts;
 }
 
-// Whether there is an upstream to send the request to, before a repeat is taken
-// from the budget.
-bool
-RequestFlow::HasUpstream() const
-{
-  const Choice choice = m_context.m_selector.Choose(MakeSelection(), Now());
-  return choice.m_why == NoChoice::None;
-}
-
-bool
+RepeatResult
 RequestFlow::TryRepeat(const char* aWhy)
 {
-  if (m_tries >= kMostTries || Left() < kLeastTime || !HasUpstream()) {
-    return false;
+  if (m_tries >= kMostTries || Left() < kLeastTime) {
+    return RepeatResult::NoTime;
+  }
+  // Before a repeat is taken from the budget there must be somewhere to go.
+  const Choice choice = m_context.m_selector.Choose(MakeSelection(), Now());
+  if (choice.m_why != NoChoice::None) {
+    return RepeatResult::NoUpstream;
   }
   if (!m_context.RepeatsOf(m_serviceId).TryRepeat(m_context.m_daemons, Now())) {
     m_record.RepeatDenied();
-    return false;
+    return RepeatResult::NoBudget;
   }
   m_record.Repeated(m_passing, m_choice, aWhy, m_events.LastId());
-  SendNext();
-  return true;
+  SendNext(choice);
+  return RepeatResult::Sent;
 }
 
 void
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -59,6 +59,15 @@
 ErrorAnswer
 MakeErrorAnswer(ResultCode aCode, std::optional<Duration> aRetryAfter);
 
+// What became of an attempt to send a request again.
+enum class RepeatResult
+{
+  Sent,       // or refused, or answered otherwise: nothing is left to do
+  NoTime,     // too late, or too many attempts
+  NoUpstream, // nobody could take it
+  NoBudget,
+};
+
 class RequestFlow
   : public AnswerReceiver
   , public std::enable_shared_from_this<RequestFlow>
@@ -92,6 +101,7 @@
   void SetDeadline();
   Selection MakeSelection() const;
   void SendNext();
+  void SendNext(Choice aChoice); // the first upstream to try
   // False when the request would wait too long, and has been refused.
   bool Admit(const Choice& aChoice);
   void SendTo(const Choice& aChoice);
@@ -106,8 +116,7 @@
   void OnNotExecuted();
   void OnBroken(const std::string& aWhy);
   bool MayRunAgain() const;
-  bool HasUpstream() const;
-  bool TryRepeat(const char* aWhy);
+  RepeatResult TryRepeat(const char* aWhy);
   void EndAttempt(SendOutcome aOutcome);
   void GiveUpAttempt(SendOutcome aOutcome);
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -6,9 +6,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 #include <boost/asio/signal_set.hpp>
 #include <sys/stat.h>
@@ -37,38 +35,12 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFoundStatus = 404;
 
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  if (!file) {
-    return std::nullopt;
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
-RouterSettings
-LoadSettings(const std::string& aPath)
-{
-  const std::optional<std::string> text = ReadFile(aPath);
-  if (!text) {
-    throw SettingsError({ { ResultCode::SettingsFileMissing,
-                            aPath,
-                            0,
-                            "",
-                            "",
-                            "cannot be read",
-                            "" } });
-  }
-  return ParseRouterSettings(*text, aPath);
-}
-
 class Router
 {
 public:
   Router(std::string aSettingsFile, const RouterSettings& aSettings)
     : m_settingsFile(std::move(aSettingsFile))
-    , m_settingsText(ReadFile(m_settingsFile).value_or(""))
+    , m_settingsText(ReadTextFile(m_settingsFile))
     , m_loop(1)
     , m_log(STDOUT_FILENO, aSettings.m_name.Value(), LogOptions(aSettings))
     , m_pool(m_loop)
@@ -196,11 +168,33 @@
     });
   }
 
+  // Nothing while the file cannot be read, which is told once.
+  std::optional<std::string> ReadSettingsText()
+  {
+    try {
+      std::string text = ReadTextFile(m_settingsFile);
+      m_settingsUnreadable = false;
+      return text;
+    } catch (const SettingsError& error) {
+      if (!std::exchange(m_settingsUnreadable, true)) {
+        LogSettingsRefused(error);
+      }
+      return std::nullopt;
+    }
+  }
+
+  void LogSettingsRefused(const SettingsError& aError)
+  {
+    LogLine(Event::SettingsRefused)
+      .Add("file", m_settingsFile)
+      .Add("why", aError.what());
+  }
+
   // The file may change without a signal, and a signal may come without a
   // change.
   void ReloadSettings()
   {
-    const std::optional<std::string> text = ReadFile(m_settingsFile);
+    const std::optional<std::string> text = ReadSettingsText();
     if (!text || *text == m_settingsText) {
       return;
     }
@@ -217,9 +211,7 @@
       ApplySettings();
       LogLine(Event::SettingsReloaded).Add("file", m_settingsFile);
     } catch (const SettingsError& error) {
-      LogLine(Event::SettingsRefused)
-        .Add("file", m_settingsFile)
-        .Add("why", error.what());
+      LogSettingsRefused(error);
     }
   }
 
@@ -311,6 +303,7 @@
 
   std::string m_settingsFile;
   std::string m_settingsText;
+  bool m_settingsUnreadable = false;
   Loop m_loop;
   Metrics m_metrics;
   EventLog m_log;
@@ -341,7 +334,8 @@
     aSettingsFile = path == nullptr ? "" : path;
   }
   try {
-    const RouterSettings settings = LoadSettings(aSettingsFile);
+    const RouterSettings settings =
+      ParseRouterSettings(ReadTextFile(aSettingsFile), aSettingsFile);
     return Router(aSettingsFile, settings).Run();
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -1,6 +1,6 @@
-// One table declares every key and how its text becomes a member, as in
-// walnutwing/config/settings.cc. An empty value counts as a missing key: the
-// platform fills a field that it does not have with nothing.
+// One table declares every key and how its text becomes a member. An empty
+// value counts as a missing key: the platform fills a field that it does not
+// have with nothing.
 
 #include "router/router_settings.h"
 
@@ -10,18 +10,13 @@
 #include <utility>
 
 #include "walnutwing/config/ini.h"
+#include "walnutwing/config/setting_table.h"
 #include "walnutwing/config/text_value.h"
 
 namespace walnutwing::router {
 namespace {
 
-using Store = std::function<bool(RouterSettings&, std::string_view)>;
-
-struct Setting
-{
-  SettingDescription m_description;
-  Store m_store;
-};
+using Setting = SettingRow<RouterSettings>;
 
 std::optional<double>
 ParseReal(std::string_view aText)
@@ -34,59 +29,6 @@
                                         : std::nullopt;
 }
 
-template<typename Id>
-Setting
-NameSetting(const char* aKey, Id RouterSettings::*aMember, const char* aDoc)
-{
-  return {
-    { "router", aKey, "", "1 to 64 of A-Z a-z 0-9 . _ -", std::nullopt, aDoc },
-    [aMember](RouterSettings& aSettings, std::string_view aValue) {
-      aSettings.*aMember = Id(std::string(aValue));
-      return IsName(aValue);
-    }
-  };
-}
-
-Setting
-AddressSetting(const char* aSection,
-               const char* aKey,
-               std::string RouterSettings::*aMember,
-               const char* aDoc)
-{
-  return { { aSection,
-             aKey,
-             "IP:port",
-             "IP:port, port 1 to 65535",
-             std::nullopt,
-             aDoc },
-           [aMember](RouterSettings& aSettings, std::string_view aValue) {
-             aSettings.*aMember = std::string(aValue);
-             return IsAddress(aValue);
-           } };
-}
-
-Setting
-CountSetting(const char* aKey,
-             const char* aUnit,
-             std::uint64_t aLeast,
-             std::uint64_t aMost,
-             std::uint64_t aDefault,
-             std::uint64_t RouterSettings::*aMember,
-             const char* aDoc)
-{
-  return { { "router",
-             aKey,
-             aUnit,
-             RangeText(aLeast, aMost),
-             std::to_string(aDefault),
-             aDoc },
-           [=](RouterSettings& aSettings, std::string_view aValue) {
-             const auto number = ParseNumberBetween(aValue, aLeast, aMost);
-             aSettings.*aMember = number.value_or(0);
-             return number.has_value();
-           } };
-}
-
 constexpr double kMostReal = 1'000'000;
 
 Setting
@@ -98,7 +40,9 @@
             const char* aDoc)
 {
   return { { aSection, aKey, aUnit, "0 to 1000000", aDefault, aDoc },
-           [=](RouterSettings& aSettings, std::string_view aValue) {
+           [=](RouterSettings& aSettings,
+               const std::string&,
+               std::string_view aValue) {
              const auto number = ParseReal(aValue);
              aSettings.*aMember = number.value_or(0);
              return number && *number >= 0 && *number <= kMostReal;
@@ -115,7 +59,9 @@
             const char* aDoc)
 {
   return { { "bounds", aKey, aUnit, "0 to 1000000", aDefault, aDoc },
-           [=](RouterSettings& aSettings, std::string_view aValue) {
+           [=](RouterSettings& aSettings,
+               const std::string&,
+               std::string_view aValue) {
              const auto number = ParseReal(aValue);
              aSettings.*aMember = Duration(
                static_cast<Duration::rep>(number.value_or(0) * aUnitMs));
@@ -128,46 +74,50 @@
 {
   constexpr double kSecond = 1000;
   static const std::vector<Setting> kTable = {
-    NameSetting("name",
-                &RouterSettings::m_name,
-                "name of this daemon, unique in the fleet"),
-    NameSetting("zone",
-                &RouterSettings::m_zone,
-                "availability zone that this VM stands in"),
-    AddressSetting(
+    NameRow("router",
+            "name",
+            &RouterSettings::m_name,
+            "name of this daemon, unique in the fleet"),
+    NameRow("router",
+            "zone",
+            &RouterSettings::m_zone,
+            "availability zone that this VM stands in"),
+    AddressRow(
       "router", "listen", &RouterSettings::m_listen, "where callers connect"),
-    AddressSetting("router",
-                   "ready_listen",
-                   &RouterSettings::m_readyListen,
-                   "where the platform asks whether to send callers"),
-    AddressSetting("router",
-                   "peer_listen",
-                   &RouterSettings::m_peerListen,
-                   "where other daemons send datagrams"),
+    AddressRow("router",
+               "ready_listen",
+               &RouterSettings::m_readyListen,
+               "where the platform asks whether to send callers"),
+    AddressRow("router",
+               "peer_listen",
+               &RouterSettings::m_peerListen,
+               "where other daemons send datagrams"),
     RealSetting("router",
                 "weight",
                 "cores",
                 "1",
                 &RouterSettings::m_weight,
                 "processor share of this VM; larger ones work for their zone"),
-    CountSetting("metrics_port",
-                 "port",
-                 0,
-                 65535,
-                 9464,
-                 &RouterSettings::m_metricsPort,
-                 "port of /metrics on the address of listen; 0 for none"),
-    CountSetting("log_bytes_per_s",
-                 "bytes/s",
-                 1024,
-                 64U << 20U,
-                 128U << 10U,
-                 &RouterSettings::m_logBytesPerSecond,
-                 "log lines of requests that went well; more are dropped"),
-    AddressSetting("platform",
-                   "address",
-                   &RouterSettings::m_storeAddress,
-                   "the platform's store"),
+    NumberRow("router",
+              "metrics_port",
+              "port",
+              0,
+              65535,
+              9464,
+              &RouterSettings::m_metricsPort,
+              "port of /metrics on the address of listen; 0 for none"),
+    NumberRow("router",
+              "log_bytes_per_s",
+              "bytes/s",
+              1024,
+              64U << 20U,
+              128U << 10U,
+              &RouterSettings::m_logBytesPerSecond,
+              "log lines of requests that went well; more are dropped"),
+    AddressRow("platform",
+               "address",
+               &RouterSettings::m_storeAddress,
+               "the platform's store"),
     TimeSetting("stop_limit_s",
                 "s",
                 kSecond,
@@ -254,11 +204,7 @@
 std::vector<SettingDescription>
 DescribeRouterSettings()
 {
-  std::vector<SettingDescription> descriptions;
-  for (const Setting& setting : SettingTable()) {
-    descriptions.push_back(setting.m_description);
-  }
-  return descriptions;
+  return DescribeRows(SettingTable());
 }
 
 RouterSettings
@@ -284,8 +230,15 @@
       if (entry.m_value.empty()) {
         continue;
       }
-      seen.insert(setting);
-      if (!setting->m_store(settings, entry.m_value)) {
+      if (!seen.insert(setting).second) {
+        problems.push_back(Problem(ResultCode::SettingsBadValue,
+                                   aFile,
+                                   entry.m_line,
+                                   setting->m_description,
+                                   "the key is given twice"));
+        continue;
+      }
+      if (!setting->m_store(settings, entry.m_key, entry.m_value)) {
         problems.push_back(Problem(ResultCode::SettingsBadValue,
                                    aFile,
                                    entry.m_line,
@@ -304,7 +257,8 @@
         ResultCode::SettingsKeyMissing, aFile, 0, description, "is missing"));
       continue;
     }
-    static_cast<void>(setting.m_store(settings, *description.m_default));
+    static_cast<void>(
+      setting.m_store(settings, description.m_key, *description.m_default));
   }
   if (!problems.empty()) {
     throw SettingsError(std::move(problems));
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -31,6 +31,9 @@
               "none",
               "a stand-in that lies, to see that a promise is checked");
 DEFINE_string(keep, "", "directory for settings, logs and records, to be kept");
+DEFINE_string(router,
+              WALNUTWING_BUILD_DIR "/router/walnutwing-router",
+              "the router's program");
 DEFINE_string(json, "", "file for the report as JSON");
 DEFINE_string(svg, "", "file for the histogram of recoveries");
 
@@ -195,7 +198,7 @@
   options.m_callersPerRouter = FLAGS_callers;
   options.m_breakage = BreakageOf(FLAGS_break);
   options.m_self = std::filesystem::canonical(aSelf).string();
-  options.m_router = WALNUTWING_BUILD_DIR "/router/walnutwing-router";
+  options.m_router = FLAGS_router;
   FaultPlan plan = PlanOf(options.m_plan);
   if (plan.empty()) {
     throw UsageError("the plan has no fault: give it more seconds");
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -548,11 +548,7 @@
     }
     Put(std::string(platform::kZoneOutPrefix) + zone,
         aOut ? "{}" : "",
-        [this, zone, aOut] {
-          if (aOut) {
-            m_promises.OnZone(zone, true, Now());
-          }
-        });
+        [this, zone, aOut] { m_promises.OnZone(zone, aOut, Now()); });
   }
 
   // --- records ---
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -577,6 +577,12 @@
     << m_options.m_moreBounds << aMore;
 }
 
+void
+RouterHarness::RemoveSettings()
+{
+  std::filesystem::remove(m_directory + "/router.ini");
+}
+
 bool
 RouterHarness::WaitUntil(const std::function<bool()>& aCondition)
 {
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -227,6 +227,7 @@
   std::string LogText() const;
   // Writes the settings file anew, with one more line in [bounds].
   void WriteSettings(const std::string& aMore = "");
+  void RemoveSettings();
 
 private:
   http::response<http::string_body> Page(std::uint16_t aPort,
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -453,6 +453,8 @@
   harness.Router().Signal(SIGHUP);
   EXPECT_TRUE(logged("settings_refused"));
   EXPECT_EQ(200, StatusOf(harness.Ask("GET", "/lookup/")));
+  harness.RemoveSettings();
+  EXPECT_TRUE(logged("cannot be read"));
   harness.WriteSettings("drain_ms = 1500\n"); // without a signal
   EXPECT_TRUE(logged("settings_reloaded"));
   EXPECT_FALSE(harness.Router().ExitStatus());
--- a/walnutwing/config/settings.cc
+++ b/walnutwing/config/settings.cc
@@ -17,6 +17,7 @@
 
 #include <arpa/inet.h>
 
+#include "walnutwing/config/setting_table.h"
 #include "walnutwing/config/text_value.h"
 
 namespace walnutwing {
@@ -34,75 +35,7 @@
     { LogLevel::Error, "error" },
   });
 
-// Stores aValue under aKey; false if it is not allowed.
-using Store = std::function<bool(DaemonSettings& aSettings,
-                                 const std::string& aKey,
-                                 std::string_view aValue)>;
-
-struct Setting
-{
-  SettingDescription m_description;
-  Store m_store;
-};
-
-template<typename Id>
-Setting
-IdSetting(const char* aKey, Id DaemonSettings::*aMember, const char* aDoc)
-{
-  return {
-    { "daemon", aKey, "", "1 to 64 of A-Z a-z 0-9 . _ -", std::nullopt, aDoc },
-    [aMember](
-      DaemonSettings& aSettings, const std::string&, std::string_view aValue) {
-      aSettings.*aMember = Id(std::string(aValue));
-      return IsName(aValue);
-    }
-  };
-}
-
-Setting
-AddressSetting(const char* aSection,
-               const char* aKey,
-               std::string DaemonSettings::*aMember,
-               const char* aDoc)
-{
-  return { { aSection,
-             aKey,
-             "IP:port",
-             "IP:port, port 1 to 65535",
-             std::nullopt,
-             aDoc },
-           [aMember](DaemonSettings& aSettings,
-                     const std::string&,
-                     std::string_view aValue) {
-             aSettings.*aMember = std::string(aValue);
-             return IsAddress(aValue);
-           } };
-}
-
-Setting
-NumberSetting(const char* aSection,
-              const char* aKey,
-              const char* aUnit,
-              std::uint64_t aLeast,
-              std::uint64_t aMost,
-              std::uint64_t aDefault,
-              std::uint64_t DaemonSettings::*aMember,
-              const char* aDoc)
-{
-  return { { aSection,
-             aKey,
-             aUnit,
-             RangeText(aLeast, aMost),
-             std::to_string(aDefault),
-             aDoc },
-           [=](DaemonSettings& aSettings,
-               const std::string&,
-               std::string_view aValue) {
-             const auto number = ParseNumberBetween(aValue, aLeast, aMost);
-             aSettings.*aMember = number.value_or(0);
-             return number.has_value();
-           } };
-}
+using Setting = SettingRow<DaemonSettings>;
 
 // aUnitLength is one unit of the key, say a second.
 Setting
@@ -200,23 +133,26 @@
 {
   using namespace std::chrono_literals;
   static const std::vector<Setting> kTable = {
-    IdSetting("id",
-              &DaemonSettings::m_id,
-              "name of this daemon, unique in the fleet; the platform's VM id"),
-    IdSetting("zone",
-              &DaemonSettings::m_zone,
-              "availability zone that this VM stands in"),
-    IdSetting("region", &DaemonSettings::m_region, "region of that zone"),
-    AddressSetting(
+    NameRow("daemon",
+            "id",
+            &DaemonSettings::m_id,
+            "name of this daemon, unique in the fleet; the platform's VM id"),
+    NameRow("daemon",
+            "zone",
+            &DaemonSettings::m_zone,
+            "availability zone that this VM stands in"),
+    NameRow(
+      "daemon", "region", &DaemonSettings::m_region, "region of that zone"),
+    AddressRow(
       "daemon", "listen", &DaemonSettings::m_listen, "where callers connect"),
-    AddressSetting("daemon",
-                   "admin_listen",
-                   &DaemonSettings::m_adminListen,
-                   "where operators, metrics and health checks connect"),
-    AddressSetting("daemon",
-                   "peer_listen",
-                   &DaemonSettings::m_peerListen,
-                   "where other daemons connect"),
+    AddressRow("daemon",
+               "admin_listen",
+               &DaemonSettings::m_adminListen,
+               "where operators, metrics and health checks connect"),
+    AddressRow("daemon",
+               "peer_listen",
+               &DaemonSettings::m_peerListen,
+               "where other daemons connect"),
     DurationSetting(
       "daemon",
       "stop_limit_s",
@@ -227,22 +163,22 @@
       120,
       &DaemonSettings::m_stopLimit,
       "longest planned stop; requests still in progress then are cut"),
-    NumberSetting("daemon",
-                  "max_body_bytes",
-                  "bytes",
-                  1024,
-                  256U << 20U,
-                  8U << 20U,
-                  &DaemonSettings::m_maxBodyBytes,
-                  "largest request body"),
-    NumberSetting("daemon",
-                  "max_requests",
-                  "requests",
-                  1,
-                  1'000'000,
-                  20'000,
-                  &DaemonSettings::m_maxRequests,
-                  "requests in progress at once; further ones are refused"),
+    NumberRow("daemon",
+              "max_body_bytes",
+              "bytes",
+              1024,
+              256U << 20U,
+              8U << 20U,
+              &DaemonSettings::m_maxBodyBytes,
+              "largest request body"),
+    NumberRow("daemon",
+              "max_requests",
+              "requests",
+              1,
+              1'000'000,
+              20'000,
+              &DaemonSettings::m_maxRequests,
+              "requests in progress at once; further ones are refused"),
     DurationSetting("daemon",
                     "request_timeout_s",
                     "s",
@@ -252,10 +188,10 @@
                     10,
                     &DaemonSettings::m_requestTimeout,
                     "longest time for a whole request to arrive"),
-    AddressSetting("platform",
-                   "address",
-                   &DaemonSettings::m_platformAddress,
-                   "the platform's log, VM list and store"),
+    AddressRow("platform",
+               "address",
+               &DaemonSettings::m_platformAddress,
+               "the platform's log, VM list and store"),
     DurationSetting("platform",
                     "poll_interval_ms",
                     "ms",
@@ -292,14 +228,14 @@
         "some other daemons, to find the fleet by before the platform "
         "answers" },
       StoreSeeds },
-    NumberSetting("peers",
-                  "control_bytes_per_s",
-                  "bytes/s",
-                  256,
-                  1U << 20U,
-                  4096,
-                  &DaemonSettings::m_controlBytesPerSecond,
-                  "most control traffic that this daemon sends"),
+    NumberRow("peers",
+              "control_bytes_per_s",
+              "bytes/s",
+              256,
+              1U << 20U,
+              4096,
+              &DaemonSettings::m_controlBytesPerSecond,
+              "most control traffic that this daemon sends"),
     { { "peers",
         "curve_public_key",
         "Z85",
@@ -537,11 +473,7 @@
 std::vector<SettingDescription>
 DescribeSettings()
 {
-  std::vector<SettingDescription> rows;
-  for (const Setting& setting : SettingTable()) {
-    rows.push_back(setting.m_description);
-  }
-  return rows;
+  return DescribeRows(SettingTable());
 }
 
 SettingsError::SettingsError(std::vector<IniProblem> aProblems)
