--- a/router/front.cc
+++ b/router/front.cc
@@ -8,12 +8,18 @@
 
 constexpr int kBacklog = 1024;
 // After a failed accept, as when descriptors run out.
+// After the start: until callers are served by what is known, and between two
+// looks at it.
+constexpr Duration kLongestHold = std::chrono::milliseconds(500);
+constexpr Duration kHoldStep = std::chrono::milliseconds(2);
 constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
 
 } // namespace
 
-Front::Front(Context& aContext)
+Front::Front(Context& aContext, std::function<bool()> aKnown)
   : m_context(aContext)
+  , m_known(std::move(aKnown))
+  , m_startedAt(Now())
   , m_acceptor(aContext.m_loop.get_executor())
   , m_retry(aContext.m_loop.get_executor())
 {
@@ -23,7 +29,24 @@
   m_acceptor.set_option(asio::socket_base::reuse_address(true));
   m_acceptor.bind(endpoint);
   m_acceptor.listen(kBacklog);
-  Accept();
+  AcceptWhenKnown();
+}
+
+// A process that has just started has read nothing yet, and could only refuse;
+// connections wait in the backlog for the moment that this takes.
+void
+Front::AcceptWhenKnown()
+{
+  if (m_known() || Now() - m_startedAt >= kLongestHold) {
+    Accept();
+    return;
+  }
+  m_retry.expires_after(kHoldStep);
+  m_retry.async_wait([this](const error_code& aError) {
+    if (!aError) {
+      AcceptWhenKnown();
+    }
+  });
 }
 
 void
@@ -60,6 +83,7 @@
 Front::StopAccepting()
 {
   error_code ignored; // it is not used again
+  m_retry.cancel();
   m_acceptor.close(ignored);
 }
 
--- a/router/front.h
+++ b/router/front.h
@@ -4,6 +4,7 @@
 // Accepts callers' connections and knows those that are open.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_set>
 
@@ -17,7 +18,8 @@
 {
 public:
   // Throws boost::system::system_error if the address cannot be bound.
-  explicit Front(Context& aContext);
+  // aKnown: whether enough is known to serve callers.
+  Front(Context& aContext, std::function<bool()> aKnown);
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
 
@@ -33,9 +35,12 @@
   std::size_t Open() const { return m_connections.size(); }
 
 private:
+  void AcceptWhenKnown();
   void Accept();
 
   Context& m_context;
+  std::function<bool()> m_known;
+  Time m_startedAt;
   asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
   Timer m_retry;
   std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
--- a/router/router.cc
+++ b/router/router.cc
@@ -56,7 +56,7 @@
                  {},
                  {} }
     , m_state(m_context, m_exchange)
-    , m_front(m_context)
+    , m_front(m_context, [this] { return m_state.Known(); })
     , m_readyPage(m_loop,
                   ParseEndpoint(aSettings.m_readyListen).value(),
                   [this](std::string_view aPath) { return ReadyPage(aPath); })
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -23,7 +23,6 @@
 
 using boost::system::error_code;
 
-constexpr std::chrono::milliseconds kPiecePause(400);
 constexpr unsigned kReadyPort = 8081;
 constexpr unsigned kListenPort = 8080;
 constexpr unsigned kPeerPort = 8082;
@@ -222,7 +221,7 @@
           self->Read();
           return;
         }
-        self->m_pause.expires_after(kPiecePause);
+        self->m_pause.expires_after(self->m_store.m_piecePause);
         self->m_pause.async_wait(
           [self, end](const error_code&) { self->WritePiece(end); });
       });
@@ -537,6 +536,9 @@
     throw std::runtime_error("no temporary directory");
   }
   m_directory = pattern;
+  if (aOptions.m_storePause > Duration::zero()) {
+    m_store->SetPieces(2, aOptions.m_storePause);
+  }
   if (aOptions.m_config) {
     PutConfig(1);
   }
@@ -552,7 +554,7 @@
                               m_directory + "/router.ini" },
     m_directory + "/log");
   const int status = aOptions.m_config ? 200 : 503;
-  if (!WaitUntil([&] { return ReadyStatus() == status; })) {
+  if (aOptions.m_waits && !WaitUntil([&] { return ReadyStatus() == status; })) {
     throw std::runtime_error("the router does not get ready: " + LogText());
   }
 }
@@ -642,6 +644,21 @@
                  R"(","zone":"z1","slots":8,"state":")" + aState + R"("})");
 }
 
+std::unique_ptr<CallerStandin>
+RouterHarness::ConnectOnceItListens()
+{
+  std::unique_ptr<CallerStandin> caller;
+  WaitUntil([&] {
+    try {
+      caller = Connect();
+    } catch (const boost::system::system_error&) {
+      return false; // it does not listen yet
+    }
+    return true;
+  });
+  return caller;
+}
+
 std::unique_ptr<CallerStandin>
 RouterHarness::Connect()
 {
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -57,7 +57,11 @@
   void SetOutage(std::optional<int> aStatus);
 
   // Answers leave in this many pieces, with pauses, as over a slow link.
-  void SetPieces(std::size_t aPieces) { m_pieces = aPieces; }
+  void SetPieces(std::size_t aPieces, Duration aPause = Duration(400))
+  {
+    m_pieces = aPieces;
+    m_piecePause = aPause;
+  }
 
   std::string Address() const;
   std::size_t Calls() const { return m_calls; }
@@ -82,6 +86,7 @@
   std::optional<int> m_outage;
   std::size_t m_calls = 0;
   std::size_t m_pieces = 1;
+  Duration m_piecePause{ 0 };
 };
 
 // One request at an upstream, and the connection that it came on.
@@ -175,6 +180,8 @@
   std::size_t m_upstreams = 2;
   bool m_config = true;       // in place before the router starts
   int m_stopLimitSeconds = 8; // from SIGTERM until a router must be gone
+  Duration m_storePause{ 0 }; // in the middle of each answer of the store
+  bool m_waits = true;        // until the router is ready, or runs
   std::string m_moreBounds{}; // lines of the settings' [bounds]
 };
 
@@ -202,6 +209,8 @@
                         const std::string& aState = "ready");
 
   std::unique_ptr<CallerStandin> Connect();
+  // Tries again while nothing listens there.
+  std::unique_ptr<CallerStandin> ConnectOnceItListens();
 
   // Sends one request on a connection of its own, and waits for its whole
   // answer (until the router closes, since the request asks for it).
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -440,6 +440,24 @@
     [&] { return StatusOf(harness.Ask("POST", "/slow/", "", "x")) == 200; }));
 }
 
+// Callers that come before the router has read anything.
+TEST(Router, EarlyCallersAreServedAndNotRefused)
+{
+  HarnessOptions options;
+  options.m_storePause = Duration(150);
+  options.m_waits = false;
+  RouterHarness harness(options);
+  const auto first = harness.ConnectOnceItListens();
+  const auto second = harness.Connect();
+  ASSERT_NE(nullptr, first);
+  first->Send(EmptyPost("/order/"));
+  second->Send(EmptyPost("/order/"));
+  for (const auto* caller : { first.get(), second.get() }) {
+    ASSERT_TRUE(harness.WaitUntil([&] { return !caller->Received().empty(); }));
+    EXPECT_EQ(200, StatusOf(caller->Received())) << caller->Received();
+  }
+}
+
 // --- settings and stops ---
 
 TEST(Router, SettingsAreReadAgainAndABadFileChangesNothing)
