--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -103,7 +103,7 @@
 Promises::OnStart(std::uint32_t aRouter)
 {
   m_stops.erase(aRouter);
-  m_seenVersion.erase(aRouter);
+  m_seenVersions.erase(aRouter);
 }
 
 void
@@ -135,7 +135,7 @@
     m_notRun.insert(aAsked.m_id);
   }
   if (aAsked.m_kind == AskKind::OnlyVersion) {
-    CheckVersion(aAsked, aEnding);
+    CheckVersion(aAsked, aEnding, aNow);
   } else if (aEnding == Ending::NoRoute) {
     Add("404 on a route that every version has: " + aAsked.m_id);
   }
@@ -152,22 +152,29 @@
   }
 }
 
+// A request is handled by the version at its arrival, so that only what was
+// seen before it was sent binds it.
 void
-Promises::CheckVersion(const Asked& aAsked, Ending aEnding)
+Promises::CheckVersion(const Asked& aAsked, Ending aEnding, Time aNow)
 {
-  std::uint64_t& seen = m_seenVersion[aAsked.m_router];
+  std::map<std::uint64_t, Time>& seen = m_seenVersions[aAsked.m_router];
+  const auto seenBefore = [&](auto aFrom) {
+    return std::any_of(aFrom, seen.end(), [&](const auto& aVersion) {
+      return aVersion.second < aAsked.m_at;
+    });
+  };
   if (aEnding == Ending::Whole) {
-    if (aAsked.m_version < seen) {
+    if (seenBefore(seen.upper_bound(aAsked.m_version))) {
       Add("an older configuration is in force again: " + aAsked.m_id);
     }
-    seen = std::max(seen, aAsked.m_version);
+    seen.try_emplace(aAsked.m_version, aNow);
     return;
   }
   if (aEnding != Ending::NoRoute) {
     return;
   }
   const bool newest = m_written.rbegin()->first == aAsked.m_version;
-  if (newest && aAsked.m_version <= seen) {
+  if (newest && seenBefore(seen.lower_bound(aAsked.m_version))) {
     Add("a configuration is no longer in force: " + aAsked.m_id);
   }
   const Time due = m_written.at(aAsked.m_version) + m_options.m_configLimit +
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -122,7 +122,7 @@
 
   bool Touched(std::int64_t aRouter, Time aFrom, Time aTo) const;
   bool UpstreamsTouched(Time aFrom, Time aTo) const;
-  void CheckVersion(const Asked& aAsked, Ending aEnding);
+  void CheckVersion(const Asked& aAsked, Ending aEnding, Time aNow);
   void CheckLeftAlone(const std::string& aUpstream,
                       const std::string& aZone,
                       Time aAt);
@@ -135,7 +135,8 @@
   std::vector<Span> m_upstreamFaults;
   std::map<std::uint32_t, Time> m_stops; // since the last start
   std::map<std::uint64_t, Time> m_written;
-  std::map<std::uint32_t, std::uint64_t> m_seenVersion; // by router
+  // By router: when each version was first seen to be in force.
+  std::map<std::uint32_t, std::map<std::uint64_t, Time>> m_seenVersions;
   std::map<std::string, Time> m_zonesOut;
   std::map<std::string, Time> m_drains;   // by upstream
   std::map<std::string, Time> m_coldTill; // by upstream
--- a/soak/promises_test.cc
+++ b/soak/promises_test.cc
@@ -117,9 +117,11 @@
   Promises promises({});
   promises.OnConfigWritten(2, At(0));
   promises.OnConfigWritten(3, At(100));
+  std::int64_t now = 200;
   const auto answer = [&](std::uint64_t aVersion, Ending aEnding) {
+    now += 10;
     promises.OnAnswer(
-      Ask(AskKind::OnlyVersion, "v", 200, aVersion), aEnding, At(201));
+      Ask(AskKind::OnlyVersion, "v", now, aVersion), aEnding, At(now + 1));
     return promises.Violations().size();
   };
   EXPECT_EQ(0U, answer(2, Ending::Whole));
@@ -131,6 +133,25 @@
   EXPECT_EQ(2U, answer(3, Ending::NoRoute)); // started anew
 }
 
+// A request is handled by the version at its arrival, however long it takes
+// (seed 146: its upstream was paused for 1.5 s).
+TEST(Promises, RequestThatCameBeforeAVersionMayEndAfterIt)
+{
+  Promises promises({});
+  promises.OnConfigWritten(2, At(0));
+  promises.OnConfigWritten(3, At(100));
+  promises.OnAnswer(
+    Ask(AskKind::OnlyVersion, "new", 200, 3), Ending::Whole, At(210));
+  promises.OnAnswer(
+    Ask(AskKind::OnlyVersion, "slow", 150, 2), Ending::Whole, At(1700));
+  promises.OnAnswer(
+    Ask(AskKind::OnlyVersion, "early", 150, 3), Ending::NoRoute, At(220));
+  EXPECT_TRUE(promises.Violations().empty());
+  promises.OnAnswer(
+    Ask(AskKind::OnlyVersion, "old", 211, 2), Ending::Whole, At(230));
+  EXPECT_EQ(1U, promises.Violations().size());
+}
+
 TEST(Promises, LeavingUpstreamsAndZonesAreLeftAlone)
 {
   Promises promises({});
@@ -182,7 +203,7 @@
     cold.OnRecord(Line(5000, "cold", "u0", "-"), "z0");
     for (int i = 0; i < 3 + extra; ++i) {
       const std::string id = "c" + std::to_string(i);
-      cold.OnRecord(Line(10 * i, "arrive", "u0", id.c_str()), "z0");
+      cold.OnRecord(Line(i, "arrive", "u0", id.c_str()), "z0");
     }
     EXPECT_EQ(static_cast<std::size_t>(extra), Broken(cold));
   }
--- a/walnutwing/config/setting_table.h
+++ b/walnutwing/config/setting_table.h
@@ -96,6 +96,7 @@
 DescribeRows(const std::vector<SettingRow<Settings>>& aTable)
 {
   std::vector<SettingDescription> descriptions;
+  descriptions.reserve(aTable.size());
   for (const SettingRow<Settings>& row : aTable) {
     descriptions.push_back(row.m_description);
   }
