Admission forgets targets with their configuration; the soak's processes in a module of their own

Cause, read in review: the longest target of a priority was kept for ever, so that a route that a new configuration shortened or dropped still allowed its old wait.

--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -186,6 +186,9 @@
   }
   const std::uint64_t version = aConfig.m_version;
   m_context.m_routes = std::make_shared<RouteTable>(std::move(aConfig));
+  for (auto& [service, admission] : m_context.m_admissions) {
+    admission.ForgetTargets();
+  }
   const RoutingConfig& routing = m_context.m_routes->Config();
   LogLine(Event::ConfigInForce)
     .Add("version", static_cast<std::int64_t>(version))
--- /dev/null
+++ b/soak/soak_fleet.cc
@@ -0,0 +1,174 @@
+#include "soak/soak_fleet.h"
+
+#include <fstream>
+
+#include <unistd.h>
+
+namespace walnutwing::soak {
+namespace {
+
+using standin::ChildProcess;
+
+constexpr std::uint32_t kSharedHost = 250;
+constexpr std::uint16_t kListenPort = 8080;
+constexpr std::uint16_t kReadyPort = 8081;
+constexpr std::uint16_t kPeerPort = 8082;
+constexpr std::uint16_t kUpstreamPort = 9000;
+constexpr std::uint16_t kStorePort = 7000;
+constexpr std::uint16_t kCallerProxies = 10'000; // and the router's index
+constexpr std::uint16_t kStoreProxies = 11'000;
+constexpr std::uint16_t kUpstreamProxies = 12'000; // and the upstream's
+
+std::string
+NetOfThisProcess()
+{
+  const auto pid = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(64 + (pid >> 8U & 63U)) + "." +
+         std::to_string(pid & 255U) + ".";
+}
+
+} // namespace
+
+std::string
+ZoneOf(std::uint32_t aIndex)
+{
+  return aIndex % 2 == 0 ? "z0" : "z1";
+}
+
+SoakFleet::SoakFleet(boost::asio::io_context& aLoop,
+                     const SoakOptions& aOptions)
+  : m_options(aOptions)
+  , m_net(NetOfThisProcess())
+  , m_routers(aOptions.m_plan.m_routers)
+  , m_upstreams(aOptions.m_plan.m_upstreams)
+{
+  const std::vector<std::string> arguments{
+    m_options.m_self,
+    "--role=store",
+    "--ip=" + m_net + std::to_string(kSharedHost),
+    "--port=" + std::to_string(kStorePort),
+  };
+  m_store = std::make_unique<ChildProcess>(arguments, Path("store.log"));
+  for (std::uint32_t i = 0; i < m_routers.size(); ++i) {
+    m_callerProxies.push_back(std::make_unique<Proxy>(
+      aLoop, At(kSharedHost, kCallerProxies + i), At(1 + i, kListenPort)));
+    m_storeProxies.push_back(std::make_unique<Proxy>(
+      aLoop, At(kSharedHost, kStoreProxies + i), StoreAddress()));
+  }
+  for (std::uint32_t i = 0; i < m_upstreams.size(); ++i) {
+    m_upstreamProxies.push_back(
+      std::make_unique<Proxy>(aLoop,
+                              At(kSharedHost, kUpstreamProxies + i),
+                              At(UpstreamHost(i), kUpstreamPort)));
+  }
+}
+
+std::string
+SoakFleet::At(std::uint32_t aHost, std::uint32_t aPort) const
+{
+  return m_net + std::to_string(aHost) + ":" + std::to_string(aPort);
+}
+
+std::uint32_t
+SoakFleet::UpstreamHost(std::uint32_t aIndex) const
+{
+  return 1 + m_options.m_plan.m_routers + aIndex;
+}
+
+std::string
+SoakFleet::Path(const std::string& aName) const
+{
+  return m_options.m_directory + "/" + aName;
+}
+
+std::string
+SoakFleet::StoreAddress() const
+{
+  return At(kSharedHost, kStorePort);
+}
+
+std::vector<std::string>
+SoakFleet::CallerAddresses() const
+{
+  std::vector<std::string> addresses;
+  addresses.reserve(m_routers.size());
+  for (std::uint32_t i = 0; i < m_routers.size(); ++i) {
+    addresses.push_back(At(kSharedHost, kCallerProxies + i));
+  }
+  return addresses;
+}
+
+std::uint32_t
+SoakFleet::Processes() const
+{
+  return static_cast<std::uint32_t>(m_routers.size() + m_upstreams.size() + 2);
+}
+
+Proxy&
+SoakFleet::ProxyOf(Link aLink, std::uint32_t aIndex)
+{
+  switch (aLink) {
+    case Link::Callers:
+      return *m_callerProxies.at(aIndex);
+    case Link::Store:
+      return *m_storeProxies.at(aIndex);
+    case Link::Upstream:
+      break;
+  }
+  return *m_upstreamProxies.at(aIndex);
+}
+
+void
+SoakFleet::WriteSettings(std::uint32_t aIndex)
+{
+  constexpr std::uint32_t kLogBytes = 65'536;
+  std::ofstream(Path("router-" + std::to_string(aIndex) + ".ini"))
+    << "[router]\nname = d" << aIndex << "\nzone = " << ZoneOf(aIndex)
+    << "\nlisten = " << At(1 + aIndex, kListenPort)
+    << "\nready_listen = " << At(1 + aIndex, kReadyPort)
+    << "\npeer_listen = " << At(1 + aIndex, kPeerPort)
+    << "\nmetrics_port = 0\nlog_bytes_per_s = "
+    << kLogBytes + ++m_settingsWritten
+    << "\n[platform]\naddress = " << At(kSharedHost, kStoreProxies + aIndex)
+    << "\n[bounds]\nstop_limit_s = 8\nrepeat_allowance = 30\n";
+}
+
+void
+SoakFleet::StartRouter(std::uint32_t aIndex)
+{
+  WriteSettings(aIndex);
+  const std::string name = "router-" + std::to_string(aIndex);
+  const std::vector<std::string> arguments{
+    m_options.m_router, "router", "--config", Path(name + ".ini")
+  };
+  m_routers[aIndex] =
+    std::make_unique<ChildProcess>(arguments, Path(name + ".log"));
+}
+
+void
+SoakFleet::StartUpstream(std::uint32_t aIndex, Duration aCold)
+{
+  Machine& machine = m_upstreams[aIndex];
+  const std::string name =
+    "u" + std::to_string(aIndex) + "-" + std::to_string(machine.m_starts++);
+  const std::vector<std::string> arguments{
+    m_options.m_self,
+    "--role=upstream",
+    "--name=" + name,
+    "--zone=" + ZoneOf(aIndex),
+    "--ip=" + m_net + std::to_string(UpstreamHost(aIndex)),
+    "--port=" + std::to_string(kUpstreamPort),
+    "--address=" + At(kSharedHost, kUpstreamProxies + aIndex),
+    "--store=" + StoreAddress(),
+    "--record=" + Path(name + ".record"),
+    "--cold_ms=" + std::to_string(aCold.count()),
+    "--seed=" + std::to_string(m_options.m_plan.m_seed),
+    "--break=" + std::string(NameOf(m_options.m_breakage)),
+  };
+  m_records.push_back({ Path(name + ".record"), ZoneOf(aIndex), 0 });
+  machine.m_process.reset(); // the port must be free
+  machine.m_process =
+    std::make_unique<ChildProcess>(arguments, Path(name + ".log"));
+}
+
+} // namespace walnutwing::soak
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -1,7 +1,3 @@
-// Addresses: every run has three numbers of its own within 127.0.0.0/8, made of
-// this process's id. Routers are at .1 and on, upstreams behind them, and the
-// store and all proxies at .250.
-
 #include "soak/soak_run.h"
 
 #include <algorithm>
@@ -13,29 +9,17 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <unistd.h>
 
 #include "platform/store_codec.h"
 #include "router/store_channel.h"
-#include "soak/proxy.h"
 #include "soak/soak_caller.h"
-#include "standin/child_process.h"
+#include "soak/soak_fleet.h"
 
 namespace walnutwing::soak {
 namespace {
 
-using standin::ChildProcess;
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t kListenPort = 8080;
-constexpr std::uint16_t kReadyPort = 8081;
-constexpr std::uint16_t kPeerPort = 8082;
-constexpr std::uint16_t kUpstreamPort = 9000;
-constexpr std::uint16_t kStorePort = 7000;
-constexpr std::uint16_t kCallerProxies = 10'000; // and the router's index
-constexpr std::uint16_t kStoreProxies = 11'000;
-constexpr std::uint16_t kUpstreamProxies = 12'000; // and the upstream's
-
 constexpr milliseconds kPatience(15'000); // until a fleet is ready
 constexpr milliseconds kSettle(6000);     // after the last fault
 constexpr milliseconds kLastLook(3000);   // in which all must be served
@@ -52,12 +36,6 @@
   return SteadyClock().Now();
 }
 
-std::string
-ZoneOf(std::uint32_t aIndex)
-{
-  return aIndex % 2 == 0 ? "z0" : "z1";
-}
-
 std::string
 ConfigText(std::uint64_t aVersion, std::uint64_t aOnly)
 {
@@ -85,20 +63,6 @@
          R"("tenants":[{"name":"c1","apiKeys":["k1"],"priority":3}]})";
 }
 
-struct Machine
-{
-  std::unique_ptr<ChildProcess> m_process;
-  std::uint32_t m_starts = 0;
-};
-
-// A record file and how far it has been read.
-struct Record
-{
-  std::string m_path;
-  std::string m_zone;
-  std::streamoff m_read = 0;
-};
-
 class Run
 {
 public:
@@ -106,20 +70,16 @@
     : m_options(aOptions)
     , m_plan(aPlan)
     , m_promises({})
-    , m_net(NetOf())
-    , m_store(
-        std::make_shared<router::StoreChannel>(m_loop,
-                                               EndpointOf(At(250, kStorePort))))
+    , m_fleet(m_loop, aOptions)
+    , m_store(std::make_shared<router::StoreChannel>(
+        m_loop,
+        EndpointOf(m_fleet.StoreAddress())))
   {
-    m_storeProcess.m_process = Start({ "--role=store" }, "store.log");
-    MakeProxies();
     WriteConfig();
-    m_routers.resize(aOptions.m_plan.m_routers);
-    m_upstreams.resize(aOptions.m_plan.m_upstreams);
-    for (std::uint32_t i = 0; i < m_upstreams.size(); ++i) {
-      StartUpstream(i, milliseconds(0));
+    for (std::uint32_t i = 0; i < aOptions.m_plan.m_upstreams; ++i) {
+      m_fleet.StartUpstream(i, Duration::zero());
     }
-    for (std::uint32_t i = 0; i < m_routers.size(); ++i) {
+    for (std::uint32_t i = 0; i < aOptions.m_plan.m_routers; ++i) {
       StartRouter(i);
     }
   }
@@ -147,119 +107,17 @@
                                              static_cast<double>(m_looked));
     m_promises.CheckAtEnd();
     m_result.m_violations = m_promises.Violations();
-    m_result.m_processes =
-      static_cast<std::uint32_t>(m_routers.size() + m_upstreams.size() + 2);
+    m_result.m_processes = m_fleet.Processes();
     return m_result;
   }
 
 private:
-  // --- addresses ---
-
-  static std::string NetOf()
-  {
-    const auto pid = static_cast<unsigned>(getpid());
-    return "127." + std::to_string(64 + (pid >> 8U & 63U)) + "." +
-           std::to_string(pid & 255U) + ".";
-  }
-
-  std::string Ip(std::uint32_t aHost) const
-  {
-    return m_net + std::to_string(aHost);
-  }
-
-  std::string At(std::uint32_t aHost, std::uint32_t aPort) const
-  {
-    return Ip(aHost) + ":" + std::to_string(aPort);
-  }
-
-  std::uint32_t UpstreamHost(std::uint32_t aIndex) const
-  {
-    return 1 + m_options.m_plan.m_routers + aIndex;
-  }
-
-  std::string Path(const std::string& aName) const
-  {
-    return m_options.m_directory + "/" + aName;
-  }
-
-  // --- processes ---
-
-  std::unique_ptr<ChildProcess> Start(std::vector<std::string> aArguments,
-                                      const std::string& aLog)
-  {
-    aArguments.insert(aArguments.begin(), m_options.m_self);
-    aArguments.push_back("--ip=" + Ip(250));
-    aArguments.push_back("--port=" + std::to_string(kStorePort));
-    return std::make_unique<ChildProcess>(aArguments, Path(aLog));
-  }
-
-  void MakeProxies()
-  {
-    for (std::uint32_t i = 0; i < m_options.m_plan.m_routers; ++i) {
-      m_callerProxies.push_back(std::make_unique<Proxy>(
-        m_loop, At(250, kCallerProxies + i), At(1 + i, kListenPort)));
-      m_storeProxies.push_back(std::make_unique<Proxy>(
-        m_loop, At(250, kStoreProxies + i), At(250, kStorePort)));
-    }
-    for (std::uint32_t i = 0; i < m_options.m_plan.m_upstreams; ++i) {
-      m_upstreamProxies.push_back(
-        std::make_unique<Proxy>(m_loop,
-                                At(250, kUpstreamProxies + i),
-                                At(UpstreamHost(i), kUpstreamPort)));
-    }
-  }
-
-  void WriteSettings(std::uint32_t aIndex)
-  {
-    const std::uint32_t bytes = 65536 + ++m_settingsWritten;
-    std::ofstream(Path("router-" + std::to_string(aIndex) + ".ini"))
-      << "[router]\nname = d" << aIndex << "\nzone = " << ZoneOf(aIndex)
-      << "\nlisten = " << At(1 + aIndex, kListenPort)
-      << "\nready_listen = " << At(1 + aIndex, kReadyPort)
-      << "\npeer_listen = " << At(1 + aIndex, kPeerPort)
-      << "\nmetrics_port = 0\nlog_bytes_per_s = " << bytes
-      << "\n[platform]\naddress = " << At(250, kStoreProxies + aIndex)
-      << "\n[bounds]\nstop_limit_s = 8\nrepeat_allowance = 30\n";
-  }
-
   void StartRouter(std::uint32_t aIndex)
   {
-    WriteSettings(aIndex);
-    const std::string name = "router-" + std::to_string(aIndex);
-    Machine& machine = m_routers[aIndex];
-    machine.m_process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{
-        m_options.m_router, "router", "--config", Path(name + ".ini") },
-      Path(name + ".log"));
-    ++machine.m_starts;
+    m_fleet.StartRouter(aIndex);
     m_promises.OnStart(aIndex);
   }
 
-  void StartUpstream(std::uint32_t aIndex, milliseconds aCold)
-  {
-    Machine& machine = m_upstreams[aIndex];
-    const std::string name =
-      "u" + std::to_string(aIndex) + "-" + std::to_string(machine.m_starts++);
-    std::vector<std::string> arguments{
-      m_options.m_self,
-      "--role=upstream",
-      "--name=" + name,
-      "--zone=" + ZoneOf(aIndex),
-      "--ip=" + Ip(UpstreamHost(aIndex)),
-      "--port=" + std::to_string(kUpstreamPort),
-      "--address=" + At(250, kUpstreamProxies + aIndex),
-      "--store=" + At(250, kStorePort),
-      "--record=" + Path(name + ".record"),
-      "--cold_ms=" + std::to_string(aCold.count()),
-      "--seed=" + std::to_string(m_options.m_plan.m_seed),
-      "--break=" + std::string(NameOf(m_options.m_breakage)),
-    };
-    m_records.push_back({ Path(name + ".record"), ZoneOf(aIndex), 0 });
-    machine.m_process.reset(); // the port must be free
-    machine.m_process =
-      std::make_unique<ChildProcess>(arguments, Path(name + ".log"));
-  }
-
   // --- operators ---
 
   void WriteConfig()
@@ -312,10 +170,7 @@
 
   void StartCallers()
   {
-    std::vector<std::string> routers;
-    for (std::uint32_t i = 0; i < m_routers.size(); ++i) {
-      routers.push_back(At(250, kCallerProxies + i));
-    }
+    const std::vector<std::string> routers = m_fleet.CallerAddresses();
     const std::uint32_t callers =
       m_options.m_callersPerRouter * m_options.m_plan.m_routers;
     for (std::uint32_t i = 0; i < callers; ++i) {
@@ -397,37 +252,37 @@
     switch (aFault.m_kind) {
       case FaultKind::RouterKill:
         m_promises.OnFault(aFault.m_target, now, end);
-        m_routers[aFault.m_target].m_process->Kill();
+        m_fleet.Router(aFault.m_target).Kill();
         break;
       case FaultKind::RouterStop:
         BeginStop(aFault);
         return;
       case FaultKind::RouterPause:
         m_promises.OnFault(aFault.m_target, now, end);
-        m_routers[aFault.m_target].m_process->Signal(SIGSTOP);
+        m_fleet.Router(aFault.m_target).Signal(SIGSTOP);
         break;
       case FaultKind::RouterReload:
-        WriteSettings(aFault.m_target);
-        m_routers[aFault.m_target].m_process->Signal(SIGHUP);
+        m_fleet.WriteSettings(aFault.m_target);
+        m_fleet.Router(aFault.m_target).Signal(SIGHUP);
         return;
       case FaultKind::UpstreamKill:
         m_promises.OnUpstreamFault(now, end);
-        m_upstreams[aFault.m_target].m_process->Kill();
+        m_fleet.Upstream(aFault.m_target).Kill();
         break;
       case FaultKind::UpstreamPause:
         m_promises.OnUpstreamFault(now, end);
-        m_upstreams[aFault.m_target].m_process->Signal(SIGSTOP);
+        m_fleet.Upstream(aFault.m_target).Signal(SIGSTOP);
         break;
       case FaultKind::UpstreamDrain:
         BeginDrain(aFault.m_target);
         return;
       case FaultKind::StorePause:
         m_promises.OnFault(Promises::kAllRouters, now, end);
-        m_storeProcess.m_process->Signal(SIGSTOP);
+        m_fleet.Store().Signal(SIGSTOP);
         break;
       case FaultKind::StoreForget:
         m_promises.OnFault(Promises::kAllRouters, now, now);
-        m_storeProcess.m_process->Signal(SIGUSR1);
+        m_fleet.Store().Signal(SIGUSR1);
         return;
       case FaultKind::LinkDelay:
       case FaultKind::LinkReset:
@@ -454,29 +309,30 @@
         StartRouter(aFault.m_target);
         return;
       case FaultKind::RouterPause:
-        m_routers[aFault.m_target].m_process->Signal(SIGCONT);
+        m_fleet.Router(aFault.m_target).Signal(SIGCONT);
         return;
       case FaultKind::UpstreamKill:
-        StartUpstream(aFault.m_target, kColdTime);
+        m_fleet.StartUpstream(aFault.m_target, kColdTime);
         return;
       case FaultKind::UpstreamPause:
-        m_upstreams[aFault.m_target].m_process->Signal(SIGCONT);
+        m_fleet.Upstream(aFault.m_target).Signal(SIGCONT);
         return;
       case FaultKind::StorePause:
-        m_storeProcess.m_process->Signal(SIGCONT);
+        m_fleet.Store().Signal(SIGCONT);
         return;
       case FaultKind::ZoneOut:
         SetZoneOut(aFault.m_target, false);
         return;
       default:
-        ProxyOf(aFault).SetMode(ProxyMode::Pass);
+        m_fleet.ProxyOf(aFault.m_link, aFault.m_target)
+          .SetMode(ProxyMode::Pass);
     }
   }
 
   void PauseAllUpstreams()
   {
-    for (Machine& machine : m_upstreams) {
-      machine.m_process->Signal(SIGSTOP);
+    for (std::uint32_t i = 0; i < m_options.m_plan.m_upstreams; ++i) {
+      m_fleet.Upstream(i).Signal(SIGSTOP);
     }
   }
 
@@ -485,14 +341,13 @@
     const std::uint32_t index = aFault.m_target;
     m_promises.OnStop(index, Now());
     const bool broken = m_options.m_breakage == Breakage::Stop;
-    m_routers[index].m_process->Signal(broken ? SIGKILL : SIGTERM);
+    m_fleet.Router(index).Signal(broken ? SIGKILL : SIGTERM);
     StartWhenEnded(index);
   }
 
   void StartWhenEnded(std::uint32_t aIndex)
   {
-    Machine& machine = m_routers[aIndex];
-    if (!machine.m_process->ExitStatus()) {
+    if (!m_fleet.Router(aIndex).ExitStatus()) {
       After(kTurn, [this, aIndex] { StartWhenEnded(aIndex); });
       return;
     }
@@ -502,29 +357,16 @@
 
   void BeginDrain(std::uint32_t aIndex)
   {
-    const std::uint32_t start = m_upstreams[aIndex].m_starts;
-    m_upstreams[aIndex].m_process->Signal(SIGUSR1);
+    const std::uint32_t start = m_fleet.Starts(aIndex);
+    m_fleet.Upstream(aIndex).Signal(SIGUSR1);
     After(kDrainTime + kDrainTime / 2, [this, aIndex, start] {
-      if (m_upstreams[aIndex].m_starts == start) { // it was not killed
+      if (m_fleet.Starts(aIndex) == start) { // it was not killed
         m_promises.OnUpstreamFault(Now(), Now());
-        StartUpstream(aIndex, kColdTime);
+        m_fleet.StartUpstream(aIndex, kColdTime);
       }
     });
   }
 
-  Proxy& ProxyOf(const Fault& aFault)
-  {
-    switch (aFault.m_link) {
-      case Link::Callers:
-        return *m_callerProxies[aFault.m_target];
-      case Link::Store:
-        return *m_storeProxies[aFault.m_target];
-      case Link::Upstream:
-        break;
-    }
-    return *m_upstreamProxies[aFault.m_target];
-  }
-
   void BeginLink(const Fault& aFault, Time aNow, Time aEnd)
   {
     if (aFault.m_link == Link::Upstream) {
@@ -537,7 +379,7 @@
       : aFault.m_kind == FaultKind::LinkReset   ? ProxyMode::Reset
       : aFault.m_kind == FaultKind::LinkSilence ? ProxyMode::Silence
                                                 : ProxyMode::OneWay;
-    ProxyOf(aFault).SetMode(mode);
+    m_fleet.ProxyOf(aFault.m_link, aFault.m_target).SetMode(mode);
   }
 
   void SetZoneOut(std::uint32_t aZone, bool aOut)
@@ -561,7 +403,7 @@
 
   void ReadRecords()
   {
-    for (Record& record : m_records) {
+    for (RecordFile& record : m_fleet.Records()) {
       std::ifstream file(record.m_path);
       file.seekg(record.m_read);
       for (std::string line; std::getline(file, line) && !file.eof();) {
@@ -608,18 +450,10 @@
   boost::asio::io_context m_loop;
   Promises m_promises;
   SoakResult m_result;
-  std::string m_net;
+  SoakFleet m_fleet;
   std::shared_ptr<router::StoreChannel> m_store;
   bool m_putting = false;
   std::uint64_t m_version = 0;
-  std::uint32_t m_settingsWritten = 0;
-  Machine m_storeProcess;
-  std::vector<Machine> m_routers;
-  std::vector<Machine> m_upstreams;
-  std::vector<Record> m_records;
-  std::vector<std::unique_ptr<Proxy>> m_callerProxies;
-  std::vector<std::unique_ptr<Proxy>> m_storeProxies;
-  std::vector<std::unique_ptr<Proxy>> m_upstreamProxies;
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   bool m_ready = false;   // answers count
   bool m_looking = false; // all faults are over
--- a/walnutwing/routing/admission.h
+++ b/walnutwing/routing/admission.h
@@ -82,6 +82,9 @@
                 double aLoad,
                 std::uint32_t aPlaces);
 
+  // Routes have other targets: only those of requests from now on count.
+  void ForgetTargets() { m_targets.clear(); }
+
 private:
   // The longest target of requests that are as urgent or less.
   Duration LongestTarget(const AdmissionAsk& aAsk);
--- a/walnutwing/routing/admission_test.cc
+++ b/walnutwing/routing/admission_test.cc
@@ -80,6 +80,18 @@
   EXPECT_FALSE(admission.Ask(Ask(119, 0)).m_admitted);
 }
 
+// A less urgent route that had a long target is gone with its configuration.
+TEST(Admission, TargetsOfAnOlderConfigurationDoNotCount)
+{
+  Admission admission = Measured();
+  AdmissionAsk patient = Ask(0, 1);
+  patient.m_target = Duration(2000);
+  EXPECT_TRUE(admission.Ask(patient).m_admitted);
+  EXPECT_TRUE(admission.Ask(Ask(60)).m_admitted);
+  admission.ForgetTargets();
+  EXPECT_FALSE(admission.Ask(Ask(60)).m_admitted);
+}
+
 // One customer with most of the work is refused before all others.
 TEST(Admission, CustomerOverItsShareWaitsLeast)
 {
