Lost and regained upstreams, hubs and budgets have their log lines

Tests: RouterBeliefs (lost and regained, silent, hub and budget); on the code before there were no such events.

--- a/router/event_log.h
+++ b/router/event_log.h
@@ -40,6 +40,11 @@
   UpstreamUnreadable = 207,
   ZonesOutChanged = 208,
   FleetSizeChanged = 209,
+  UpstreamLost = 210,
+  UpstreamRegained = 211,
+  HubChanged = 212,
+  BudgetSpent = 213,
+  BudgetRegained = 214,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/router.cc
+++ b/router/router.cc
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "platform/http_names.h"
+#include "router/belief_log.h"
 #include "router/fleet_state.h"
 #include "router/front.h"
 #include "router/page_server.h"
@@ -56,6 +57,7 @@
                  {},
                  {} }
     , m_state(m_context, m_exchange)
+    , m_beliefs(m_context, m_exchange)
     , m_front(m_context, [this] { return m_state.Known(); })
     , m_readyPage(m_loop,
                   ParseEndpoint(aSettings.m_readyListen).value(),
@@ -230,6 +232,7 @@
   {
     const Time now = Now();
     m_state.Tick(now);
+    m_beliefs.Tick(now);
     CheckReady();
     m_log.Flush(now);
     m_tick.expires_after(kTickInterval);
@@ -312,6 +315,7 @@
   UpstreamSelector m_selector;
   Context m_context;
   FleetState m_state;
+  BeliefLog m_beliefs;
   Front m_front;
   PageServer m_readyPage;
   std::optional<PageServer> m_metricsPage;
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -305,6 +305,54 @@
                          testing::ValuesIn(Endings()),
                          [](const auto& aInfo) { return aInfo.param.m_name; });
 
+// --- beliefs ---
+
+TEST(RouterBeliefs, LostAndRegainedUpstreamsAreOneLineEach)
+{
+  RouterHarness harness(1);
+  WithClosedPort(harness);
+  const auto count = [&](const std::string& aName) {
+    const std::string log = harness.LogText();
+    std::size_t lines = 0;
+    for (std::size_t at = log.find("\"" + aName + "\"");
+         at != std::string::npos;
+         at = log.find("\"" + aName + "\"", at + 1)) {
+      ++lines;
+    }
+    return lines;
+  };
+  EXPECT_TRUE(harness.WaitUntil([&] { return count("upstream_lost") == 1; }));
+  EXPECT_NE(std::string::npos,
+            harness.LogText().find(R"("why":"unreachable")"));
+  harness.RegisterUpstream(0); // it has moved, and answers there
+  EXPECT_TRUE(harness.WaitUntil([&] {
+    harness.Ask("GET", "/lookup/");
+    return count("upstream_regained") == 1;
+  }));
+  EXPECT_EQ(1U, count("upstream_lost"));
+}
+
+TEST(RouterBeliefs, SilentUpstream)
+{
+  RouterHarness harness(1);
+  harness.Upstream(0).SetHandler(NoAnswer);
+  harness.Ask("POST", "/order/", "X-Deadline-Ms: 1500\r\n", "x");
+  EXPECT_NE(std::string::npos, harness.LogText().find(R"("why":"silent")"));
+}
+
+TEST(RouterBeliefs, HubAndBudget)
+{
+  RouterHarness harness(kNoRepeats);
+  harness.Ask("GET", "/lookup/");
+  for (const char* text :
+       { R"("name":"budget_spent")", R"("name":"hub_changed")" }) {
+    EXPECT_TRUE(harness.WaitUntil(
+      [&] { return harness.LogText().find(text) != std::string::npos; }))
+      << text;
+  }
+  EXPECT_NE(std::string::npos, harness.LogText().find(R"("hub":"d1")"));
+}
+
 // --- metrics ---
 
 TEST(RouterMetrics, CountByServiceKindCodeAndZone)
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -43,6 +43,18 @@
   return "unknown";
 }
 
+std::string_view
+NameOf(LostCause aCause)
+{
+  switch (aCause) {
+    case LostCause::Unreachable:
+      return "unreachable";
+    case LostCause::Silent:
+      return "silent";
+  }
+  return "unknown";
+}
+
 UpstreamSelector::UpstreamSelector(ZoneId aZone,
                                    SelectorOptions aOptions,
                                    const LoadExchange& aExchange)
@@ -327,6 +339,20 @@
   found->second.m_coldSends.Count(aNow);
 }
 
+std::map<UpstreamId, LostCause>
+UpstreamSelector::LostUpstreams(Time aNow) const
+{
+  std::map<UpstreamId, LostCause> lost;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.m_tracker->Silent(aNow)) {
+      lost[id] = LostCause::Silent;
+    } else if (upstream.m_tracker->Unreachable()) {
+      lost[id] = LostCause::Unreachable;
+    }
+  }
+  return lost;
+}
+
 UpstreamLoads
 UpstreamSelector::OwnLoads() const
 {
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -73,6 +73,16 @@
 std::string_view
 NameOf(NoChoice aWhy);
 
+// Why an upstream is taken for lost.
+enum class LostCause
+{
+  Unreachable, // it takes no connection
+  Silent,      // it has work, and sends nothing
+};
+
+std::string_view
+NameOf(LostCause aCause);
+
 struct Choice
 {
   NoChoice m_why = NoChoice::NoUpstream;
@@ -119,6 +129,9 @@
   // told to the choice's tracker.
   void OnSent(const Choice& aChoice, Time aNow);
 
+  // Upstreams that do not answer this daemon.
+  std::map<UpstreamId, LostCause> LostUpstreams(Time aNow) const;
+
   // This daemon's own requests in progress.
   UpstreamLoads OwnLoads() const;
 
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -62,6 +62,9 @@
   // It has work of this daemon, and no byte of any answer has come for long.
   bool Silent(Time aNow) const;
 
+  // The last try to connect failed, and no byte has come since.
+  bool Unreachable() const { return m_connectFailures > 0; }
+
   // It said lately that it has no room.
   bool RefusedLately(Time aNow) const { return aNow < m_refusedUntil; }
 
