Reloaded settings keep it that only the newest configuration is fetched after a failure

Cause: the options of the operators' topic were built in two places, and the one for a reload left m_newestAfterFailure out; a router whose settings file had changed once read every version of an outage again (up to 4 MB each). Both places now call OperatorOptions. Unused members of the harness go (calls in all, resets, connection numbers).

--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -99,7 +99,7 @@
 void
 FleetState::OnSettingsChanged()
 {
-  m_operators.SetOptions(FollowerOptionsOf(OperatorPace(m_context.m_settings)));
+  m_operators.SetOptions(OperatorOptions(m_context.m_settings));
   m_upstreams.SetOptions(FollowerOptionsOf(UpstreamPace(m_context.m_settings)));
 }
 
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -126,7 +126,6 @@
 private:
   void OnCall()
   {
-    ++m_store.m_calls;
     if (m_store.m_outage) {
       if (*m_store.m_outage != 0) {
         Answer(*m_store.m_outage, "");
@@ -137,6 +136,7 @@
     m_query = QueryOf(target);
     Topic& topic = m_store.m_topics[m_query["topic"]];
     if (target.starts_with("/api/log-newest")) {
+      ++m_store.m_newestCalls[m_query["topic"]];
       Answer(200, Newest(topic));
     } else if (target.starts_with("/api/log-append")) {
       Append(topic, m_request.body().substr(4));
@@ -372,7 +372,6 @@
   Connection(UpstreamStandin& aUpstream, Tcp::socket aSocket)
     : m_upstream(aUpstream)
     , m_socket(std::move(aSocket))
-    , m_number(aUpstream.m_connections++)
   {
   }
 
@@ -430,10 +429,6 @@
       m_connection->m_socket.close(ignored);
     }
     bool PeerClosed() const override { return m_connection->m_peerClosed; }
-    std::size_t ConnectionNumber() const override
-    {
-      return m_connection->m_number;
-    }
 
   private:
     std::shared_ptr<Connection> m_connection;
@@ -442,7 +437,6 @@
 
   UpstreamStandin& m_upstream;
   Tcp::socket m_socket;
-  std::size_t m_number;
   boost::beast::flat_buffer m_input;
   http::request<http::string_body> m_request;
   bool m_peerClosed = false;
@@ -501,10 +495,7 @@
         Read();
         return;
       }
-      if (aError != asio::error::operation_aborted) {
-        m_ended = true;
-        m_reset = aError != asio::error::eof;
-      }
+      m_ended = m_ended || aError != asio::error::operation_aborted;
     });
 }
 
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -64,7 +64,12 @@
   }
 
   std::string Address() const;
-  std::size_t Calls() const { return m_calls; }
+  // Calls for the newest records of a topic.
+  std::size_t NewestCalls(const std::string& aTopic) const
+  {
+    const auto found = m_newestCalls.find(aTopic);
+    return found == m_newestCalls.end() ? 0 : found->second;
+  }
 
 private:
   struct Topic
@@ -84,7 +89,7 @@
   Tcp::acceptor m_acceptor;
   std::map<std::string, Topic> m_topics;
   std::optional<int> m_outage;
-  std::size_t m_calls = 0;
+  std::map<std::string, std::size_t> m_newestCalls; // by topic
   std::size_t m_pieces = 1;
   Duration m_piecePause{ 0 };
 };
@@ -100,8 +105,6 @@
   virtual void Close() = 0; // orderly
   virtual void Reset() = 0;
   virtual bool PeerClosed() const = 0;
-  // Of the connection, from 0.
-  virtual std::size_t ConnectionNumber() const = 0;
 };
 
 // A whole answer of an upstream, with the fields that the platform names.
@@ -148,7 +151,6 @@
   Tcp::acceptor m_acceptor;
   Handler m_handler;
   std::vector<std::shared_ptr<UpstreamExchange>> m_seen;
-  std::size_t m_connections = 0;
   bool m_keepsSeen = true;
 };
 
@@ -162,8 +164,7 @@
   void Close();
 
   const std::string& Received() const { return m_received; }
-  bool Ended() const { return m_ended; }    // the connection has ended
-  bool WasReset() const { return m_reset; } // and not in order
+  bool Ended() const { return m_ended; } // the connection has ended
 
 private:
   void Read();
@@ -172,7 +173,6 @@
   std::array<char, 16384> m_input{};
   std::string m_received;
   bool m_ended = false;
-  bool m_reset = false;
 };
 
 struct HarnessOptions
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -429,6 +429,30 @@
   }
 }
 
+// Many versions may have come during an outage; only the newest is fetched,
+// also by a router whose settings were read again since it started.
+TEST(Router, OnlyTheNewestConfigurationIsFetchedAfterAnOutage)
+{
+  RouterHarness harness;
+  harness.WriteSettings("drain_ms = 1500\n");
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find("settings_reloaded") != std::string::npos;
+  }));
+  const std::size_t before = harness.Store().NewestCalls("keyed.op");
+  harness.Store().SetOutage(503);
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find(
+             R"("name":"store_lost","daemon":"d1","topic":"keyed.op")") !=
+           std::string::npos;
+  }));
+  harness.PutConfig(2, "/second/");
+  harness.PutConfig(3, "/third/");
+  harness.Store().SetOutage(std::nullopt);
+  ASSERT_TRUE(harness.WaitUntil(
+    [&] { return StatusOf(harness.Ask("POST", "/third/", "", "x")) == 200; }));
+  EXPECT_LT(before, harness.Store().NewestCalls("keyed.op"));
+}
+
 // A large configuration over a slow link takes longer than a silent store is
 // given.
 TEST(Router, SlowAnswersOfTheStoreAreReadToTheirEnd)
