--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -183,10 +183,7 @@
   m_timer.cancel();
   m_keepAlive = false;
   m_answerEnded = false;
-  const ErrorAnswer answer = MakeErrorAnswer(aCode, std::nullopt);
-  Begin(answer.m_head, answer.m_body.size());
-  Write(answer.m_body);
-  End();
+  AnswerError(*this, aCode, std::nullopt);
 }
 
 void
--- a/router/front.cc
+++ b/router/front.cc
@@ -87,12 +87,17 @@
   m_acceptor.close(ignored);
 }
 
+// A copy: what is done to a connection may take it out of the set.
+std::vector<std::shared_ptr<CallerConnection>>
+Front::Connections() const
+{
+  return { m_connections.begin(), m_connections.end() };
+}
+
 void
 Front::CloseIdle()
 {
-  const std::vector<std::shared_ptr<CallerConnection>> all(
-    m_connections.begin(), m_connections.end());
-  for (const auto& connection : all) {
+  for (const auto& connection : Connections()) {
     connection->CloseIfIdle();
   }
 }
@@ -100,9 +105,7 @@
 void
 Front::CutAll()
 {
-  const std::vector<std::shared_ptr<CallerConnection>> all(
-    m_connections.begin(), m_connections.end());
-  for (const auto& connection : all) {
+  for (const auto& connection : Connections()) {
     connection->Cut();
   }
 }
--- a/router/front.h
+++ b/router/front.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/basic_socket_acceptor.hpp>
 
@@ -35,6 +36,7 @@
   std::size_t Open() const { return m_connections.size(); }
 
 private:
+  std::vector<std::shared_ptr<CallerConnection>> Connections() const;
   void AcceptWhenKnown();
   void Accept();
 
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -60,24 +60,27 @@
 
 } // namespace
 
-ErrorAnswer
-MakeErrorAnswer(ResultCode aCode, std::optional<Duration> aRetryAfter)
+void
+AnswerError(CallerAnswer& aCaller,
+            ResultCode aCode,
+            std::optional<Duration> aRetryAfter)
 {
   const ResultCodeRow& row = RowOf(aCode);
   const std::string number = std::to_string(static_cast<int>(aCode));
-  ErrorAnswer answer;
-  answer.m_head = "HTTP/1.1 " + std::to_string(row.m_httpStatus) + " " +
-                  std::string(row.m_name) + "\r\n";
-  answer.m_head += "Content-Type: application/json\r\n";
-  answer.m_head += "walnutwing-code: " + number + "\r\n";
+  std::string head = "HTTP/1.1 " + std::to_string(row.m_httpStatus) + " " +
+                     std::string(row.m_name) + "\r\n";
+  head += "Content-Type: application/json\r\n";
+  head += "walnutwing-code: " + number + "\r\n";
   if (aRetryAfter) {
-    answer.m_head += "Retry-After: " + SecondsText(*aRetryAfter) + "\r\n";
+    head += "Retry-After: " + SecondsText(*aRetryAfter) + "\r\n";
   }
-  answer.m_body = R"({"error":{"code":)" + number + R"(,"name":")" +
-                  std::string(row.m_name) + R"(","ran":")" +
-                  std::string(NameOf(row.m_ran)) + R"(","text":")" +
-                  std::string(row.m_text) + "\"}}\n";
-  return answer;
+  const std::string body = R"({"error":{"code":)" + number + R"(,"name":")" +
+                           std::string(row.m_name) + R"(","ran":")" +
+                           std::string(NameOf(row.m_ran)) + R"(","text":")" +
+                           std::string(row.m_text) + "\"}}\n";
+  aCaller.Begin(std::move(head), body.size());
+  aCaller.Write(body);
+  aCaller.End();
 }
 
 RequestFlow::RequestFlow(Context& aContext,
@@ -648,13 +651,9 @@
     { aCode, std::move(aChoice), m_wait, m_tries, aRetryAfter, LeftIfKnown() });
   CallerAnswer* caller = m_caller;
   Finish();
-  if (caller == nullptr) {
-    return;
+  if (caller != nullptr) {
+    AnswerError(*caller, aCode, aRetryAfter);
   }
-  const ErrorAnswer answer = MakeErrorAnswer(aCode, aRetryAfter);
-  caller->Begin(answer.m_head, answer.m_body.size());
-  caller->Write(answer.m_body);
-  caller->End();
 }
 
 void
@@ -672,10 +671,7 @@
     caller->Abort();
     return;
   }
-  const ErrorAnswer answer = MakeErrorAnswer(aCode, std::nullopt);
-  caller->Begin(answer.m_head, answer.m_body.size());
-  caller->Write(answer.m_body);
-  caller->End();
+  AnswerError(*caller, aCode, std::nullopt);
 }
 
 void
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -48,16 +48,12 @@
   virtual std::size_t PendingBytes() const = 0;
 };
 
-// The head of an answer of our own, a numbered error, and its body.
-struct ErrorAnswer
-{
-  std::string m_head;
-  std::string m_body;
-};
-
-// aRetryAfter: when the caller may come back; nothing: it need not.
-ErrorAnswer
-MakeErrorAnswer(ResultCode aCode, std::optional<Duration> aRetryAfter);
+// Gives the caller a whole answer of our own, a numbered error. aRetryAfter:
+// when the caller may come back; nothing: it need not.
+void
+AnswerError(CallerAnswer& aCaller,
+            ResultCode aCode,
+            std::optional<Duration> aRetryAfter);
 
 // What became of an attempt to send a request again.
 enum class RepeatResult
--- a/router/router.cc
+++ b/router/router.cc
@@ -39,9 +39,12 @@
 class Router
 {
 public:
-  Router(std::string aSettingsFile, const RouterSettings& aSettings)
+  // aSettings: as read from the text of the file.
+  Router(std::string aSettingsFile,
+         std::string aSettingsText,
+         const RouterSettings& aSettings)
     : m_settingsFile(std::move(aSettingsFile))
-    , m_settingsText(ReadTextFile(m_settingsFile))
+    , m_settingsText(std::move(aSettingsText))
     , m_loop(1)
     , m_log(STDOUT_FILENO, aSettings.m_name.Value(), LogOptions(aSettings))
     , m_pool(m_loop)
@@ -338,9 +341,9 @@
     aSettingsFile = path == nullptr ? "" : path;
   }
   try {
-    const RouterSettings settings =
-      ParseRouterSettings(ReadTextFile(aSettingsFile), aSettingsFile);
-    return Router(aSettingsFile, settings).Run();
+    std::string text = ReadTextFile(aSettingsFile);
+    const RouterSettings settings = ParseRouterSettings(text, aSettingsFile);
+    return Router(aSettingsFile, std::move(text), settings).Run();
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
     return ExitStatusOf(error.Code());
--- a/walnutwing/routing/load_exchange.cc
+++ b/walnutwing/routing/load_exchange.cc
@@ -1,6 +1,7 @@
 #include "walnutwing/routing/load_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "walnutwing/placement/rendezvous.h"
@@ -59,6 +60,7 @@
   const DaemonId before = Hub();
   m_members = std::move(aMembers);
   m_hubs = RankHubs(m_members, m_zone);
+  m_hubsAbroad = HubsAbroad();
   const auto same =
     std::find_if(m_hubs.begin(), m_hubs.end(), [&](const auto& aMember) {
       return aMember.m_name == before;
@@ -71,6 +73,24 @@
   m_hubSince = aNow;
 }
 
+std::vector<std::string>
+LoadExchange::HubsAbroad() const
+{
+  std::set<ZoneId> zones;
+  for (const RosterMember& member : m_members) {
+    zones.insert(member.m_zone);
+  }
+  zones.erase(m_zone);
+  std::vector<std::string> addresses;
+  for (const ZoneId& zone : zones) {
+    const std::vector<RosterMember> hubs = RankHubs(m_members, zone);
+    for (std::size_t i = 0; i < std::min(kHubsTold, hubs.size()); ++i) {
+      addresses.push_back(hubs[i].m_address);
+    }
+  }
+  return addresses;
+}
+
 DaemonId
 LoadExchange::Hub() const
 {
@@ -174,23 +194,12 @@
   return true;
 }
 
+template<typename Id>
 UpstreamLoads
-LoadExchange::SumOfZone(Time aNow) const
+LoadExchange::SumOfFresh(const std::map<Id, Heard>& aHeard, Time aNow) const
 {
   UpstreamLoads sum;
-  for (const auto& [daemon, heard] : m_reports) {
-    if (Fresh(heard.m_at, aNow)) {
-      AddLoads(heard.m_loads, sum);
-    }
-  }
-  return sum;
-}
-
-UpstreamLoads
-LoadExchange::SumOfOtherZones(Time aNow) const
-{
-  UpstreamLoads sum;
-  for (const auto& [zone, heard] : m_zoneSums) {
+  for (const auto& [from, heard] : aHeard) {
     if (Fresh(heard.m_at, aNow)) {
       AddLoads(heard.m_loads, sum);
     }
@@ -211,19 +220,19 @@
       { LoadMessageKind::Report, m_hubs[m_hub].m_address, aOwn });
     return messages;
   }
-  UpstreamLoads zone = SumOfZone(aNow);
-  m_others = SumOfOtherZones(aNow);
-  const UpstreamLoads abroad = m_others;
+  UpstreamLoads zone = SumOfFresh(m_reports, aNow);
+  m_others = SumOfFresh(m_zoneSums, aNow);
   AddLoads(zone, m_others);
   m_ownThen = aOwn;
   m_othersAt = aNow;
   AddLoads(aOwn, zone);
+  UpstreamLoads all = m_others;
+  AddLoads(aOwn, all);
   for (const RosterMember& member : m_hubs) {
     if (member.m_name == m_self) {
       continue;
     }
-    UpstreamLoads others = abroad;
-    AddLoads(zone, others);
+    UpstreamLoads others = all;
     const auto report = m_reports.find(member.m_name);
     if (report != m_reports.end() && Fresh(report->second.m_at, aNow)) {
       TakeLoads(report->second.m_loads, others);
@@ -231,17 +240,8 @@
     messages.push_back(
       { LoadMessageKind::Digest, member.m_address, std::move(others) });
   }
-  std::map<ZoneId, std::vector<RosterMember>> zones;
-  for (const RosterMember& member : m_members) {
-    if (member.m_zone != m_zone) {
-      zones.try_emplace(member.m_zone);
-    }
-  }
-  for (auto& [name, hubs] : zones) {
-    hubs = RankHubs(m_members, name);
-    for (std::size_t i = 0; i < std::min(kHubsTold, hubs.size()); ++i) {
-      messages.push_back({ LoadMessageKind::ZoneSum, hubs[i].m_address, zone });
-    }
+  for (const std::string& address : m_hubsAbroad) {
+    messages.push_back({ LoadMessageKind::ZoneSum, address, zone });
   }
   return messages;
 }
--- a/walnutwing/routing/load_exchange.h
+++ b/walnutwing/routing/load_exchange.h
@@ -114,16 +114,19 @@
 
   void AdvanceHub(Time aNow);
   bool Fresh(Time aAt, Time aNow) const;
-  UpstreamLoads SumOfZone(Time aNow) const;
-  UpstreamLoads SumOfOtherZones(Time aNow) const;
+  template<typename Id>
+  UpstreamLoads SumOfFresh(const std::map<Id, Heard>& aHeard, Time aNow) const;
+  std::vector<std::string> HubsAbroad() const;
 
   DaemonId m_self;
   ZoneId m_zone;
   LoadExchangeOptions m_options;
   std::vector<RosterMember> m_members;
   std::vector<RosterMember> m_hubs; // of the own zone, in order
-  std::size_t m_hub = 0;            // index of the one in use
-  Time m_hubSince;                  // when it came into use
+  // Addresses of the other zones' daemons that are told this zone's sum.
+  std::vector<std::string> m_hubsAbroad;
+  std::size_t m_hub = 0; // index of the one in use
+  Time m_hubSince;       // when it came into use
   std::map<DaemonId, Time> m_lastHeard;
   std::map<DaemonId, Heard> m_reports; // of the own zone's other daemons
   std::map<ZoneId, Heard> m_zoneSums;  // of the other zones
--- a/walnutwing/routing/routing_config.h
+++ b/walnutwing/routing/routing_config.h
@@ -54,7 +54,6 @@
 struct ServiceConfig
 {
   ServiceId m_id;
-  std::string m_healthPath;
   std::uint32_t m_maxConnections = 0; // of one upstream, from all daemons
   Duration m_coldTime{};              // how long a fresh upstream stays cold
   double m_coldPerSecond = 0; // requests that a cold upstream bears; 0: any
--- a/walnutwing/routing/send_window.h
+++ b/walnutwing/routing/send_window.h
@@ -30,12 +30,6 @@
     return m_times.size();
   }
 
-  // When the oldest event leaves the window; aNow when there is none.
-  Time NextLeaves(Time aNow) const
-  {
-    return m_times.empty() ? aNow : m_times.front() + m_length;
-  }
-
 private:
   Duration m_length;
   std::deque<Time> m_times;
