Router: log how the body of an answer ended

request_answered and request_failed now have framing, bytes and partial_event_bytes. No decision reads them: streams that may not be resumed are scanned for the last whole event, and their bytes are forwarded as before.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -317,6 +317,7 @@
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
+  m_bodyEnd = {};
   m_body.clear();
   m_self = shared_from_this();
   m_lastByteAt = Now();
@@ -443,7 +444,11 @@
 void
 RequestFlow::ForwardBody(std::string_view aPiece)
 {
-  m_caller->Write(m_route->m_resumable ? m_events.Feed(aPiece) : aPiece);
+  if (m_route->m_kind == RouteKind::Stream) {
+    const std::string_view events = m_events.Feed(aPiece);
+    aPiece = m_route->m_resumable ? events : aPiece;
+  }
+  m_caller->Write(aPiece);
   if (m_caller->PendingBytes() > kMaxPendingBytes && m_connection != nullptr) {
     m_connection->Pause();
   }
@@ -461,6 +466,9 @@
 RequestFlow::OnEnd(const UpstreamResult& aResult)
 {
   const auto self = shared_from_this();
+  m_bodyEnd = { aResult.m_framing,
+                aResult.m_bodyBytes,
+                m_events.PartialEvent().size() };
   if (aResult.m_stage == SendStage::NotConnected) {
     EndAttempt(SendOutcome::Unreachable);
     m_avoid.insert(m_choice.m_upstream);
@@ -498,7 +506,9 @@
     return;
   }
   if (m_forwarding) {
-    m_caller->Write(m_events.PartialEvent());
+    if (m_route->m_resumable) {
+      m_caller->Write(m_events.PartialEvent());
+    }
   } else if (failure && MayRunAgain() &&
              TryRepeat("failure") == RepeatResult::Sent) {
     return;
@@ -506,7 +516,8 @@
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
     m_caller->Write(m_body);
   }
-  m_record.LogAnswered(m_choice, m_head->result_int(), m_tries, *m_firstByteAt);
+  m_record.LogAnswered(
+    m_choice, m_head->result_int(), m_tries, *m_firstByteAt, m_bodyEnd);
   ResponseWriter* caller = m_caller;
   Finish();
   caller->End();
@@ -675,9 +686,14 @@
 void
 RequestFlow::Fail(ResultCode aCode)
 {
-  m_record.LogFailed(
-    m_choice,
-    { aCode, m_cause, m_tries, m_runs, m_forwarding, TimeLeftIfKnown() });
+  m_record.LogFailed(m_choice,
+                     { aCode,
+                       m_cause,
+                       m_tries,
+                       m_runs,
+                       m_forwarding,
+                       m_bodyEnd,
+                       TimeLeftIfKnown() });
   ResponseWriter* caller = m_caller;
   const bool forwarding = m_forwarding;
   Finish();
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -171,7 +171,8 @@
   std::string m_body;        // buffered until complete
   bool m_forwarding = false; // the caller's response has begun
   bool m_ended = false;
-  EventSplitter m_events; // of a resumable stream
+  EventSplitter m_events; // of a stream
+  BodyEnd m_bodyEnd;      // of the last attempt
   std::optional<Time> m_firstByteAt;
   Time m_lastByteAt;
   std::shared_ptr<RequestFlow> m_self; // keeps this alive during an attempt
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -76,7 +76,8 @@
 RequestRecord::LogAnswered(const Choice& aChoice,
                            unsigned aStatus,
                            std::uint32_t aTries,
-                           Time aFirstByteAt)
+                           Time aFirstByteAt,
+                           const BodyEnd& aBodyEnd)
 {
   const Duration timeToFirstByte = aFirstByteAt - m_arrivedAt;
   StartLine(Event::RequestAnswered)
@@ -84,7 +85,11 @@
     .Add("status", static_cast<std::int64_t>(aStatus))
     .Add("attempts", static_cast<std::int64_t>(aTries))
     .Add("first_ms", ToMilliseconds(timeToFirstByte))
-    .Add("ms", ElapsedMs());
+    .Add("ms", ElapsedMs())
+    .Add("framing", NameOf(aBodyEnd.m_framing))
+    .Add("bytes", static_cast<std::int64_t>(aBodyEnd.m_bytes))
+    .Add("partial_event_bytes",
+         static_cast<std::int64_t>(aBodyEnd.m_partialEventBytes));
   CountOutcome(ResultCode::Ok, aChoice.m_zone.Value());
   const std::string labels = FormatLabel("kind", NameOf(m_route->m_kind)) +
                              "," + FormatLabel("service", m_service.Value());
@@ -141,6 +146,10 @@
     .Add("attempts", static_cast<std::int64_t>(aFailure.m_tries))
     .Add("runs", static_cast<std::int64_t>(aFailure.m_runs))
     .Add("in_answer", static_cast<std::int64_t>(aFailure.m_responseBegun))
+    .Add("framing", NameOf(aFailure.m_bodyEnd.m_framing))
+    .Add("bytes", static_cast<std::int64_t>(aFailure.m_bodyEnd.m_bytes))
+    .Add("partial_event_bytes",
+         static_cast<std::int64_t>(aFailure.m_bodyEnd.m_partialEventBytes))
     .Add("ms", ElapsedMs());
   if (aFailure.m_timeLeft) {
     line.Add("left_ms", ToMilliseconds(*aFailure.m_timeLeft));
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -13,10 +13,19 @@
 #include "router/context.h"
 #include "router/event_log.h"
 #include "walnutwing/base/result_code.h"
+#include "walnutwing/relay/body_framing.h"
 #include "walnutwing/routing/upstream_selector.h"
 
 namespace walnutwing::router {
 
+// How the body of an upstream's response ended.
+struct BodyEnd
+{
+  BodyFraming m_framing = BodyFraming::Unknown;
+  std::uint64_t m_bytes = 0;           // received
+  std::size_t m_partialEventBytes = 0; // after the last complete event
+};
+
 class RequestRecord
 {
 public:
@@ -43,7 +52,8 @@
   void LogAnswered(const Choice& aChoice,
                    unsigned aStatus,
                    std::uint32_t aTries,
-                   Time aFirstByteAt);
+                   Time aFirstByteAt,
+                   const BodyEnd& aBodyEnd);
 
   struct Refusal
   {
@@ -65,6 +75,7 @@
     std::uint32_t m_tries = 0;
     std::uint32_t m_runs = 0;     // attempts that may have run
     bool m_responseBegun = false; // part of the response was sent
+    BodyEnd m_bodyEnd;            // of the last response
     std::optional<Duration> m_timeLeft;
   };
   void LogFailed(const Choice& aLast, const Failure& aFailure);
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kReadBufferBytes = 8U << 10U;
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContentStatus = 204;
+constexpr unsigned kNotModifiedStatus = 304;
 
 } // namespace
 
@@ -43,6 +45,8 @@
   m_request = std::move(aRequest);
   m_receiver = &aReceiver;
   m_keepAlive.reset();
+  m_framing = BodyFraming::Unknown;
+  m_bodyBytes = 0;
   m_paused = false;
   NewParser();
   if (!m_connected) {
@@ -169,6 +173,7 @@
     }
     std::string& body = m_parser->get().body();
     if (!body.empty() && !m_skipResponse) {
+      m_bodyBytes += body.size();
       m_receiver->OnBody(body);
       if (generation != m_generation || m_receiver == nullptr) {
         return false;
@@ -208,10 +213,26 @@
     return;
   }
   m_keepAlive = facts.m_keepAlive;
+  m_framing = Framing();
   m_stage = SendStage::HeadReceived;
   m_receiver->OnHead(head, facts);
 }
 
+BodyFraming
+UpstreamConnection::Framing() const
+{
+  const unsigned status = m_parser->get().result_int();
+  if (m_request.m_headOnly || status == kNoContentStatus ||
+      status == kNotModifiedStatus) {
+    return BodyFraming::None;
+  }
+  if (m_parser->chunked()) {
+    return BodyFraming::Chunked;
+  }
+  return m_parser->content_length() ? BodyFraming::Length
+                                    : BodyFraming::UntilClose;
+}
+
 // Returns whether the response to the current request is still to come, because
 // the complete one was skipped.
 bool
@@ -231,7 +252,7 @@
   } else {
     Close();
   }
-  receiver->OnEnd({ SendStage::Complete, "" });
+  receiver->OnEnd({ SendStage::Complete, "", m_framing, m_bodyBytes });
   return false;
 }
 
@@ -259,7 +280,7 @@
   const auto self = shared_from_this();
   Close();
   if (receiver != nullptr) {
-    receiver->OnEnd({ aStage, std::move(aError) });
+    receiver->OnEnd({ aStage, std::move(aError), m_framing, m_bodyBytes });
   }
 }
 
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -21,6 +21,7 @@
 
 #include "platform/answer_codec.h"
 #include "router/asio.h"
+#include "walnutwing/relay/body_framing.h"
 
 namespace walnutwing::router {
 
@@ -45,6 +46,8 @@
 {
   SendStage m_stage = SendStage::NotConnected;
   std::string m_error; // empty when complete
+  BodyFraming m_framing = BodyFraming::Unknown;
+  std::uint64_t m_bodyBytes = 0; // received
 };
 
 // Receives the response. OnEnd is the last call; there are no calls after
@@ -116,6 +119,7 @@
   bool OnResponseComplete();
   void OnPeerClosed(const error_code& aError);
   void NewParser();
+  BodyFraming Framing() const;
   void Finish(SendStage aStage, std::string aError);
 
   Socket m_socket;
@@ -128,6 +132,8 @@
   boost::beast::flat_buffer m_input;
   std::optional<Parser> m_parser;
   std::optional<Duration> m_keepAlive;
+  BodyFraming m_framing = BodyFraming::Unknown;
+  std::uint64_t m_bodyBytes = 0; // received of the response to the request
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
   bool m_closed = false;
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -249,7 +249,12 @@
         [](RouterHarness& aHarness) { aHarness.Fetch("POST", "/stream/"); }),
       "request_failed",
       3005,
-      { kId, R"("in_answer":1)", R"("cause":"End of file")" } },
+      { kId,
+        R"("in_answer":1)",
+        R"("cause":"End of file")",
+        R"("framing":"chunked")",
+        R"("bytes":16)",
+        R"("partial_event_bytes":0)" } },
     { "DeadlinePassed",
       {},
       WithUpstreams(DoNotRespond, SendOrder("X-Deadline-Ms: 200\r\n")),
@@ -309,6 +314,34 @@
                          testing::ValuesIn(AllEndings()),
                          [](const auto& aInfo) { return aInfo.param.m_name; });
 
+// How the upstream framed a response and whether it ended inside an event
+// decide whether it was complete, so both are logged.
+TEST(RouterLogBodies, AnsweredLineSaysHowTheBodyEnded)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n";
+  const std::pair<std::string, std::string> cases[] = {
+    { head + "Content-Length: 4\r\n\r\ndone",
+      R"("framing":"length","bytes":4,"partial_event_bytes":0)" },
+    { head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+      R"("framing":"chunked","bytes":2,"partial_event_bytes":0)" },
+    { head + "\r\nuntil close",
+      R"("framing":"until_close","bytes":11,"partial_event_bytes":0)" },
+  };
+  RouterHarness harness(1);
+  for (const auto& [response, fields] : cases) {
+    harness.Upstream(0).SetHandler(
+      [bytes = response](const Exchange& aExchange) {
+        aExchange->Write(bytes);
+        aExchange->Close();
+      });
+    harness.Fetch("POST", "/order/", "", "x");
+    EXPECT_TRUE(harness.WaitUntil([&, text = fields] {
+      return harness.LogText().find(text) != std::string::npos;
+    }))
+      << fields << " in " << harness.LogText();
+  }
+}
+
 // --- state changes ---
 
 TEST(RouterStateChanges, LostAndRegainedUpstreamIsLoggedOnceEach)
