--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -501,6 +501,7 @@
         return;
       }
       m_ended = m_ended || aError != asio::error::operation_aborted;
+      m_reset = m_reset || aError == asio::error::connection_reset;
     });
 }
 
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -168,6 +168,8 @@
   const std::string& Received() const { return m_received; }
   // Whether the router has ended the connection.
   bool Ended() const { return m_ended; }
+  // Whether it has ended it with a reset.
+  bool WasReset() const { return m_reset; }
 
 private:
   void Read();
@@ -176,6 +178,7 @@
   std::array<char, 16384> m_input{};
   std::string m_received;
   bool m_ended = false;
+  bool m_reset = false;
 };
 
 struct HarnessOptions
--- /dev/null
+++ b/standin/stream_end_test.cc
@@ -0,0 +1,149 @@
+// Tests of how a router tells a complete stream from a broken one, for each way
+// in which an upstream can frame and end it.
+
+#include "standin/router_harness.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using Exchange = std::shared_ptr<UpstreamExchange>;
+
+const std::string kLastChunk = "\r\n0\r\n\r\n";
+
+std::string
+Event(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: e" + std::to_string(aId) +
+         "\n\n";
+}
+
+// The head of a stream with neither a length nor chunks, which ends with its
+// connection.
+std::string
+MakeUnframedHead(const Exchange& aExchange)
+{
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+         std::string(aExchange->Request()["X-Attempt-Id"]) +
+         "\r\nX-Response-Seal: seal\r\n"
+         "Content-Type: text/event-stream\r\n\r\n";
+}
+
+// Writes aBytes as the response of every upstream and closes the connection in
+// an orderly way.
+void
+RespondAndClose(RouterHarness& aHarness, const std::string& aBody)
+{
+  for (std::size_t i = 0; i < aHarness.Upstreams(); ++i) {
+    aHarness.Upstream(i).SetHandler([aBody](const Exchange& aExchange) {
+      aExchange->Write(MakeUnframedHead(aExchange) + aBody);
+      aExchange->Close();
+    });
+  }
+}
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+TEST(StreamEnd, UnframedStreamThatEndsAfterAnEventIsComplete)
+{
+  RouterHarness harness(1);
+  RespondAndClose(harness, Event(1) + Event(2));
+  const std::string answer = harness.Fetch("POST", "/stream/");
+  EXPECT_TRUE(Contains(answer, "data: e2"));
+  EXPECT_TRUE(Contains(answer, kLastChunk));
+}
+
+// Guards against a caller that gets half an event and the last chunk: an engine
+// that crashed had closed the connection of an unframed stream in an orderly
+// way, and the close was taken for the end of the stream.
+TEST(StreamEnd, UnframedStreamThatEndsInsideAnEventNeverLooksComplete)
+{
+  for (const char* part : { "id: 2\ndata: e", "id: 2\ndata: e2\n", "i" }) {
+    RouterHarness harness(1);
+    RespondAndClose(harness, Event(1) + part);
+    const std::string answer = harness.Fetch("POST", "/stream/");
+    EXPECT_TRUE(Contains(answer, "data: e1")) << part;
+    EXPECT_FALSE(Contains(answer, kLastChunk)) << part;
+    EXPECT_TRUE(Contains(harness.LogText(), R"("code":3005)")) << part;
+  }
+}
+
+// Guards against the same end of a resumable stream, where half an event was
+// handed to the caller and the stream was not resumed.
+TEST(StreamEnd, UnframedStreamThatEndsInsideAnEventIsResumedAfterLastWholeEvent)
+{
+  RouterHarness harness(2);
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([&harness](const Exchange& aExchange) {
+      if (harness.CountExchanges() == 1) {
+        aExchange->Write(MakeUnframedHead(aExchange) + Event(1) +
+                         "id: 2\ndata: lo");
+      } else {
+        EXPECT_EQ("1", aExchange->Request()["Last-Event-Id"]);
+        aExchange->Write(MakeUnframedHead(aExchange) + Event(2) + Event(3));
+      }
+      aExchange->Close();
+    });
+  }
+  const std::string answer = harness.Fetch("POST", "/resume/");
+  EXPECT_TRUE(Contains(answer, "data: e1"));
+  EXPECT_TRUE(Contains(answer, "data: e2"));
+  EXPECT_TRUE(Contains(answer, "data: e3"));
+  EXPECT_FALSE(Contains(answer, "data: lo"));
+  EXPECT_TRUE(Contains(answer, kLastChunk));
+}
+
+// Guards against an empty stream that looks complete: an engine that crashed
+// after its head had closed the connection in an orderly way.
+TEST(StreamEnd, UnframedStreamWithoutAnyEventNeverLooksComplete)
+{
+  RouterHarness harness(1);
+  RespondAndClose(harness, "");
+  EXPECT_FALSE(Contains(harness.Fetch("POST", "/stream/"), kLastChunk));
+}
+
+// Guards against a stream whose framing says that it is complete although it
+// ends inside an event.
+TEST(StreamEnd, FramedStreamThatEndsInsideAnEventNeverLooksComplete)
+{
+  const std::string part = Event(1) + "id: 2\ndata: e";
+  const std::string responses[] = {
+    "Transfer-Encoding: chunked\r\n\r\n" + MakeChunk(part) + "0\r\n\r\n",
+    "Content-Length: " + std::to_string(part.size()) + "\r\n\r\n" + part,
+  };
+  for (const std::string& response : responses) {
+    RouterHarness harness(1);
+    harness.Upstream(0).SetHandler([&response](const Exchange& aExchange) {
+      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                       "X-Response-Seal: seal\r\n"
+                       "Content-Type: text/event-stream\r\n" +
+                       response);
+    });
+    const std::string answer = harness.Fetch("POST", "/stream/");
+    EXPECT_TRUE(Contains(answer, "data: e1"));
+    EXPECT_FALSE(Contains(answer, kLastChunk)) << response;
+  }
+}
+
+// Guards against half an event at a caller on HTTP/1.0, whose response ends
+// with its connection: a stream that broke must end with a reset.
+TEST(StreamEnd, BrokenUnframedStreamResetsAnHttp10Caller)
+{
+  RouterHarness harness(1);
+  RespondAndClose(harness, Event(1) + "id: 2\ndata: e");
+  const auto caller = harness.Connect();
+  caller->Send("POST /stream/ HTTP/1.0\r\nHost: h.example\r\n"
+               "X-Attempt-Id: a1\r\nAuthorization: Bearer k1\r\n"
+               "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil([&] { return caller->Ended(); }));
+  EXPECT_TRUE(caller->WasReset());
+  EXPECT_FALSE(Contains(caller->Received(), "id: 2"));
+}
+
+} // namespace
+} // namespace walnutwing::standin
