Router: a stream that ends inside an event is broken, whatever ended it

Cause: the router took the end of the transport for the end of the message. An engine may answer with neither length nor chunks; a crash then closes the connection, at times in the same orderly way as an end does. OnPeerClosed accepted any orderly close, the route's relay copied bytes without looking at them, and for resumable routes even the kept-back half of an event was written before the last chunk.

Change: completeness is a decision of its own (walnutwing/relay/body_end.h), made from framing and from where the events end, and not of the connection. All streams of events pass the splitter, so callers get whole events only, whether a route may be resumed or not; a stream that ends inside an event, or an unframed one without any, counts as failed and is resumed, repeated or broken off like one whose connection was reset. It holds for any framing and for any route whose answer is text/event-stream. A body of another type is no stream: it is neither judged nor resumed. An event of more than 1 MiB breaks its stream off, since the splitter keeps it. Lines may also end with CR, and a piece of whole events is no longer copied.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -24,6 +24,8 @@
 // Responses up to this size are buffered until they are complete, so that the
 // request can be repeated if the response breaks off.
 constexpr std::size_t kMaxBufferedBodyBytes = 256U << 10U;
+// An upstream whose event is larger is taken to send no events at all.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
 // Unwritten bytes of a slow caller above which reading from the upstream
 // pauses.
 constexpr std::size_t kMaxPendingBytes = 256U << 10U;
@@ -282,6 +284,9 @@
 void
 RequestFlow::SendTo(const Choice& aChoice)
 {
+  if (!m_forwarding) {
+    m_events = {}; // none was forwarded, so the response starts anew
+  }
   platform::UpstreamFacts facts;
   facts.m_upstream = aChoice.m_upstream;
   facts.m_dropKey = m_routes->Config().m_keysRequired;
@@ -317,6 +322,7 @@
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
+  m_isEventStream = false;
   m_bodyEnd = {};
   m_body.clear();
   m_self = shared_from_this();
@@ -408,17 +414,37 @@
     m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
   }
   const bool success = IsSuccess(aHead.result_int());
+  m_isEventStream = StatesEvents(aFacts, success);
+  const bool continues = success && m_isEventStream == m_forwardsEvents;
   m_discardResponse =
-    m_notExecuted || m_unconfirmedRefusal || (m_forwarding && !success);
+    m_notExecuted || m_unconfirmedRefusal || (m_forwarding && !continues);
   if (m_discardResponse || m_forwarding) {
     return;
   }
   m_firstByteAt = now;
   m_head = aHead;
   if (m_route->m_kind == RouteKind::Stream && success && m_caller != nullptr) {
-    m_forwarding = true;
-    m_caller->Begin(platform::EncodeCallerHead(aHead), std::nullopt);
+    BeginForwarding();
+  }
+}
+
+// The Content-Type decides; without one, a stream's route says what it sends.
+bool
+RequestFlow::StatesEvents(const platform::ResponseFacts& aFacts,
+                          bool aSuccess) const
+{
+  if (aFacts.m_mediaType == platform::MediaType::Unstated) {
+    return aSuccess && m_route->m_kind == RouteKind::Stream;
   }
+  return aFacts.m_mediaType == platform::MediaType::EventStream;
+}
+
+void
+RequestFlow::BeginForwarding()
+{
+  m_forwarding = true;
+  m_forwardsEvents = m_isEventStream;
+  m_caller->Begin(platform::EncodeCallerHead(*m_head), std::nullopt);
 }
 
 void
@@ -429,14 +455,22 @@
   if (m_discardResponse || m_caller == nullptr) {
     return;
   }
+  if (m_isEventStream) {
+    aPiece = m_events.Feed(aPiece);
+    if (m_events.PartialEvent().size() > kMaxEventBytes) {
+      const auto self = shared_from_this();
+      CancelAttempt(SendOutcome::Failed);
+      OnAttemptFailed("event too large");
+      return;
+    }
+  }
   if (m_forwarding) {
     ForwardBody(aPiece);
     return;
   }
   m_body += aPiece;
   if (m_body.size() > kMaxBufferedBodyBytes) {
-    m_forwarding = true;
-    m_caller->Begin(platform::EncodeCallerHead(*m_head), std::nullopt);
+    BeginForwarding();
     m_caller->Write(std::exchange(m_body, {}));
   }
 }
@@ -444,10 +478,6 @@
 void
 RequestFlow::ForwardBody(std::string_view aPiece)
 {
-  if (m_route->m_kind == RouteKind::Stream) {
-    const std::string_view events = m_events.Feed(aPiece);
-    aPiece = m_route->m_resumable ? events : aPiece;
-  }
   m_caller->Write(aPiece);
   if (m_caller->PendingBytes() > kMaxPendingBytes && m_connection != nullptr) {
     m_connection->Pause();
@@ -475,13 +505,20 @@
     SendNext();
     return;
   }
+  std::string error = aResult.m_error;
   if (aResult.m_stage == SendStage::Complete) {
-    OnResponseComplete();
-    return;
+    const bool judged = m_isEventStream && !m_discardResponse;
+    const StreamEnd end =
+      judged ? ClassifyStreamEnd(m_bodyEnd) : StreamEnd::Complete;
+    if (end == StreamEnd::Complete) {
+      OnResponseComplete();
+      return;
+    }
+    error = NameOf(end);
   }
   ++m_runs;
   EndAttempt(SendOutcome::Failed);
-  OnAttemptFailed(aResult.m_error);
+  OnAttemptFailed(error);
 }
 
 void
@@ -505,14 +542,11 @@
     Finish();
     return;
   }
-  if (m_forwarding) {
-    if (m_route->m_resumable) {
-      m_caller->Write(m_events.PartialEvent());
+  if (!m_forwarding) {
+    if (failure && MayRunAgain() &&
+        TryRepeat("failure") == RepeatResult::Sent) {
+      return;
     }
-  } else if (failure && MayRunAgain() &&
-             TryRepeat("failure") == RepeatResult::Sent) {
-    return;
-  } else {
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
     m_caller->Write(m_body);
   }
@@ -563,7 +597,8 @@
 RequestFlow::MayRunAgain() const
 {
   const std::uint32_t runs = m_runs + (m_attemptInFlight ? 1 : 0);
-  const bool intact = !m_forwarding || m_route->m_resumable;
+  const bool intact =
+    !m_forwarding || (m_route->m_resumable && m_forwardsEvents);
   return IsRepeatable() && intact && runs < m_route->m_maxAttempts;
 }
 
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -112,7 +112,9 @@
   void OnProgressTimeout();
   void OnDeadline();
 
+  void BeginForwarding();
   void ForwardBody(std::string_view aPiece);
+  bool StatesEvents(const platform::ResponseFacts& aFacts, bool aSuccess) const;
   void OnResponseComplete();
   void OnNotExecuted();
   void OnAttemptFailed(const std::string& aWhy);
@@ -157,6 +159,7 @@
   // The status means "not run", but the upstream did not report that.
   bool m_unconfirmedRefusal = false;
   bool m_discardResponse = false; // do not forward its response
+  bool m_isEventStream = false;   // its response is a stream of events
 
   std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
@@ -168,10 +171,11 @@
 
   // The response.
   std::optional<platform::HttpResponseHead> m_head;
-  std::string m_body;        // buffered until complete
-  bool m_forwarding = false; // the caller's response has begun
+  std::string m_body;            // buffered until complete
+  bool m_forwarding = false;     // the caller's response has begun
+  bool m_forwardsEvents = false; // and is a stream of events
   bool m_ended = false;
-  EventSplitter m_events; // of a stream
+  EventSplitter m_events; // of a response that is a stream of events
   BodyEnd m_bodyEnd;      // of the last attempt
   std::optional<Time> m_firstByteAt;
   Time m_lastByteAt;
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -13,19 +13,11 @@
 #include "router/context.h"
 #include "router/event_log.h"
 #include "walnutwing/base/result_code.h"
-#include "walnutwing/relay/body_framing.h"
+#include "walnutwing/relay/body_end.h"
 #include "walnutwing/routing/upstream_selector.h"
 
 namespace walnutwing::router {
 
-// How the body of an upstream's response ended.
-struct BodyEnd
-{
-  BodyFraming m_framing = BodyFraming::Unknown;
-  std::uint64_t m_bytes = 0;           // received
-  std::size_t m_partialEventBytes = 0; // after the last complete event
-};
-
 class RequestRecord
 {
 public:
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -21,7 +21,7 @@
 
 #include "platform/answer_codec.h"
 #include "router/asio.h"
-#include "walnutwing/relay/body_framing.h"
+#include "walnutwing/relay/body_end.h"
 
 namespace walnutwing::router {
 
--- a/standin/stream_end_test.cc
+++ b/standin/stream_end_test.cc
@@ -69,7 +69,9 @@
     const std::string answer = harness.Fetch("POST", "/stream/");
     EXPECT_TRUE(Contains(answer, "data: e1")) << part;
     EXPECT_FALSE(Contains(answer, kLastChunk)) << part;
-    EXPECT_TRUE(Contains(harness.LogText(), R"("code":3005)")) << part;
+    EXPECT_TRUE(harness.WaitUntil(
+      [&] { return Contains(harness.LogText(), R"("code":3005)"); }))
+      << part;
   }
 }
 
@@ -145,5 +147,65 @@
   EXPECT_FALSE(Contains(caller->Received(), "id: 2"));
 }
 
+// Guards against half a stream of events from a route whose requests may be
+// repeated: the lookup is sent to another upstream instead.
+TEST(StreamEnd, LookupWhoseEventsEndInsideOneIsRepeated)
+{
+  RouterHarness harness(2);
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([&harness](const Exchange& aExchange) {
+      const bool first = harness.CountExchanges() == 1;
+      EXPECT_EQ("", aExchange->Request()["Last-Event-Id"]);
+      aExchange->Write(MakeUnframedHead(aExchange) + Event(1) +
+                       (first ? "id: 2\ndata: lo" : Event(2)));
+      aExchange->Close();
+    });
+  }
+  const std::string answer = harness.Fetch("GET", "/lookup/");
+  EXPECT_TRUE(Contains(answer, "\r\n\r\n" + Event(1) + Event(2)));
+  EXPECT_EQ(2U, harness.CountExchanges());
+}
+
+// Guards against a body that is not a stream of events being judged as one: an
+// orderly close is all that ends it, also on a route for streams.
+TEST(StreamEnd, UnframedBodyOfAnotherTypeIsCompleteAfterOrderlyClose)
+{
+  RouterHarness harness(1);
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                     "Content-Type: application/json\r\n\r\n{\"a\":1}");
+    aExchange->Close();
+  });
+  const std::string answer = harness.Fetch("POST", "/resume/");
+  EXPECT_TRUE(Contains(answer, "{\"a\":1}"));
+  EXPECT_TRUE(Contains(answer, kLastChunk));
+}
+
+// Guards against a broken body that is no stream of events being continued by
+// another run's whole body.
+TEST(StreamEnd, BrokenBodyOfAnotherTypeIsNotResumed)
+{
+  RouterHarness harness(2);
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([](const Exchange& aExchange) {
+      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                       "Content-Type: application/json\r\n\r\n{\"a\"");
+      aExchange->Reset();
+    });
+  }
+  EXPECT_FALSE(Contains(harness.Fetch("POST", "/resume/"), kLastChunk));
+  EXPECT_EQ(1U, harness.CountExchanges());
+}
+
+// Guards against an event without an end that fills the router's memory.
+TEST(StreamEnd, StreamWithAnEventWithoutEndIsBrokenOff)
+{
+  RouterHarness harness(1);
+  RespondAndClose(harness, "data: " + std::string(2U << 20U, 'x'));
+  EXPECT_FALSE(Contains(harness.Fetch("POST", "/stream/"), kLastChunk));
+  EXPECT_TRUE(harness.WaitUntil(
+    [&] { return Contains(harness.LogText(), "event too large"); }));
+}
+
 } // namespace
 } // namespace walnutwing::standin
--- /dev/null
+++ b/walnutwing/relay/body_end.h
@@ -0,0 +1,60 @@
+#ifndef WALNUTWING_RELAY_BODY_END_H_
+#define WALNUTWING_RELAY_BODY_END_H_
+
+// Decides whether a response body whose bytes have ended is complete.
+//
+// Framing alone does not tell. A body without a length or chunks ends with its
+// connection, and an upstream that crashes may close that in the same orderly
+// way as one that has finished. A stream of Server-Sent Events says more: the
+// empty line that ends an event. A client discards an event without it, so a
+// stream that ends inside an event lacks that event, whatever its framing says.
+
+#include <cstdint>
+#include <string_view>
+
+namespace walnutwing {
+
+// How an HTTP/1.1 response marks the end of its body (RFC 9112, 6.3).
+enum class BodyFraming
+{
+  Unknown,    // no head was received
+  None,       // there is no body, by method or status
+  Length,     // Content-Length
+  Chunked,    // the last chunk
+  UntilClose, // the end of the connection
+};
+
+// "unknown", "none", "length", "chunked", "until_close".
+std::string_view
+NameOf(BodyFraming aFraming);
+
+// What is known about a body when its bytes have ended.
+struct BodyEnd
+{
+  BodyFraming m_framing = BodyFraming::Unknown;
+  std::uint64_t m_bytes = 0; // received
+  // Of a stream of events: bytes after the last complete event.
+  std::uint64_t m_partialEventBytes = 0;
+};
+
+enum class StreamEnd
+{
+  Complete,
+  InsideEvent,
+  // There was neither an event nor framing, so nothing shows that the upstream
+  // had come further than its head.
+  WithoutEvents,
+};
+
+// The end as a cause of failure, for log lines.
+std::string_view
+NameOf(StreamEnd aEnd);
+
+// Requires that the body's framing was satisfied: its length was reached, its
+// last chunk was received, or its connection was closed in an orderly way.
+StreamEnd
+ClassifyStreamEnd(const BodyEnd& aEnd);
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_RELAY_BODY_END_H_
--- a/walnutwing/relay/event_splitter.h
+++ b/walnutwing/relay/event_splitter.h
@@ -1,9 +1,9 @@
 #ifndef WALNUTWING_RELAY_EVENT_SPLITTER_H_
 #define WALNUTWING_RELAY_EVENT_SPLITTER_H_
 
-// Splits a stream of Server-Sent Events into complete events and reads only
-// their ids, so that a broken stream can be resumed after the last complete
-// event that was forwarded. Lines end with LF or CR LF.
+// Splits a stream of Server-Sent Events into complete events, byte for byte, so
+// that a stream can be ended or resumed after the last complete event that was
+// forwarded. Reads only the events' ids. Lines end with LF, CR LF or CR.
 
 #include <string>
 #include <string_view>
@@ -14,8 +14,8 @@
 {
 public:
   // Adds the next bytes, which may be split anywhere. Returns the bytes of all
-  // events that are complete and were not returned before; the view is valid
-  // until the next call of Feed.
+  // events that are complete and were not returned before; the view is valid as
+  // long as aPiece and until the next call of Feed.
   std::string_view Feed(std::string_view aPiece);
 
   // The bytes of an event that is not complete yet.
--- a/walnutwing/relay/event_splitter_test.cc
+++ b/walnutwing/relay/event_splitter_test.cc
@@ -28,6 +28,27 @@
   EXPECT_EQ("7", splitter.LastId());
 }
 
+// Lines may end with CR, and an event may be followed by further empty lines.
+TEST(EventSplitter, EventsMayEndWithCrAndBeFollowedByEmptyLines)
+{
+  EventSplitter splitter;
+  EXPECT_EQ("id: 1\rdata: a\r\r", splitter.Feed("id: 1\rdata: a\r\r"));
+  EXPECT_EQ("1", splitter.LastId());
+  EXPECT_EQ("id: 2\n\n\n", splitter.Feed("id: 2\n\n\n"));
+  EXPECT_EQ("\n", splitter.Feed("\n"));
+  EXPECT_EQ("", splitter.PartialEvent());
+}
+
+// A CR LF that is split between pieces, also after the event was returned.
+TEST(EventSplitter, SplitCrLfIsPartOfItsEvent)
+{
+  EventSplitter splitter;
+  EXPECT_EQ("", splitter.Feed("id: 1\r"));
+  EXPECT_EQ("id: 1\r\n\r", splitter.Feed("\n\r"));
+  EXPECT_EQ("\n", splitter.Feed("\n"));
+  EXPECT_EQ("", splitter.PartialEvent());
+}
+
 // However the stream is split, Feed returns its complete events and nothing of
 // the partial event at its end.
 TEST(EventSplitter, ResultDoesNotDependOnPieceSizes)
@@ -37,7 +58,8 @@
     std::string stream;
     const std::size_t events = random() % 6;
     for (std::size_t i = 0; i < events; ++i) {
-      const char* end = random() % 2 == 0 ? "\n" : "\r\n";
+      const char* ends[] = { "\n", "\r\n", "\r" };
+      const char* end = ends[random() % std::size(ends)];
       stream += "id: " + std::to_string(i) + end + "data: x" + end + end;
     }
     const std::string tail = random() % 2 == 0 ? "" : "id: 99\ndata: part";
