HTTP client: only chunked encoding ends a body without a length

The client of `walnutwing daemon` took any Transfer-Encoding for framing. h2o reads a body in the encoding "identity" until the connection ends and reports that end alike after an orderly close and after a reset, so a body that was cut short counted as complete.

Http.ResponseThatEndsWithItsConnectionIsNotComplete failed before for "Transfer-Encoding: identity" (stage complete instead of head seen) and passes now, as it did without the field.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -250,8 +250,10 @@
       headers.Add(LowerCase({ name.base, name.len }),
                   std::string(value.base, value.len));
     }
-    m_hasLength =
-      headers.Find("content-length") || headers.Find("transfer-encoding");
+    // h2o reads a body in any other transfer encoding until the end of the
+    // connection.
+    m_hasLength = headers.Find("content-length") ||
+                  headers.Find("transfer-encoding") == "chunked";
     return headers;
   }
 
--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -232,6 +233,65 @@
   EXPECT_FALSE(response.m_end.m_error.empty());
 }
 
+// Accepts one connection on a loopback port, reads the request and sends raw
+// bytes, then closes the connection.
+class RawServer
+{
+public:
+  RawServer()
+    : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    socklen_t size = sizeof(address);
+    EXPECT_EQ(0, bind(m_listener, reinterpret_cast<sockaddr*>(&address), size));
+    EXPECT_EQ(0, listen(m_listener, 1));
+    EXPECT_EQ(
+      0, getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size));
+    m_port = ntohs(address.sin_port);
+  }
+  ~RawServer() { close(m_listener); }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  std::uint16_t Port() const { return m_port; }
+
+  void Answer(const std::string& aBytes) const
+  {
+    const int connection = accept(m_listener, nullptr, nullptr);
+    char request[4096];
+    EXPECT_LT(0, read(connection, request, sizeof(request)));
+    EXPECT_EQ(static_cast<ssize_t>(aBytes.size()),
+              write(connection, aBytes.data(), aBytes.size()));
+    close(connection);
+  }
+
+private:
+  int m_listener;
+  std::uint16_t m_port = 0;
+};
+
+// Guards against a response that is cut short and looks complete: h2o reports
+// the end of a body without a length alike after an end and after a reset, and
+// only chunked encoding gives it another end, not any Transfer-Encoding.
+TEST(Http, ResponseThatEndsWithItsConnectionIsNotComplete)
+{
+  for (const char* framing : { "", "Transfer-Encoding: identity\r\n" }) {
+    const RawServer server;
+    ClientAndServer pair([](const std::shared_ptr<Exchange>&) {});
+    CallRequest request;
+    request.m_endpoint = Loopback(server.Port());
+    std::thread answering([&] {
+      server.Answer(std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\nhalf");
+    });
+    const HttpResponse response = pair.Fetch(std::move(request));
+    answering.join();
+    EXPECT_EQ(CallStage::HeadSeen, response.m_end.m_stage) << framing;
+    EXPECT_EQ("half", response.m_body) << framing;
+  }
+}
+
 TEST(Http, CancelledCallClosesConnectionToServer)
 {
   std::shared_ptr<Exchange> exchange;
