Router: settings are in force once their file was read twice alike

A settings file has no mark at its end, and half of one is often valid, since missing keys have defaults. A router that read it while it was being written had, until the next look, default bounds or a number cut short.

A changed text is now in force only once it was read twice in a row, 50 ms apart.

--- a/router/router.cc
+++ b/router/router.cc
@@ -17,6 +17,7 @@
 #include "router/front.h"
 #include "router/page_server.h"
 #include "router/request_record.h"
+#include "router/stable_text.h"
 #include "router/state_change_log.h"
 
 namespace walnutwing::router {
@@ -26,6 +27,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(200);
 constexpr Duration kSettingsCheckInterval = std::chrono::milliseconds(1000);
+// Until a changed settings file is read once more; see StableText.
+constexpr Duration kSettingsSettleTime = std::chrono::milliseconds(50);
 
 // How long connections are accepted after a planned stop began. The platform
 // checks readiness every second and removes the daemon after two failed checks;
@@ -168,15 +171,15 @@
     return { 200, "text/plain; version=0.0.4", m_metrics.PrometheusText() };
   }
 
-  void ScheduleSettingsCheck()
+  void ScheduleSettingsCheck(Duration aDelay = kSettingsCheckInterval)
   {
-    m_settingsTimer.expires_after(kSettingsCheckInterval);
+    m_settingsTimer.expires_after(aDelay);
     m_settingsTimer.async_wait([this](const error_code& aError) {
       if (aError) {
         return;
       }
-      ReloadSettings();
       ScheduleSettingsCheck();
+      CheckSettings();
     });
   }
 
@@ -203,15 +206,28 @@
   }
 
   // Called periodically and on SIGHUP. Does nothing if the file is unchanged.
-  void ReloadSettings()
+  void CheckSettings()
   {
     const std::optional<std::string> text = ReadSettingsText();
-    if (!text || *text == m_settingsText) {
+    if (!text) {
       return;
     }
-    m_settingsText = *text;
+    switch (m_settingsText.OnRead(*text)) {
+      case TextChange::None:
+        return;
+      case TextChange::Unstable:
+        ScheduleSettingsCheck(kSettingsSettleTime);
+        return;
+      case TextChange::Stable:
+        ReloadSettings(*text);
+        return;
+    }
+  }
+
+  void ReloadSettings(const std::string& aText)
+  {
     try {
-      RouterSettings settings = ParseRouterSettings(*text, m_settingsFile);
+      RouterSettings settings = ParseRouterSettings(aText, m_settingsFile);
       // Changes of these settings take effect only at the next start: the name
       // identifies this daemon, and the addresses are already in use.
       settings.m_name = m_context.m_settings.m_name;
@@ -262,7 +278,7 @@
         return;
       }
       if (aSignal == SIGHUP) {
-        ReloadSettings();
+        CheckSettings();
       } else {
         OnStopSignal();
       }
@@ -317,7 +333,7 @@
   void StopLoop() { m_loop.stop(); }
 
   std::string m_settingsFile;
-  std::string m_settingsText;
+  StableText m_settingsText;
   bool m_settingsUnreadable = false;
   Loop m_loop;
   Metrics m_metrics;
