Soak: unframed answers, and upstreams that break them off

Half of the upstreams' answers have neither a length nor chunks, and the fault upstream_break makes an upstream break off answers for 1.5 s, inside an event or a body, by a reset or an orderly close.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -26,13 +26,14 @@
   std::string_view m_name;
 };
 
-constexpr std::array<Name<FaultKind>, 15> kKinds{ {
+constexpr std::array<Name<FaultKind>, 16> kKinds{ {
   { FaultKind::RouterKill, "router_kill" },
   { FaultKind::RouterStop, "router_stop" },
   { FaultKind::RouterPause, "router_pause" },
   { FaultKind::RouterReload, "router_reload" },
   { FaultKind::UpstreamKill, "upstream_kill" },
   { FaultKind::UpstreamPause, "upstream_pause" },
+  { FaultKind::UpstreamBreak, "upstream_break" },
   { FaultKind::UpstreamDrain, "upstream_drain" },
   { FaultKind::StorePause, "store_pause" },
   { FaultKind::StoreForget, "store_forget" },
@@ -88,6 +89,7 @@
   switch (aFault.m_kind) {
     case FaultKind::UpstreamKill:
     case FaultKind::UpstreamPause:
+    case FaultKind::UpstreamBreak:
     case FaultKind::UpstreamDrain:
       return aOptions.m_upstreams;
     case FaultKind::StorePause:
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -24,6 +24,7 @@
   RouterReload,  // writes other settings and sends SIGHUP
   UpstreamKill,  // SIGKILL; a cold one replaces it when the fault ends
   UpstreamPause, // SIGSTOP until the fault ends
+  UpstreamBreak, // breaks off answers for a while
   UpstreamDrain, // announces that it drains; a cold one replaces it later
   StorePause,    // SIGSTOP until the fault ends
   StoreForget,   // drops its history; the newest record per key stays
--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -19,7 +19,8 @@
 namespace {
 
 namespace asio = boost::asio;
-using Exchange = std::shared_ptr<standin::UpstreamExchange>;
+using standin::UpstreamExchange;
+using Exchange = std::shared_ptr<UpstreamExchange>;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kExpiryCheckInterval(200);
@@ -29,6 +30,8 @@
 constexpr std::uint64_t kMinRunMs = 3;
 constexpr std::uint64_t kRunJitterMs = 40;
 constexpr std::uint64_t kRefusedPercent = 3;
+constexpr std::uint64_t kUnframedPercent = 50;
+constexpr std::uint64_t kBrokenPercent = 60; // during kAnswerBreakTime
 
 struct DefectName
 {
@@ -62,7 +65,7 @@
     , m_store(
         std::make_shared<router::StoreChannel>(m_loop,
                                                ParseEndpoint(aOptions.m_store)))
-    , m_signals(m_loop, SIGUSR1)
+    , m_signals(m_loop, SIGUSR1, SIGUSR2)
     , m_registerTimer(m_loop)
     , m_random(aOptions.m_seed)
     , m_coldUntil(Now() + aOptions.m_cold)
@@ -73,8 +76,7 @@
     if (aOptions.m_cold > Duration::zero()) {
       WriteRecord(m_coldUntil, "cold", "-");
     }
-    m_signals.async_wait(
-      [this](const boost::system::error_code&, int) { m_draining = true; });
+    WaitForSignal();
     Register();
   }
 
@@ -85,8 +87,41 @@
   }
 
 private:
+  // How one answer is sent.
+  struct Answer
+  {
+    Exchange m_exchange;
+    std::string m_id;
+    bool m_unframed = false;
+    bool m_breaks = false;
+    bool m_reset = false; // breaks with a reset rather than an orderly close
+    int m_breaksAt = 0;   // number of the event inside which it breaks
+  };
+
   static Time Now() { return SteadyClock().Now(); }
 
+  void WaitForSignal()
+  {
+    m_signals.async_wait([this](const boost::system::error_code&, int aSignal) {
+      if (aSignal == SIGUSR1) {
+        m_draining = true;
+      } else {
+        m_breakUntil = Now() + kAnswerBreakTime;
+      }
+      WaitForSignal();
+    });
+  }
+
+  Answer DrawAnswer(const Exchange& aExchange, const std::string& aId)
+  {
+    Answer answer{ aExchange, aId };
+    answer.m_unframed = m_random() % 100 < kUnframedPercent;
+    answer.m_breaks = Now() < m_breakUntil && m_random() % 100 < kBrokenPercent;
+    answer.m_reset = m_random() % 2 == 0;
+    answer.m_breaksAt = 1 + static_cast<int>(m_random() % kStreamEvents);
+    return answer;
+  }
+
   void WriteRecord(Time aAt, std::string_view aWhat, std::string_view aId)
   {
     // std::endl flushes, so that the line survives a SIGKILL.
@@ -153,43 +188,80 @@
       WriteRecord(Now(), "run", id);
     }
     if (target.starts_with("/stream/") || target.starts_with("/resume/")) {
-      aExchange->Write(standin::MakeStreamHead(request));
+      const Answer answer = DrawAnswer(aExchange, id);
+      aExchange->Write(answer.m_unframed
+                         ? standin::MakeUnframedStreamHead(request)
+                         : standin::MakeStreamHead(request));
       const std::string after(request["Last-Event-Id"]);
-      SendEvent(
-        aExchange, after.empty() ? 1 : std::atoi(after.c_str()) + 1, id);
+      SendEvent(answer, after.empty() ? 1 : std::atoi(after.c_str()) + 1);
       return;
     }
-    AnswerLater(aExchange, id);
+    const Answer answer = DrawAnswer(aExchange, id);
+    ScheduleAfter(milliseconds(kMinRunMs + m_random() % kRunJitterMs),
+                  [this, answer] { SendBody(answer); });
   }
 
-  void AnswerLater(const Exchange& aExchange, const std::string& aId)
+  // An orderly close completes a body without a length, so that one breaks with
+  // a reset.
+  void SendBody(const Answer& aAnswer)
   {
     const bool altered = m_options.m_defect == Defect::Altered;
-    const std::string body = altered ? AnswerBody("nobody") : AnswerBody(aId);
-    ScheduleAfter(
-      milliseconds(kMinRunMs + m_random() % kRunJitterMs), [aExchange, body] {
-        aExchange->Write(
-          standin::MakeUpstreamResponse(aExchange->Request(), 200, body));
-      });
+    const std::string body =
+      altered ? AnswerBody("nobody") : AnswerBody(aAnswer.m_id);
+    const auto& request = aAnswer.m_exchange->Request();
+    const std::string response =
+      aAnswer.m_unframed ? standin::MakeUnframedHead(request) + body
+                         : standin::MakeUpstreamResponse(request, 200, body);
+    if (aAnswer.m_breaks) {
+      aAnswer.m_exchange->Write(response.substr(0, response.size() - 3));
+      Break(aAnswer, aAnswer.m_unframed || aAnswer.m_reset);
+      return;
+    }
+    aAnswer.m_exchange->Write(response);
+    if (aAnswer.m_unframed) {
+      aAnswer.m_exchange->Close();
+    }
   }
 
-  void SendEvent(const Exchange& aExchange, int aNumber, const std::string& aId)
+  void SendEvent(const Answer& aAnswer, int aNumber)
   {
+    UpstreamExchange& exchange = *aAnswer.m_exchange;
     if (aNumber > kStreamEvents) {
-      aExchange->Write("0\r\n\r\n");
+      if (aAnswer.m_unframed) {
+        exchange.Close();
+      } else {
+        exchange.Write("0\r\n\r\n");
+      }
       return;
     }
+    std::string event = "id: " + std::to_string(aNumber) +
+                        "\ndata: " + EventData(aNumber, aAnswer.m_id) + "\n\n";
+    const bool breaks = aAnswer.m_breaks && aNumber >= aAnswer.m_breaksAt;
+    if (breaks) {
+      event.resize(1 + m_random() % (event.size() - 1));
+    }
     const bool omitted = m_options.m_defect == Defect::Gap && aNumber == 7;
     if (!omitted) {
-      aExchange->Write(standin::MakeChunk("id: " + std::to_string(aNumber) +
-                                          "\ndata: " + EventData(aNumber, aId) +
-                                          "\n\n"));
+      exchange.Write(aAnswer.m_unframed ? event : standin::MakeChunk(event));
     }
-    ScheduleAfter(kEventInterval, [this, aExchange, aNumber, aId] {
-      SendEvent(aExchange, aNumber + 1, aId);
+    if (breaks) {
+      Break(aAnswer, aAnswer.m_reset);
+      return;
+    }
+    ScheduleAfter(kEventInterval, [this, aAnswer, aNumber] {
+      SendEvent(aAnswer, aNumber + 1);
     });
   }
 
+  static void Break(const Answer& aAnswer, bool aReset)
+  {
+    if (aReset) {
+      aAnswer.m_exchange->Reset();
+    } else {
+      aAnswer.m_exchange->Close();
+    }
+  }
+
   template<typename Action>
   void ScheduleAfter(milliseconds aTime, Action aAction)
   {
@@ -207,6 +279,7 @@
   asio::steady_timer m_registerTimer;
   std::mt19937_64 m_random;
   Time m_coldUntil;
+  Time m_breakUntil;
   bool m_draining = false;
   bool m_drainRecorded = false;
 };
--- a/soak/roles.h
+++ b/soak/roles.h
@@ -76,8 +76,12 @@
   Defect m_defect = Defect::None;
 };
 
+// How long an upstream breaks off answers after SIGUSR2.
+inline constexpr Duration kAnswerBreakTime{ 1500 };
+
 // Serves as an upstream until the process is killed. After SIGUSR1 it announces
-// that it is draining.
+// that it is draining. After SIGUSR2 it breaks off answers for a while. Half of
+// its answers have neither a length nor chunks and end with their connection.
 //
 // Its record has one line per event: TIME WHAT UPSTREAM ID, with TIME in ms of
 // the machine's steady clock and WHAT one of
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -82,6 +82,8 @@
         m_loop,
         ParseEndpoint(m_fleet.StoreAddress())))
   {
+    // Upstreams inherit it, as one may get the signal before it handles it.
+    std::signal(SIGUSR2, SIG_IGN);
     WriteConfig();
     for (std::uint32_t i = 0; i < aOptions.m_plan.m_upstreams; ++i) {
       m_fleet.StartUpstream(i, Duration::zero());
@@ -286,6 +288,10 @@
         m_checker.OnUpstreamFault(now, end);
         m_fleet.Upstream(aFault.m_target).Signal(SIGSTOP);
         break;
+      case FaultKind::UpstreamBreak:
+        m_checker.OnUpstreamFault(now, now + kAnswerBreakTime);
+        m_fleet.Upstream(aFault.m_target).Signal(SIGUSR2);
+        return;
       case FaultKind::UpstreamDrain:
         BeginUpstreamDrain(aFault.m_target);
         return;
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -32,6 +32,15 @@
   EXPECT_EQ(0, RunSoakProgram({ "--seed=1", "--seconds=6", "--machines=3" }));
 }
 
+// Guards against an answer that is broken off and looks complete to its caller.
+TEST(Soak, GuaranteesHoldWhileUpstreamsBreakOffAnswers)
+{
+  EXPECT_EQ(
+    0,
+    RunSoakProgram(
+      { "--seed=2", "--seconds=6", "--machines=3", "--only=upstream_break" }));
+}
+
 struct Variant
 {
   const char* m_break;
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -346,13 +346,34 @@
          aExtraFields + "\r\n" + aBody;
 }
 
-std::string
-MakeStreamHead(const http::request<http::string_body>& aRequest)
+// aFields: further fields.
+static std::string
+MakeSealedHead(const http::request<http::string_body>& aRequest,
+               const std::string& aFields)
 {
   return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
          std::string(aRequest["X-Attempt-Id"]) +
-         "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
+         "\r\nX-Response-Seal: seal\r\n" + aFields + "\r\n";
+}
+
+std::string
+MakeStreamHead(const http::request<http::string_body>& aRequest)
+{
+  return MakeSealedHead(aRequest,
+                        "Content-Type: text/event-stream\r\n"
+                        "Transfer-Encoding: chunked\r\n");
+}
+
+std::string
+MakeUnframedHead(const http::request<http::string_body>& aRequest)
+{
+  return MakeSealedHead(aRequest, "");
+}
+
+std::string
+MakeUnframedStreamHead(const http::request<http::string_body>& aRequest)
+{
+  return MakeSealedHead(aRequest, "Content-Type: text/event-stream\r\n");
 }
 
 std::string
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -120,6 +120,13 @@
 std::string
 MakeStreamHead(const http::request<http::string_body>& aRequest);
 
+// Heads of a body and of a stream of events with neither a length nor chunks,
+// which end with their connection.
+std::string
+MakeUnframedHead(const http::request<http::string_body>& aRequest);
+std::string
+MakeUnframedStreamHead(const http::request<http::string_body>& aRequest);
+
 std::string
 MakeChunk(const std::string& aText);
 
--- a/standin/stream_end_test.cc
+++ b/standin/stream_end_test.cc
@@ -19,25 +19,14 @@
          "\n\n";
 }
 
-// The head of a stream with neither a length nor chunks, which ends with its
-// connection.
-std::string
-MakeUnframedHead(const Exchange& aExchange)
-{
-  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
-         std::string(aExchange->Request()["X-Attempt-Id"]) +
-         "\r\nX-Response-Seal: seal\r\n"
-         "Content-Type: text/event-stream\r\n\r\n";
-}
-
-// Writes aBytes as the response of every upstream and closes the connection in
-// an orderly way.
+// Every upstream answers with an unframed stream of these bytes and closes the
+// connection in an orderly way.
 void
 RespondAndClose(RouterHarness& aHarness, const std::string& aBody)
 {
   for (std::size_t i = 0; i < aHarness.Upstreams(); ++i) {
     aHarness.Upstream(i).SetHandler([aBody](const Exchange& aExchange) {
-      aExchange->Write(MakeUnframedHead(aExchange) + aBody);
+      aExchange->Write(MakeUnframedStreamHead(aExchange->Request()) + aBody);
       aExchange->Close();
     });
   }
@@ -83,11 +72,12 @@
   for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
     harness.Upstream(i).SetHandler([&harness](const Exchange& aExchange) {
       if (harness.CountExchanges() == 1) {
-        aExchange->Write(MakeUnframedHead(aExchange) + Event(1) +
-                         "id: 2\ndata: lo");
+        aExchange->Write(MakeUnframedStreamHead(aExchange->Request()) +
+                         Event(1) + "id: 2\ndata: lo");
       } else {
         EXPECT_EQ("1", aExchange->Request()["Last-Event-Id"]);
-        aExchange->Write(MakeUnframedHead(aExchange) + Event(2) + Event(3));
+        aExchange->Write(MakeUnframedStreamHead(aExchange->Request()) +
+                         Event(2) + Event(3));
       }
       aExchange->Close();
     });
@@ -156,7 +146,7 @@
     harness.Upstream(i).SetHandler([&harness](const Exchange& aExchange) {
       const bool first = harness.CountExchanges() == 1;
       EXPECT_EQ("", aExchange->Request()["Last-Event-Id"]);
-      aExchange->Write(MakeUnframedHead(aExchange) + Event(1) +
+      aExchange->Write(MakeUnframedStreamHead(aExchange->Request()) + Event(1) +
                        (first ? "id: 2\ndata: lo" : Event(2)));
       aExchange->Close();
     });
