Soak: unframed streams are inside an event until their end

Traced: the upstream was killed (upstream_kill) while it sent two unframed streams and was between two events of each; the kernel closed the connections in an orderly way, and the router logged request_answered framing=until_close partial_event_bytes=0. Nothing on the wire tells that from the end, so the check asked for what nobody can know.

The check stays.

--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -27,6 +27,7 @@
 constexpr milliseconds kRegisterInterval(600);
 constexpr milliseconds kStoreTimeout(1500);
 constexpr milliseconds kEventInterval(15);
+const std::string kEventStart = "id: ";
 constexpr std::uint64_t kMinRunMs = 3;
 constexpr std::uint64_t kRunJitterMs = 40;
 constexpr std::uint64_t kRefusedPercent = 3;
@@ -188,12 +189,7 @@
       WriteRecord(Now(), "run", id);
     }
     if (target.starts_with("/stream/") || target.starts_with("/resume/")) {
-      const Answer answer = DrawAnswer(aExchange, id);
-      aExchange->Write(answer.m_unframed
-                         ? standin::MakeUnframedStreamHead(request)
-                         : standin::MakeStreamHead(request));
-      const std::string after(request["Last-Event-Id"]);
-      SendEvent(answer, after.empty() ? 1 : std::atoi(after.c_str()) + 1);
+      StartStream(DrawAnswer(aExchange, id));
       return;
     }
     const Answer answer = DrawAnswer(aExchange, id);
@@ -223,6 +219,20 @@
     }
   }
 
+  void StartStream(const Answer& aAnswer)
+  {
+    const auto& request = aAnswer.m_exchange->Request();
+    const std::string after(request["Last-Event-Id"]);
+    const int first = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
+    if (aAnswer.m_unframed) {
+      aAnswer.m_exchange->Write(standin::MakeUnframedStreamHead(request) +
+                                (first <= kStreamEvents ? kEventStart : ""));
+    } else {
+      aAnswer.m_exchange->Write(standin::MakeStreamHead(request));
+    }
+    SendEvent(aAnswer, first);
+  }
+
   void SendEvent(const Answer& aAnswer, int aNumber)
   {
     UpstreamExchange& exchange = *aAnswer.m_exchange;
@@ -234,14 +244,13 @@
       }
       return;
     }
-    std::string event = "id: " + std::to_string(aNumber) +
-                        "\ndata: " + EventData(aNumber, aAnswer.m_id) + "\n\n";
+    std::string event = EventText(aAnswer, aNumber);
     const bool breaks = aAnswer.m_breaks && aNumber >= aAnswer.m_breaksAt;
     if (breaks) {
-      event.resize(1 + m_random() % (event.size() - 1));
+      event.resize(m_random() % event.size());
     }
     const bool omitted = m_options.m_defect == Defect::Gap && aNumber == 7;
-    if (!omitted) {
+    if (!omitted && !event.empty()) {
       exchange.Write(aAnswer.m_unframed ? event : standin::MakeChunk(event));
     }
     if (breaks) {
@@ -253,6 +262,21 @@
     });
   }
 
+  // An unframed stream is always inside an event until its end: each event
+  // comes with the start of the next one. If the upstream is killed, its
+  // connections are closed in an orderly way, and between two events nobody
+  // could tell that from the end of the stream.
+  static std::string EventText(const Answer& aAnswer, int aNumber)
+  {
+    const std::string rest = std::to_string(aNumber) +
+                             "\ndata: " + EventData(aNumber, aAnswer.m_id) +
+                             "\n\n";
+    if (!aAnswer.m_unframed) {
+      return kEventStart + rest;
+    }
+    return aNumber < kStreamEvents ? rest + kEventStart : rest;
+  }
+
   static void Break(const Answer& aAnswer, bool aReset)
   {
     if (aReset) {
