Harness: a caller's state outlives its pending read

Cause: CallerStandin was destroyed while its read was pending, and the handler, which runs later with the harness's loop, wrote to freed memory. A fault of the test's harness, not of the router.

The socket, the buffer and what was received are now shared with the handler, and the destructor closes the socket.

--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -501,28 +501,35 @@
 
 CallerStandin::CallerStandin(asio::io_context& aLoop,
                              const std::string& aAddress)
-  : m_socket(aLoop)
+  : m_state(std::make_shared<State>(aLoop))
 {
   const std::size_t colon = aAddress.find(':');
-  m_socket.connect(
+  m_state->m_socket.connect(
     { asio::ip::make_address_v4(aAddress.substr(0, colon)),
       static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1))) });
-  Read();
+  Read(m_state);
+}
+
+CallerStandin::~CallerStandin()
+{
+  Close();
 }
 
 void
-CallerStandin::Read()
+CallerStandin::Read(const std::shared_ptr<State>& aState)
 {
-  m_socket.async_read_some(
-    asio::buffer(m_input),
-    [this](const error_code& aError, std::size_t aBytes) {
-      m_received.append(m_input.data(), aBytes);
+  aState->m_socket.async_read_some(
+    asio::buffer(aState->m_input),
+    [aState](const error_code& aError, std::size_t aBytes) {
+      aState->m_received.append(aState->m_input.data(), aBytes);
       if (!aError) {
-        Read();
+        Read(aState);
         return;
       }
-      m_ended = m_ended || aError != asio::error::operation_aborted;
-      m_reset = m_reset || aError == asio::error::connection_reset;
+      aState->m_ended =
+        aState->m_ended || aError != asio::error::operation_aborted;
+      aState->m_reset =
+        aState->m_reset || aError == asio::error::connection_reset;
     });
 }
 
@@ -530,14 +537,14 @@
 CallerStandin::Send(const std::string& aBytes)
 {
   error_code ignored; // tests check what is received
-  asio::write(m_socket, asio::buffer(aBytes), ignored);
+  asio::write(m_state->m_socket, asio::buffer(aBytes), ignored);
 }
 
 void
 CallerStandin::Close()
 {
   error_code ignored; // the test is done with it
-  m_socket.close(ignored);
+  m_state->m_socket.close(ignored);
 }
 
 // --- the harness ---
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -6,6 +6,7 @@
 // tests control each of them. All share one event loop; each wait ends after
 // kHarnessWaitTimeout.
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -168,24 +169,38 @@
 {
 public:
   CallerStandin(asio::io_context& aLoop, const std::string& aAddress);
+  ~CallerStandin();
+  CallerStandin(const CallerStandin&) = delete;
+  CallerStandin& operator=(const CallerStandin&) = delete;
 
   void Send(const std::string& aBytes);
   void Close();
 
-  const std::string& Received() const { return m_received; }
+  const std::string& Received() const { return m_state->m_received; }
   // Whether the router has ended the connection.
-  bool Ended() const { return m_ended; }
+  bool Ended() const { return m_state->m_ended; }
   // Whether it has ended it with a reset.
-  bool WasReset() const { return m_reset; }
+  bool WasReset() const { return m_state->m_reset; }
 
 private:
-  void Read();
+  // Shared with the pending read, whose handler may run after the destructor.
+  struct State
+  {
+    explicit State(asio::io_context& aLoop)
+      : m_socket(aLoop)
+    {
+    }
+
+    Tcp::socket m_socket;
+    std::array<char, 16384> m_input{};
+    std::string m_received;
+    bool m_ended = false;
+    bool m_reset = false;
+  };
+
+  static void Read(const std::shared_ptr<State>& aState);
 
-  Tcp::socket m_socket;
-  std::array<char, 16384> m_input{};
-  std::string m_received;
-  bool m_ended = false;
-  bool m_reset = false;
+  std::shared_ptr<State> m_state;
 };
 
 struct HarnessOptions
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -25,6 +25,13 @@
     m_fields; // a key, or key and value, as they appear in the line
 };
 
+// Without it GoogleTest prints the bytes of the object, padding included.
+void
+PrintTo(const RequestEnding& aEnding, std::ostream* aStream)
+{
+  *aStream << aEnding.m_name;
+}
+
 void
 SetAllHandlers(RouterHarness& aHarness,
                const UpstreamStandin::Handler& aHandler)
