Router: a store that comes back from an older copy is read anew

What callers would have seen: a daemon that tails from an offset of the era before skips configurations and registrations, or takes others for them; zones that operators took out get work again; upstreams that have left are used again; the fleet's budgets are shared by too few daemons.

Change: each follower notes the era of the store's responses, and drops its offset and the response when it changes; hubs' datagrams state the era of their offsets, and offsets of two eras are never compared. While operators and upstreams write again, zones out stay out, what the copy lacks is suspect, what only the copy lists is suspect too, an older incarnation is ignored, and one that was seen leaving stays so. The daemon writes its own record again at once. One line, store_era_changed.

The stand-in store learned copies and eras, and 410 for a read past its end.

--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -39,6 +39,7 @@
   { HubChanged, "hub_changed", DropPolicy::DropLast, "another daemon became the zone's hub, which reads the store and adds up loads" },
   { BudgetSpent, "budget_spent", DropPolicy::DropLast, "no request of a service may be repeated" },
   { BudgetRegained, "budget_regained", DropPolicy::DropLast, "requests of the service may be repeated again" },
+  { StoreEraChanged, "store_era_changed", DropPolicy::DropLast, "the platform's store was restored from an older copy and is read anew" },
   { RequestSent, "request_sent", DropPolicy::DropFirst, "a request was sent to an upstream" },
   { RequestAnswered, "request_answered", DropPolicy::DropFirst, "the caller received the upstream's complete answer" },
   { RequestRefused, "request_refused", DropPolicy::DropLast, "the request has not run and will not" },
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -45,6 +45,7 @@
   HubChanged = 212,
   BudgetSpent = 213,
   BudgetRegained = 214,
+  StoreEraChanged = 215,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -81,6 +81,12 @@
 void
 FleetState::Start()
 {
+  for (TopicFeed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_memberFeed }) {
+    feed->SetEraHandler(
+      [this](const std::string& aTopic, const EraChange& aChange) {
+        OnStoreEra(aTopic, aChange);
+      });
+  }
   m_operatorFeed.Start();
   m_upstreamFeed.Start();
   m_peers.SetStoreHealthHandler(
@@ -95,6 +101,10 @@
   for (const UpstreamId& id : m_directory.OnTick(aNow)) {
     OnUpstreamChange(id, UpstreamChange::Removed);
   }
+  if (m_restoredZonesUntil != Time() && aNow >= m_restoredZonesUntil) {
+    m_restoredZonesUntil = Time();
+    m_operatorFeed.ReadNewest();
+  }
 }
 
 void
@@ -137,12 +147,37 @@
   }
 }
 
+// The store was restored from an older copy. What this daemon knows stays until
+// the operators and the upstreams have written again, and its own record is
+// written again at once.
+void
+FleetState::OnStoreEra(const std::string& aTopic, const EraChange& aChange)
+{
+  if (aChange.m_era == m_storeEra) {
+    return; // another topic has shown it
+  }
+  m_storeEra = aChange.m_era;
+  LogLine(Event::StoreEraChanged)
+    .Add("topic", aTopic)
+    .Add("before", static_cast<std::int64_t>(aChange.m_before))
+    .Add("era", static_cast<std::int64_t>(aChange.m_era))
+    .Add("dropped_offset", static_cast<std::int64_t>(aChange.m_droppedOffset));
+  ++m_context.m_metrics.Counter("store_eras_total");
+  m_directory.OnStoreRestored(Now());
+  m_restoredZonesUntil = Now() + kReregistrationTime;
+  m_operatorFeed.OnOtherEra();
+  m_upstreamFeed.OnOtherEra();
+  AnnounceAgain();
+}
+
+// Just after the store was restored, a zone that its list lacks stays out: the
+// operators' record may not be written again yet.
 void
 FleetState::OnOperatorUpdate(const TopicUpdate& aUpdate)
 {
   ApplyNewestConfig(aUpdate.m_records);
-  std::set<ZoneId> zonesOut =
-    aUpdate.m_isSnapshot ? std::set<ZoneId>() : m_zonesOut;
+  const bool complete = aUpdate.m_isSnapshot && m_restoredZonesUntil == Time();
+  std::set<ZoneId> zonesOut = complete ? std::set<ZoneId>() : m_zonesOut;
   for (const platform::StoreRecord& record : aUpdate.m_records) {
     if (!record.m_key.starts_with(platform::kZoneOutPrefix)) {
       continue;
@@ -315,24 +350,42 @@
 void
 FleetState::Announce()
 {
+  m_announcing = true;
   m_announceChannel->Call(
     platform::EncodePutRequest(platform::kMemberTopic,
                                m_context.m_settings.m_name.Value(),
                                EncodeMember(MakeOwnRecord())),
     kStoreTimeout,
-    [this](const StoreResponse& aResponse) {
-      if (!std::exchange(m_announced, true)) {
-        ScheduleMemberReads();
-      }
-      // A failed announcement needs no retry, as the next one replaces it.
-      m_context.m_metrics.Gauge("announced_status") = aResponse.m_status;
-      m_announceTimer.expires_after(kMemberInterval);
-      m_announceTimer.async_wait([this](const error_code& aError) {
-        if (!aError && !m_context.m_stopping) {
-          Announce();
-        }
-      });
-    });
+    [this](const StoreResponse& aResponse) { OnAnnounced(aResponse); });
+}
+
+void
+FleetState::AnnounceAgain()
+{
+  if (m_announcing) {
+    m_announceAgain = true;
+    return;
+  }
+  m_announceTimer.cancel();
+  Announce();
+}
+
+void
+FleetState::OnAnnounced(const StoreResponse& aResponse)
+{
+  m_announcing = false;
+  if (!std::exchange(m_announced, true)) {
+    ScheduleMemberReads();
+  }
+  // A failed announcement needs no retry, as the next one replaces it.
+  m_context.m_metrics.Gauge("announced_status") = aResponse.m_status;
+  const bool again = std::exchange(m_announceAgain, false);
+  m_announceTimer.expires_after(again ? Duration::zero() : kMemberInterval);
+  m_announceTimer.async_wait([this](const error_code& aError) {
+    if (!aError && !m_context.m_stopping) {
+      Announce();
+    }
+  });
 }
 
 // Delays the first read of the members, so that all daemons of a fleet that
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -50,6 +50,7 @@
 
 private:
   void OnStoreHealth(bool aAvailable);
+  void OnStoreEra(const std::string& aTopic, const EraChange& aChange);
 
   void OnOperatorUpdate(const TopicUpdate& aUpdate);
   void ApplyNewestConfig(const std::vector<platform::StoreRecord>& aRecords);
@@ -64,6 +65,8 @@
 
   RosterMember MakeOwnRecord() const;
   void Announce();
+  void AnnounceAgain();
+  void OnAnnounced(const StoreResponse& aResponse);
   void ScheduleMemberReads();
   void OnMemberUpdate(const TopicUpdate& aUpdate);
 
@@ -85,6 +88,10 @@
   Timer m_memberReadTimer;
   std::set<ZoneId> m_zonesOut;
   bool m_announced = false;
+  bool m_announcing = false;    // a call is in flight
+  bool m_announceAgain = false; // once that call has ended
+  std::uint64_t m_storeEra = 0; // the newest that the store has stated
+  Time m_restoredZonesUntil;    // see OnOperatorUpdate
 };
 
 } // namespace walnutwing::router
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -134,6 +134,14 @@
     if (!feed.Follower().IsTailing() || !fresh) {
       continue;
     }
+    const std::uint64_t era = feed.Follower().Era().value_or(0);
+    if (state.era() != era) {
+      // Its offsets mean nothing here. Whoever is behind reads the store.
+      if (state.era() > era) {
+        feed.OnOtherEra();
+      }
+      continue;
+    }
     feed.RelyOnPeer(Now() + timing.m_relyDuration);
     if (!isOperatorTopic) {
       m_onStoreHealth(true);
@@ -281,6 +289,7 @@
     state.set_topic(isOperatorTopic ? proto::TopicState::OPERATORS
                                     : proto::TopicState::UPSTREAMS);
     state.set_next(feed->Follower().Next());
+    state.set_era(feed->Follower().Era().value_or(0));
     state.set_age_ms(
       static_cast<std::uint32_t>((now - feed->LastResponseAt()).count()));
     state.set_away(!feed->StoreAvailable());
--- a/router/store_channel.cc
+++ b/router/store_channel.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "platform/field_text.h"
+#include "platform/http_names.h"
 #include "router/socket_options.h"
 
 namespace walnutwing::router {
@@ -69,7 +71,7 @@
   m_timer.async_wait([self = shared_from_this(),
                       generation = m_generation](const error_code& aError) {
     if (!aError && generation == self->m_generation) {
-      self->Finish({ 0, "", "timeout" }, false);
+      self->Finish({ 0, "", "timeout", {} }, false);
     }
   });
 }
@@ -83,24 +85,25 @@
     [self = shared_from_this(),
      generation = m_generation](const error_code& aError) {
       if (!aError && generation == self->m_generation) {
-        self->Finish({ 0, "", "connect timeout" }, false);
+        self->Finish({ 0, "", "connect timeout", {} }, false);
       }
     });
-  m_socket.async_connect(m_store,
-                         [self = shared_from_this(),
-                          generation = m_generation](const error_code& aError) {
-                           if (generation != self->m_generation) {
-                             return;
-                           }
-                           if (aError) {
-                             self->Finish({ 0, "", aError.message() }, false);
-                             return;
-                           }
-                           self->m_connectTimer.cancel();
-                           self->m_connected = true;
-                           SetLivenessOptions(self->m_socket);
-                           self->Write();
-                         });
+  m_socket.async_connect(
+    m_store,
+    [self = shared_from_this(),
+     generation = m_generation](const error_code& aError) {
+      if (generation != self->m_generation) {
+        return;
+      }
+      if (aError) {
+        self->Finish({ 0, "", aError.message(), {} }, false);
+        return;
+      }
+      self->m_connectTimer.cancel();
+      self->m_connected = true;
+      SetLivenessOptions(self->m_socket);
+      self->Write();
+    });
 }
 
 void
@@ -111,7 +114,7 @@
                     [self = shared_from_this(), generation = m_generation](
                       const error_code& aError, std::size_t) {
                       if (generation == self->m_generation && aError) {
-                        self->Finish({ 0, "", aError.message() }, false);
+                        self->Finish({ 0, "", aError.message(), {} }, false);
                       }
                     });
   Read();
@@ -131,7 +134,7 @@
       }
       self->m_bytesRead += aBytes;
       if (aError) {
-        self->Finish({ 0, "", aError.message() }, false);
+        self->Finish({ 0, "", aError.message(), {} }, false);
         return;
       }
       if (!self->m_parser->is_done()) {
@@ -143,7 +146,9 @@
       const bool keepOpen = response.keep_alive() && self->m_input.size() == 0;
       self->Finish({ static_cast<int>(response.result_int()),
                      std::move(response.body()),
-                     "" },
+                     "",
+                     platform::DecodeEra(
+                       platform::FieldOf(response, platform::kStoreEra)) },
                    keepOpen);
     });
 }
--- a/router/store_channel.h
+++ b/router/store_channel.h
@@ -23,7 +23,8 @@
 {
   int m_status = 0; // 0: no response; the call may still take effect
   std::string m_body;
-  std::string m_error; // why there is no response
+  std::string m_error;                // why there is no response
+  std::optional<std::uint64_t> m_era; // of the store, if it states one
 };
 
 class StoreChannel : public std::enable_shared_from_this<StoreChannel>
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -59,9 +59,12 @@
 TopicFeed::OnResponse(const StoreResponse& aResponse)
 {
   m_callInFlight = false;
-  const TopicUpdate update =
-    m_follower.OnResponse(aResponse.m_status, aResponse.m_body);
+  const TopicUpdate update = m_follower.OnResponse(
+    aResponse.m_status, aResponse.m_body, aResponse.m_era);
   SetStoreAvailable(update.m_succeeded, aResponse);
+  if (update.m_eraChange) {
+    m_onEra(m_topic, *update.m_eraChange);
+  }
   if (update.m_succeeded) {
     m_lastResponseAt = Now();
     m_loaded = m_loaded || update.m_isSnapshot;
@@ -114,6 +117,13 @@
   ReadNow();
 }
 
+void
+TopicFeed::OnOtherEra()
+{
+  m_relyOnPeerUntil = Time();
+  ReadNewest();
+}
+
 void
 TopicFeed::OnForwardedRecords(const TopicUpdate& aUpdate, std::uint64_t aNext)
 {
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -21,6 +21,9 @@
   using OnUpdate = std::function<void(const TopicUpdate&)>;
   // Called when a call fails after a successful one, and the reverse.
   using OnHealth = std::function<void(bool aAvailable)>;
+  // Called when a response shows that the store was restored.
+  using OnEra =
+    std::function<void(const std::string& aTopic, const EraChange& aChange)>;
 
   TopicFeed(Context& aContext,
             std::string aTopic,
@@ -32,6 +35,8 @@
 
   void Start() { CallNext(); }
 
+  void SetEraHandler(OnEra aOnEra) { m_onEra = std::move(aOnEra); }
+
   // Makes no calls until aUntil, except by ReadNow, because another daemon
   // reads the topic and reports changes.
   void RelyOnPeer(Time aUntil) { m_relyOnPeerUntil = aUntil; }
@@ -46,6 +51,10 @@
   // call is in flight.
   void ReadNewest();
 
+  // The store is in another era by what others say. Reads from it, whatever a
+  // peer does; its response states the era.
+  void OnOtherEra();
+
   // Applies records that another daemon has read, up to but excluding offset
   // aNext.
   void OnForwardedRecords(const TopicUpdate& aUpdate, std::uint64_t aNext);
@@ -70,6 +79,7 @@
   TopicFollower m_follower;
   OnUpdate m_onUpdate;
   OnHealth m_onHealth;
+  OnEra m_onEra;
   std::shared_ptr<StoreChannel> m_channel;
   Timer m_timer;
   bool m_loaded = false;
--- a/router/topic_follower.cc
+++ b/router/topic_follower.cc
@@ -42,9 +42,33 @@
   return m_callImmediately ? Duration::zero() : m_options.m_interval;
 }
 
+// Returns the change if aEra is not the known one.
+std::optional<EraChange>
+TopicFollower::NoteEra(std::optional<std::uint64_t> aEra)
+{
+  if (!aEra || aEra == m_era) {
+    return std::nullopt;
+  }
+  const std::optional<std::uint64_t> before = std::exchange(m_era, aEra);
+  return before ? std::optional(EraChange{ *before, *aEra, m_nextOffset })
+                : std::nullopt;
+}
+
 TopicUpdate
-TopicFollower::OnResponse(int aStatus, std::string_view aBody)
+TopicFollower::OnResponse(int aStatus,
+                          std::string_view aBody,
+                          std::optional<std::uint64_t> aEra)
 {
+  if (const std::optional<EraChange> change = NoteEra(aEra)) {
+    RestartFromNewest();
+    m_nextOffset = 0;
+    m_failures = 0;
+    m_callImmediately = true;
+    TopicUpdate update;
+    update.m_succeeded = true;
+    update.m_eraChange = change;
+    return update;
+  }
   if (aStatus == kGone) {
     RestartFromNewest();
     m_failures = 0;
--- a/router/topic_follower.h
+++ b/router/topic_follower.h
@@ -4,6 +4,7 @@
 // Follows one topic of the platform's store: fetches the newest record of each
 // key page by page, then tails the log, reading every later record. If the
 // store has dropped the records to read next, it fetches the newest ones again.
+// So it does if the store was restored from an older copy, which its era shows.
 //
 // The pages are not a consistent snapshot, as records may be appended between
 // two of them. So tailing starts at the end offset that the first page
@@ -33,10 +34,19 @@
   bool m_newestAfterFailure = false;
 };
 
+// The store was restored from an older copy.
+struct EraChange
+{
+  std::uint64_t m_before = 0;
+  std::uint64_t m_era = 0;
+  std::uint64_t m_droppedOffset = 0; // up to which the topic had been read
+};
+
 // The decoded response to a call.
 struct TopicUpdate
 {
-  bool m_succeeded = false;  // the store's response was usable
+  bool m_succeeded = false;             // the store's response was usable
+  std::optional<EraChange> m_eraChange; // the topic is read anew
   bool m_isSnapshot = false; // m_records is complete; other keys are gone
   std::vector<platform::StoreRecord> m_records;
 };
@@ -74,16 +84,25 @@
   // Makes the next call fetch the newest records, from the first page on.
   void RestartFromNewest();
 
-  // aStatus is the HTTP status, or 0 if there was no response.
-  TopicUpdate OnResponse(int aStatus, std::string_view aBody);
+  // The store's era by its last response that stated one.
+  std::optional<std::uint64_t> Era() const { return m_era; }
+
+  // aStatus is the HTTP status, or 0 if there was no response. aEra is the era
+  // that the response states, if any. A response of a new era is not used: it
+  // answers a request that was made with an offset of the era before.
+  TopicUpdate OnResponse(int aStatus,
+                         std::string_view aBody,
+                         std::optional<std::uint64_t> aEra = std::nullopt);
 
 private:
   TopicUpdate OnNewest(std::string_view aBody);
   TopicUpdate OnRecords(std::string_view aBody);
   void OnFailure();
+  std::optional<EraChange> NoteEra(std::optional<std::uint64_t> aEra);
 
   std::string m_topic;
   FollowerOptions m_options;
+  std::optional<std::uint64_t> m_era;
   bool m_tailing = false; // false while fetching the newest records
   std::uint64_t m_nextOffset = 0;
   std::uint64_t m_readFrom = 0; // offset of the call in flight
--- a/router/topic_follower_test.cc
+++ b/router/topic_follower_test.cc
@@ -62,6 +62,27 @@
   EXPECT_EQ(9U, follower.Next());
 }
 
+// Guards against records that are skipped, or read twice as others, after the
+// store was restored from an older copy and gave their offsets out again.
+TEST(TopicFollower, NewEraDropsOffsetAndResponse)
+{
+  TopicFollower follower("t", kOptions);
+  EXPECT_FALSE(follower.OnResponse(200, NewestPageJson("a", 9), 4).m_eraChange);
+  EXPECT_EQ(9U, follower.Next());
+  const TopicUpdate update = follower.OnResponse(200, EncodeRecords("b"), 5);
+  ASSERT_TRUE(update.m_eraChange);
+  EXPECT_EQ(4U, update.m_eraChange->m_before);
+  EXPECT_EQ(5U, update.m_eraChange->m_era);
+  EXPECT_EQ(9U, update.m_eraChange->m_droppedOffset);
+  EXPECT_TRUE(update.m_records.empty());
+  EXPECT_FALSE(follower.IsTailing());
+  EXPECT_EQ(milliseconds(0), follower.Delay());
+  EXPECT_EQ("/api/log-newest?topic=t&part=0", follower.NextCall().m_target);
+  EXPECT_TRUE(follower.OnResponse(200, NewestPageJson("c", 3), 5).m_isSnapshot);
+  EXPECT_EQ(3U, follower.Next());
+  EXPECT_FALSE(follower.OnResponse(200, EncodeRecords("d")).m_eraChange);
+}
+
 TEST(TopicFollower, RefetchesNewestWhenOffsetIsGone)
 {
   TopicFollower follower("t", kOptions);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -26,7 +26,7 @@
   std::string_view m_name;
 };
 
-constexpr std::array<Name<FaultKind>, 16> kKinds{ {
+constexpr std::array<Name<FaultKind>, 17> kKinds{ {
   { FaultKind::RouterKill, "router_kill" },
   { FaultKind::RouterStop, "router_stop" },
   { FaultKind::RouterPause, "router_pause" },
@@ -37,6 +37,7 @@
   { FaultKind::UpstreamDrain, "upstream_drain" },
   { FaultKind::StorePause, "store_pause" },
   { FaultKind::StoreForget, "store_forget" },
+  { FaultKind::StoreRestore, "store_restore" },
   { FaultKind::LinkDelay, "link_delay" },
   { FaultKind::LinkReset, "link_reset" },
   { FaultKind::LinkSilence, "link_silence" },
@@ -94,6 +95,7 @@
       return aOptions.m_upstreams;
     case FaultKind::StorePause:
     case FaultKind::StoreForget:
+    case FaultKind::StoreRestore:
     case FaultKind::ConfigChange:
       return 1;
     case FaultKind::ZoneOut:
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -28,6 +28,7 @@
   UpstreamDrain, // announces that it drains; a cold one replaces it later
   StorePause,    // SIGSTOP until the fault ends
   StoreForget,   // drops its history; the newest record per key stays
+  StoreRestore,  // comes back from a copy that is up to a second old
   LinkDelay,     // data is delayed
   LinkReset,     // open and new connections are reset
   LinkSilence,   // no data passes, in either direction
--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -24,6 +24,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kExpiryCheckInterval(200);
+constexpr milliseconds kStoreCopyInterval(1000);
 constexpr milliseconds kRegisterInterval(600);
 constexpr milliseconds kStoreTimeout(1500);
 constexpr milliseconds kEventInterval(15);
@@ -141,7 +142,8 @@
     return R"({"service":"s","address":")" + m_options.m_address +
            R"(","zone":")" + m_options.m_zone + R"(","slots":8,"state":")" +
            (announcesDrain ? "draining" : "ready") + R"(","coldRemainingMs":)" +
-           std::to_string(coldRemainingMs) + "}";
+           std::to_string(coldRemainingMs) + R"(,"born":)" +
+           std::to_string(m_bornWallMs) + "}";
   }
 
   void Register()
@@ -303,6 +305,8 @@
   asio::steady_timer m_registerTimer;
   std::mt19937_64 m_random;
   Time m_coldUntil;
+  std::int64_t m_bornWallMs =
+    SteadyClock().WallNow().time_since_epoch().count();
   Time m_breakUntil;
   bool m_draining = false;
   bool m_drainRecorded = false;
@@ -349,15 +353,21 @@
 {
   asio::io_context loop;
   standin::StoreStandin store(loop, aOptions.m_ip, aOptions.m_port);
-  asio::signal_set signals(loop, SIGUSR1);
+  store.SetEra(1);
+  store.TakeCopy();
+  asio::signal_set signals(loop, SIGUSR1, SIGUSR2);
   std::function<void()> waitForSignal = [&] {
-    signals.async_wait([&](const boost::system::error_code&, int) {
+    signals.async_wait([&](const boost::system::error_code&, int aSignal) {
+      waitForSignal();
+      if (aSignal == SIGUSR2) {
+        store.RestoreCopy();
+        return;
+      }
       for (const std::string_view topic : { platform::kOperatorTopic,
                                             platform::kUpstreamTopic,
                                             platform::kMemberTopic }) {
         store.DropHistory(std::string(topic));
       }
-      waitForSignal();
     });
   };
   waitForSignal();
@@ -369,6 +379,13 @@
     timer.async_wait([&](const boost::system::error_code&) { expire(); });
   };
   expire();
+  asio::steady_timer copyTimer(loop);
+  std::function<void()> copy = [&] {
+    store.TakeCopy();
+    copyTimer.expires_after(kStoreCopyInterval);
+    copyTimer.async_wait([&](const boost::system::error_code&) { copy(); });
+  };
+  copy();
   loop.run();
   std::abort(); // not reached: an expiry check is always pending
 }
--- a/soak/roles.h
+++ b/soak/roles.h
@@ -58,7 +58,7 @@
 };
 
 // Serves as the store until the process is killed. SIGUSR1 drops the history of
-// all topics.
+// all topics; SIGUSR2 restores the store from its last copy, in the next era.
 [[noreturn]] void
 RunStoreRole(const StoreRoleOptions& aOptions);
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -31,6 +31,8 @@
 // An upstream that was told to drain is replaced after 1.5 times this, since it
 // announces the drain only with its next registration.
 constexpr milliseconds kDrainTime(2600);
+// From a restore of the store until operators have noticed it.
+constexpr milliseconds kRewriteDelay(300);
 constexpr std::size_t kRecoveredStreak = 10; // complete answers in a row
 
 Time
@@ -303,6 +305,12 @@
         m_checker.OnFault(GuaranteeChecker::kAllRouters, now, now);
         m_fleet.Store().Signal(SIGUSR1);
         return;
+      case FaultKind::StoreRestore:
+        m_checker.OnFault(
+          GuaranteeChecker::kAllRouters, now, now + kRewriteDelay);
+        m_fleet.Store().Signal(SIGUSR2);
+        ScheduleAfter(kRewriteDelay, [this] { WriteOperatorsAgain(); });
+        return;
       case FaultKind::LinkDelay:
       case FaultKind::LinkReset:
       case FaultKind::LinkSilence:
@@ -405,6 +413,7 @@
   void SetZoneOut(std::uint32_t aZone, bool aOut)
   {
     const std::string zone = ZoneOf(aZone);
+    m_zonesOut[zone] = aOut;
     if (!aOut) {
       // At once, since requests may arrive before the store's response does.
       m_checker.OnZoneChange(zone, false, Now());
@@ -414,6 +423,24 @@
         [this, zone, aOut] { m_checker.OnZoneChange(zone, aOut, Now()); });
   }
 
+  // Operators write again what a restored store may lack.
+  void WriteOperatorsAgain()
+  {
+    if (m_putInFlight) {
+      ScheduleAfter(kPollInterval, [this] { WriteOperatorsAgain(); });
+      return;
+    }
+    if (m_version != 0 && m_options.m_defect == Defect::None) {
+      Put(std::string(platform::kConfigKey),
+          ConfigText(m_version, m_version),
+          [] {});
+    }
+    for (const auto& [zone, out] : m_zonesOut) {
+      const std::string key = std::string(platform::kZoneOutPrefix) + zone;
+      Put(key, out ? "{}" : "", [] {});
+    }
+  }
+
   // --- records ---
 
   void ReadRecordsPeriodically()
@@ -475,6 +502,7 @@
   std::shared_ptr<router::StoreChannel> m_store;
   bool m_putInFlight = false;
   std::uint64_t m_version = 0;
+  std::map<std::string, bool> m_zonesOut; // by zone
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   bool m_ready = false;            // requests are counted and checked
   bool m_checkingRecovery = false; // all faults are over
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -139,6 +139,7 @@
       ++m_store.m_newestRequests[m_query["topic"]];
       SendResponse(200, EncodeNewest(topic));
     } else if (target.starts_with("/api/log-append")) {
+      ++m_store.m_appends[m_query["topic"]];
       Append(topic, m_request.body().substr(4));
       SendResponse(200, "{}");
     } else {
@@ -176,7 +177,7 @@
     Topic& topic = m_store.m_topics[m_query["topic"]];
     const std::uint64_t from = std::stoull(m_query["from"]);
     const std::uint64_t end = topic.m_firstOffset + topic.m_records.size();
-    if (from < topic.m_firstOffset) {
+    if (from < topic.m_firstOffset || from > end) {
       SendResponse(
         410, R"({"firstOffset":)" + std::to_string(topic.m_firstOffset) + "}");
       return;
@@ -202,9 +203,13 @@
   {
     m_answeredNumber = m_requestNumber;
     ++m_requestNumber;
-    m_output = "HTTP/1.1 " + std::to_string(aStatus) +
-               " Answer\r\nContent-Length: " + std::to_string(aBody.size()) +
-               "\r\n\r\n" + aBody;
+    const std::string era =
+      m_store.m_era == 0
+        ? ""
+        : "Store-Era: " + std::to_string(m_store.m_era) + "\r\n";
+    m_output = "HTTP/1.1 " + std::to_string(aStatus) + " Answer\r\n" + era +
+               "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+               aBody;
     WritePiece(0);
   }
 
@@ -319,6 +324,25 @@
   topic.m_records.clear();
 }
 
+void
+StoreStandin::RestoreCopy()
+{
+  ++m_era;
+  std::vector<std::function<void()>> waiting;
+  for (auto& [name, topic] : m_topics) {
+    std::move(topic.m_waitingReads.begin(),
+              topic.m_waitingReads.end(),
+              std::back_inserter(waiting));
+  }
+  m_topics = m_copy;
+  for (auto& [name, topic] : m_topics) {
+    topic.m_waitingReads.clear();
+  }
+  for (const auto& wake : waiting) {
+    wake();
+  }
+}
+
 void
 StoreStandin::SetOutage(std::optional<int> aStatus)
 {
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -51,6 +51,13 @@
   // Drops all records of the log; the newest value of each key stays.
   void DropHistory(const std::string& aTopic);
 
+  // Keeps a copy of all topics.
+  void TakeCopy() { m_copy = m_topics; }
+  // Restores the store from that copy, in the next era. Waiting reads end.
+  void RestoreCopy();
+  // States the era in all responses; 0: no longer.
+  void SetEra(std::uint64_t aEra) { m_era = aEra; }
+
   // Deletes the keys of a topic that have not been set for more than aAge.
   void DropKeysOlderThan(const std::string& aTopic, Duration aAge);
 
@@ -74,6 +81,13 @@
     return found == m_newestRequests.end() ? 0 : found->second;
   }
 
+  // Number of requests to append to a topic.
+  std::size_t CountAppends(const std::string& aTopic) const
+  {
+    const auto found = m_appends.find(aTopic);
+    return found == m_appends.end() ? 0 : found->second;
+  }
+
 private:
   struct Topic
   {
@@ -91,8 +105,11 @@
   asio::io_context& m_loop;
   Tcp::acceptor m_acceptor;
   std::map<std::string, Topic> m_topics;
+  std::map<std::string, Topic> m_copy; // of TakeCopy
+  std::uint64_t m_era = 0;
   std::optional<int> m_outage;
   std::map<std::string, std::size_t> m_newestRequests; // by topic
+  std::map<std::string, std::size_t> m_appends;        // by topic
   std::size_t m_pieces = 1;
   Duration m_piecePause{ 0 };
 };
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -463,6 +463,63 @@
   EXPECT_LT(before, harness.Store().CountNewestRequests("keyed.op"));
 }
 
+// Guards against state that goes back with the store: it returns from a copy
+// that is some seconds old, gives offsets out again, and lacks what was written
+// since until the writers write it again.
+TEST(Router, StoreRestoredFromOlderCopyIsReadAnewWithoutGoingBack)
+{
+  RouterHarness harness(2);
+  StoreStandin& store = harness.Store();
+  const auto status = [&](const char* aPath) {
+    return StatusOf(harness.Fetch("POST", aPath, "", "x"));
+  };
+  const auto logged = [&](const std::string& aText) {
+    return harness.WaitUntil(
+      [&] { return harness.LogText().find(aText) != std::string::npos; });
+  };
+  store.SetEra(1);
+  harness.PutConfig(2, "/second/");
+  ASSERT_TRUE(harness.WaitUntil([&] { return status("/second/") == 200; }));
+  store.TakeCopy();
+  harness.PutConfig(3, "/third/");
+  harness.PutConfig(4, "/fourth/");
+  store.Put("keyed.op", "evacuate/z1", "{}");
+  ASSERT_TRUE(harness.WaitUntil([&] { return status("/fourth/") == 503; }));
+
+  store.RestoreCopy();
+  ASSERT_TRUE(logged(R"("name":"store_era_changed")"));
+  EXPECT_TRUE(logged(R"("before":1,"era":2)"));
+  EXPECT_EQ(503, status("/fourth/")); // the zone stays out
+  EXPECT_EQ(404, status("/second/"));
+  // Written again, at offsets that were given out before.
+  harness.PutConfig(5, "/fifth/");
+  store.Put("keyed.op", "evacuate/z1", "{}");
+  ASSERT_TRUE(harness.WaitUntil([&] { return status("/fifth/") == 503; }));
+  store.Put("keyed.op", "evacuate/z1", std::nullopt);
+  EXPECT_TRUE(harness.WaitUntil([&] { return status("/fifth/") == 200; }));
+}
+
+// Guards against a daemon that the restored store lacks for a whole interval of
+// announcements: the others would count too few daemons.
+TEST(Router, OwnRecordIsWrittenAgainAfterStoreWasRestored)
+{
+  RouterHarness harness(1);
+  StoreStandin& store = harness.Store();
+  store.SetEra(1);
+  store.TakeCopy();
+  ASSERT_TRUE(harness.WaitUntil(
+    [&] { return store.CountAppends("keyed.walnutwing.members") > 0; }));
+  harness.RunLoopFor(Duration(2500)); // all topics were read
+  const std::size_t before = store.CountAppends("keyed.walnutwing.members");
+  store.RestoreCopy();
+  harness.PutConfig(2);
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find("store_era_changed") != std::string::npos;
+  }));
+  harness.RunLoopFor(Duration(500));
+  EXPECT_EQ(before + 1, store.CountAppends("keyed.walnutwing.members"));
+}
+
 // A response in pieces takes longer than the timeout for a silent store, as a
 // large configuration does over a slow link.
 TEST(Router, SlowStoreResponsesAreReadCompletely)
--- a/walnutwing/routing/upstream_directory.cc
+++ b/walnutwing/routing/upstream_directory.cc
@@ -10,6 +10,8 @@
 // The remaining cold time in registrations counts down. A smaller increase than
 // this is not a change, but the time that a registration was in transit.
 constexpr Duration kColdJitter = std::chrono::milliseconds(400);
+// Upstreams that are remembered as leaving; a fleet has some hundred.
+constexpr std::size_t kMaxRememberedLeaving = 4096;
 
 } // namespace
 
@@ -42,24 +44,81 @@
   }
 }
 
+void
+UpstreamDirectory::OnStoreRestored(Time aNow)
+{
+  m_storeEverUnavailable = true;
+  m_storeAvailableSince = aNow;
+  m_restoredListUntil = aNow + m_reregistrationTime;
+}
+
+// An incarnation without a start time cannot be told from the one after it.
+bool
+UpstreamDirectory::HasLeft(const UpstreamEntry& aEntry) const
+{
+  const auto found = m_left.find(aEntry.m_id);
+  return aEntry.m_startWallMs != 0 && found != m_left.end() &&
+         found->second == aEntry.m_startWallMs;
+}
+
+void
+UpstreamDirectory::RememberLeaving(const UpstreamEntry& aEntry)
+{
+  if (aEntry.m_startWallMs == 0) {
+    return;
+  }
+  if (m_left.insert_or_assign(aEntry.m_id, aEntry.m_startWallMs).second) {
+    m_leftOrder.push_back(aEntry.m_id);
+  }
+  if (m_leftOrder.size() > kMaxRememberedLeaving) {
+    m_left.erase(m_leftOrder.front());
+    m_leftOrder.pop_front();
+  }
+}
+
+UpstreamChange
+UpstreamDirectory::OnLeaving(const UpstreamId& aId, std::int64_t aStartWallMs)
+{
+  const auto found = m_known.find(aId);
+  if (found == m_known.end()) {
+    return UpstreamChange::None;
+  }
+  UpstreamEntry& entry = found->second.m_entry;
+  if (entry.m_startWallMs != aStartWallMs || entry.m_draining) {
+    return UpstreamChange::None;
+  }
+  entry.m_draining = true;
+  RememberLeaving(entry);
+  return UpstreamChange::Updated;
+}
+
 UpstreamChange
 UpstreamDirectory::OnEntry(const UpstreamEntry& aEntry, Time aNow)
 {
-  const auto [entry, added] = m_known.try_emplace(aEntry.m_id);
+  UpstreamEntry current = aEntry;
+  current.m_draining = aEntry.m_draining || HasLeft(aEntry);
+  if (current.m_draining) {
+    RememberLeaving(current);
+  }
+  const auto [entry, added] = m_known.try_emplace(current.m_id);
   KnownUpstream& known = entry->second;
+  if (!added && current.m_startWallMs != 0 &&
+      current.m_startWallMs < known.m_entry.m_startWallMs) {
+    return UpstreamChange::None; // an incarnation before the known one
+  }
   const bool restarted = added ||
-                         known.m_entry.m_startWallMs != aEntry.m_startWallMs ||
-                         known.m_entry.m_address != aEntry.m_address;
+                         known.m_entry.m_startWallMs != current.m_startWallMs ||
+                         known.m_entry.m_address != current.m_address;
   const bool changed = known.m_suspect ||
-                       known.m_entry.m_draining != aEntry.m_draining ||
-                       known.m_entry.m_slots != aEntry.m_slots ||
-                       known.m_entry.m_zone != aEntry.m_zone ||
-                       known.m_entry.m_service != aEntry.m_service ||
-                       aNow + aEntry.m_coldRemaining >
+                       known.m_entry.m_draining != current.m_draining ||
+                       known.m_entry.m_slots != current.m_slots ||
+                       known.m_entry.m_zone != current.m_zone ||
+                       known.m_entry.m_service != current.m_service ||
+                       aNow + current.m_coldRemaining >
                          std::max(known.m_coldUntil, aNow) + kColdJitter;
-  known.m_entry = aEntry;
+  known.m_entry = current;
   known.m_suspect = false;
-  known.m_coldUntil = aNow + aEntry.m_coldRemaining;
+  known.m_coldUntil = aNow + current.m_coldRemaining;
   if (restarted) {
     return UpstreamChange::Added;
   }
@@ -94,6 +153,11 @@
   for (const UpstreamEntry& entry : aEntries) {
     listed.insert(entry.m_id);
     const UpstreamChange change = OnEntry(entry, aNow);
+    if (change == UpstreamChange::Added && aNow < m_restoredListUntil) {
+      KnownUpstream& known = m_known.at(entry.m_id);
+      known.m_suspect = true;
+      known.m_suspectUntil = m_restoredListUntil;
+    }
     if (change != UpstreamChange::None) {
       changes.emplace_back(entry.m_id, change);
     }
--- a/walnutwing/routing/upstream_directory.h
+++ b/walnutwing/routing/upstream_directory.h
@@ -7,8 +7,15 @@
 // or shortly after an outage of the store is kept as suspect for a while,
 // because a running upstream registers again soon after the outage. Any other
 // entry that disappears is removed at once.
+//
+// The store may also be restored from an older copy. Then upstreams that
+// registered since are missing for a while, and entries of upstreams that have
+// left are listed again. So an entry that appears only in the restored list is
+// suspect until its upstream renews it, and an incarnation that was seen
+// leaving stays so.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -73,6 +80,13 @@
   void OnStoreUnavailable(Time aNow);
   void OnStoreAvailable(Time aNow);
 
+  // The store was restored from an older copy.
+  void OnStoreRestored(Time aNow);
+
+  // An upstream is leaving by its own word. aStartWallMs identifies its
+  // incarnation. Returns Updated if that was not known.
+  UpstreamChange OnLeaving(const UpstreamId& aId, std::int64_t aStartWallMs);
+
   // Removes suspect entries whose time is over and returns their ids. Removes
   // none while the store is unavailable.
   std::vector<UpstreamId> OnTick(Time aNow);
@@ -82,12 +96,18 @@
 
 private:
   bool StoreRecentlyUnavailable(Time aNow) const;
+  bool HasLeft(const UpstreamEntry& aEntry) const;
+  void RememberLeaving(const UpstreamEntry& aEntry);
 
   Duration m_reregistrationTime;
   std::map<UpstreamId, KnownUpstream> m_known;
   bool m_storeUnavailable = false;
   bool m_storeEverUnavailable = false;
   Time m_storeAvailableSince;
+  Time m_restoredListUntil; // until then a list may be from an older copy
+  // Start times of incarnations that were seen leaving, the newest of each id.
+  std::map<UpstreamId, std::int64_t> m_left;
+  std::deque<UpstreamId> m_leftOrder; // the oldest first
 };
 
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_directory_test.cc
+++ b/walnutwing/routing/upstream_directory_test.cc
@@ -54,6 +54,62 @@
   EXPECT_EQ(UpstreamChange::None, Register(entry));
 }
 
+// Guards against upstreams that have left and come back with an older copy of
+// the store, and upstreams that it lacks being dropped although they run.
+TEST_F(UpstreamDirectoryTest, RestoredListIsNotTakenForNews)
+{
+  UpstreamEntry left = MakeEntry("left");
+  Register(left);
+  left.m_draining = true;
+  Register(left);
+  Remove("left");
+  UpstreamEntry draining = MakeEntry("draining");
+  draining.m_draining = true;
+  Register(draining);
+  Register(MakeEntry("new"));
+  UpstreamEntry restarted = MakeEntry("restarted");
+  restarted.m_startWallMs = 7;
+  Register(restarted);
+
+  m_directory.OnStoreRestored(Now());
+  const std::vector<UpstreamEntry> older = { MakeEntry("left"),
+                                             MakeEntry("draining"),
+                                             MakeEntry("restarted"),
+                                             MakeEntry("gone") };
+  m_directory.OnList(older, Now());
+  const auto known = [&](const char* aId) {
+    return m_directory.Find(UpstreamId(aId));
+  };
+  EXPECT_TRUE(known("left")->m_entry.m_draining);
+  EXPECT_TRUE(known("draining")->m_entry.m_draining);
+  EXPECT_EQ(7, known("restarted")->m_entry.m_startWallMs);
+  EXPECT_TRUE(known("gone")->m_suspect);
+  EXPECT_TRUE(known("new")->m_suspect);
+
+  Register(MakeEntry("new")); // it runs and writes again
+  EXPECT_FALSE(known("new")->m_suspect);
+  m_clock.Advance(kReregistrationTime);
+  m_directory.OnTick(Now());
+  EXPECT_EQ(nullptr, known("gone"));
+  EXPECT_NE(nullptr, known("new"));
+}
+
+// An upstream says in its answers that it leaves, before its registration does.
+TEST_F(UpstreamDirectoryTest, LeavingIncarnationStaysLeaving)
+{
+  Register(MakeEntry("e1"));
+  EXPECT_EQ(UpstreamChange::None, m_directory.OnLeaving(UpstreamId("e1"), 0));
+  EXPECT_EQ(UpstreamChange::Updated,
+            m_directory.OnLeaving(UpstreamId("e1"), 1));
+  EXPECT_EQ(UpstreamChange::None, m_directory.OnLeaving(UpstreamId("e1"), 1));
+  Register(MakeEntry("e1")); // its registration says nothing yet
+  EXPECT_TRUE(m_directory.Find(UpstreamId("e1"))->m_entry.m_draining);
+  UpstreamEntry next = MakeEntry("e1");
+  next.m_startWallMs = 2;
+  EXPECT_EQ(UpstreamChange::Added, Register(next));
+  EXPECT_FALSE(m_directory.Find(UpstreamId("e1"))->m_entry.m_draining);
+}
+
 TEST_F(UpstreamDirectoryTest, RemovesAtOnceWhileTheStoreIsAvailable)
 {
   Register(MakeEntry("e1"));
