Router: upstreams that say that they leave, or want no requests, get none

A router that reads neither sends requests to an upstream that is about to exit, and again and again to one that asked for none.

Server-Leaving counts like a registration that says draining, for the incarnation that said it (id and start time), and stays so when a registration lags behind. The other daemons hear of it with the next datagrams. All resting: refused at once with the time to come back. The selector tells "resting" from "unreachable". Neither field's text decides anything outside platform/. Server-Leaving is not passed on to callers, like the load.

That peers hear of it is not covered by a test of its own: the soak's draining upstreams send the field to fleets of routers.

--- a/router/context.h
+++ b/router/context.h
@@ -5,6 +5,7 @@
 // and is used from the loop's thread only.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -36,6 +37,10 @@
   std::uint32_t m_daemons = 1; // in the fleet; they share its budgets
   std::size_t m_requestsInProgress = 0;
   bool m_stopping = false;
+  // An upstream says in an answer that it is leaving. aStartWallMs identifies
+  // its incarnation.
+  std::function<void(const UpstreamId& aId, std::int64_t aStartWallMs)>
+    m_onUpstreamLeaving{};
 
   AdmissionControl& AdmissionOf(const ServiceId& aService)
   {
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -46,6 +46,8 @@
   BudgetSpent = 213,
   BudgetRegained = 214,
   StoreEraChanged = 215,
+  UpstreamLeaving = 216,
+  UpstreamResting = 217,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -91,6 +91,15 @@
   m_upstreamFeed.Start();
   m_peers.SetStoreHealthHandler(
     [this](bool aAvailable) { OnStoreHealth(aAvailable); });
+  m_context.m_onUpstreamLeaving = [this](const UpstreamId& aId,
+                                         std::int64_t aStartWallMs) {
+    OnUpstreamLeaving(aId, aStartWallMs, "answer");
+  };
+  m_peers.SetLeavingHandler([this](const UpstreamId& aId,
+                                   std::int64_t aStartWallMs,
+                                   const DaemonId& aFrom) {
+    OnUpstreamLeaving(aId, aStartWallMs, aFrom.Value());
+  });
   m_peers.Start();
   Announce();
 }
@@ -335,6 +344,22 @@
     .Add("cold_ms", static_cast<std::int64_t>(entry.m_coldRemaining.count()));
 }
 
+void
+FleetState::OnUpstreamLeaving(const UpstreamId& aId,
+                              std::int64_t aStartWallMs,
+                              std::string_view aFrom)
+{
+  const UpstreamChange change = m_directory.OnLeaving(aId, aStartWallMs);
+  if (change == UpstreamChange::None) {
+    return; // known, or another incarnation
+  }
+  LogLine(Event::UpstreamLeaving)
+    .Add("upstream", aId.Value())
+    .Add("from", aFrom);
+  OnUpstreamChange(aId, change);
+  m_peers.OnUpstreamLeaving(aId, aStartWallMs);
+}
+
 RosterMember
 FleetState::MakeOwnRecord() const
 {
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -62,6 +62,10 @@
   std::optional<UpstreamEntry> ReadUpstream(
     const platform::StoreRecord& aRecord);
   void OnUpstreamChange(const UpstreamId& aId, UpstreamChange aChange);
+  // aFrom: "answer", or the daemon that heard it.
+  void OnUpstreamLeaving(const UpstreamId& aId,
+                         std::int64_t aStartWallMs,
+                         std::string_view aFrom);
 
   RosterMember MakeOwnRecord() const;
   void Announce();
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -14,6 +14,8 @@
 constexpr Duration kRosterRelyDuration = std::chrono::milliseconds(500);
 // How long changes are repeated in digests, for daemons that missed one.
 constexpr Duration kChangeLifetime = std::chrono::milliseconds(1000);
+// The same for upstreams that are leaving.
+constexpr Duration kLeavingLifetime = std::chrono::milliseconds(2000);
 // If the changed records are larger than this in total, digests leave them out
 // and the daemons read the store.
 constexpr std::size_t kMaxForwardedBytes = 4096;
@@ -91,6 +93,9 @@
     ++m_context.m_metrics.Counter("peer_messages_of_strangers_total");
     return;
   }
+  for (const proto::LeavingUpstream& leaving : aMessage.leaving()) {
+    m_onLeaving(UpstreamId(leaving.id()), leaving.start_wall_ms(), from);
+  }
   UpstreamLoads loads;
   for (const proto::LoadAt& load : aMessage.loads()) {
     loads[load.upstream()] = load.requests();
@@ -242,6 +247,27 @@
     m_changesFrom = m_changes.front().m_record.m_offset + 1;
     m_changes.pop_front();
   }
+  while (!m_leaving.empty() &&
+         Now() - m_leaving.front().m_at > kLeavingLifetime) {
+    m_leaving.pop_front();
+  }
+}
+
+void
+Peers::OnUpstreamLeaving(const UpstreamId& aId, std::int64_t aStartWallMs)
+{
+  m_leaving.push_back({ aId, aStartWallMs, Now() });
+  OnTopicRead();
+}
+
+void
+Peers::AddLeaving(proto::RouterPeerMessage& aMessage) const
+{
+  for (const Leaving& leaving : m_leaving) {
+    proto::LeavingUpstream& added = *aMessage.add_leaving();
+    added.set_id(leaving.m_id.Value());
+    added.set_start_wall_ms(leaving.m_startWallMs);
+  }
 }
 
 void
@@ -263,6 +289,7 @@
     load.set_upstream(upstream);
     load.set_requests(requests);
   }
+  AddLeaving(message);
   if (aLoads.m_kind == LoadMessageKind::Digest) {
     message.set_roster(m_exchange.RosterHash());
     AddTopicStates(message);
--- a/router/peers.h
+++ b/router/peers.h
@@ -48,6 +48,18 @@
   // that the daemons that rely on it learn of the change soon.
   void OnTopicRead();
 
+  // This daemon has learned that an upstream is leaving; the others are told.
+  void OnUpstreamLeaving(const UpstreamId& aId, std::int64_t aStartWallMs);
+
+  // Called when another daemon says that an upstream is leaving.
+  using OnLeaving = std::function<void(const UpstreamId& aId,
+                                       std::int64_t aStartWallMs,
+                                       const DaemonId& aFrom)>;
+  void SetLeavingHandler(OnLeaving aOnLeaving)
+  {
+    m_onLeaving = std::move(aOnLeaving);
+  }
+
   // Called with true when the hub reports that it can read the store.
   using OnStoreHealth = std::function<void(bool aAvailable)>;
   void SetStoreHealthHandler(OnStoreHealth aOnStoreHealth)
@@ -63,6 +75,13 @@
     Time m_at;
   };
 
+  struct Leaving
+  {
+    UpstreamId m_id;
+    std::int64_t m_startWallMs = 0;
+    Time m_at;
+  };
+
   void Receive();
   void OnMessage(const proto::RouterPeerMessage& aMessage);
   void OnTopicStates(const proto::RouterPeerMessage& aMessage);
@@ -73,6 +92,7 @@
   void AddTopicStates(proto::RouterPeerMessage& aMessage) const;
   void AddChangedRecords(proto::TopicState& aState) const;
   void DropExpiredChanges();
+  void AddLeaving(proto::RouterPeerMessage& aMessage) const;
 
   Context& m_context;
   LoadExchange& m_exchange;
@@ -84,6 +104,8 @@
   Timer m_earlyDigestTimer;
   bool m_earlyDigestScheduled = false;
   OnStoreHealth m_onStoreHealth;
+  OnLeaving m_onLeaving;
+  std::deque<Leaving> m_leaving; // of the last kLeavingLifetime
   Udp::endpoint m_sender;
   std::array<char, 64U << 10U> m_input{};
   std::deque<Change> m_changes;
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -336,10 +336,18 @@
 void
 RequestFlow::OnNoUpstream(const Choice& aChoice)
 {
-  const ResultCode code = aChoice.m_failure == SelectionFailure::Unreachable
-                            ? ResultCode::UpstreamUnreachable
-                            : ResultCode::NoUpstream;
-  Refuse(code, kRetryAfter, aChoice);
+  switch (aChoice.m_failure) {
+    case SelectionFailure::Unreachable:
+      Refuse(ResultCode::UpstreamUnreachable, kRetryAfter, aChoice);
+      return;
+    case SelectionFailure::Resting:
+      Refuse(ResultCode::QueueFull,
+             std::max(kRetryAfter, aChoice.m_restUntil - Now()),
+             aChoice);
+      return;
+    default:
+      Refuse(ResultCode::NoUpstream, kRetryAfter, aChoice);
+  }
 }
 
 Duration
@@ -410,9 +418,7 @@
   m_notExecuted = aFacts.m_notExecuted;
   m_unconfirmedRefusal = aFacts.m_unconfirmedRefusal;
   m_choice.m_tracker->OnBytesReceived(now);
-  if (aFacts.m_load) {
-    m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
-  }
+  NoteUpstreamState(aFacts);
   const bool success = IsSuccess(aHead.result_int());
   m_isEventStream = StatesEvents(aFacts, success);
   const bool continues = success && m_isEventStream == m_forwardsEvents;
@@ -428,6 +434,24 @@
   }
 }
 
+// Takes what the upstream says of itself, in whatever response.
+void
+RequestFlow::NoteUpstreamState(const platform::ResponseFacts& aFacts)
+{
+  const Time now = Now();
+  if (aFacts.m_load) {
+    m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
+  }
+  if (aFacts.m_leaving) {
+    m_context.m_onUpstreamLeaving(m_choice.m_upstream, m_choice.m_startWallMs);
+  }
+  if (!aFacts.m_retryAfterText.empty()) {
+    const Duration rest = aFacts.m_retryAfter.value_or(Duration::zero());
+    m_choice.m_tracker->OnRestRequested(rest, now);
+    m_record.LogUpstreamResting(m_choice, aFacts.m_retryAfterText, rest);
+  }
+}
+
 // The Content-Type decides; without one, a stream's route says what it sends.
 bool
 RequestFlow::StatesEvents(const platform::ResponseFacts& aFacts,
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -114,6 +114,7 @@
 
   void BeginForwarding();
   void ForwardBody(std::string_view aPiece);
+  void NoteUpstreamState(const platform::ResponseFacts& aFacts);
   bool StatesEvents(const platform::ResponseFacts& aFacts, bool aSuccess) const;
   void OnResponseComplete();
   void OnNotExecuted();
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -3,6 +3,9 @@
 namespace walnutwing::router {
 namespace {
 
+// Of a field that an upstream sent.
+constexpr std::size_t kMaxLoggedFieldBytes = 40;
+
 std::string
 FormatLabel(std::string_view aName, std::string_view aValue)
 {
@@ -65,6 +68,17 @@
                                 FormatLabel("service", m_service.Value()));
 }
 
+void
+RequestRecord::LogUpstreamResting(const Choice& aChoice,
+                                  std::string_view aRetryAfter,
+                                  Duration aRest)
+{
+  StartLine(Event::UpstreamResting)
+    .Add("upstream", aChoice.m_upstream.Value())
+    .Add("retry_after", aRetryAfter.substr(0, kMaxLoggedFieldBytes))
+    .Add("for_ms", ToMilliseconds(aRest));
+}
+
 void
 RequestRecord::CountDeniedRepeat()
 {
--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -208,8 +208,10 @@
       altered ? AnswerBody("nobody") : AnswerBody(aAnswer.m_id);
     const auto& request = aAnswer.m_exchange->Request();
     const std::string response =
-      aAnswer.m_unframed ? standin::MakeUnframedHead(request) + body
-                         : standin::MakeUpstreamResponse(request, 200, body);
+      aAnswer.m_unframed
+        ? standin::MakeUnframedHead(request) + body
+        : standin::MakeUpstreamResponse(
+            request, 200, body, m_draining ? "Server-Leaving: 1\r\n" : "");
     if (aAnswer.m_breaks) {
       aAnswer.m_exchange->Write(response.substr(0, response.size() - 3));
       Break(aAnswer, aAnswer.m_unframed || aAnswer.m_reset);
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -685,13 +685,17 @@
 }
 
 void
-RouterHarness::RegisterUpstream(std::size_t aIndex, const std::string& aState)
+RouterHarness::RegisterUpstream(std::size_t aIndex,
+                                const std::string& aState,
+                                std::int64_t aStartWallMs)
 {
-  m_store->Put("keyed.servers",
-               "i-" + std::to_string(aIndex),
-               R"({"service":"s","address":")" +
-                 m_upstreams.at(aIndex)->Address() +
-                 R"(","zone":"z1","slots":8,"state":")" + aState + R"("})");
+  const std::string born =
+    aStartWallMs == 0 ? "" : R"(,"born":)" + std::to_string(aStartWallMs);
+  m_store->Put(
+    "keyed.servers",
+    "i-" + std::to_string(aIndex),
+    R"({"service":"s","address":")" + m_upstreams.at(aIndex)->Address() +
+      R"(","zone":"z1","slots":8,"state":")" + aState + "\"" + born + "}");
 }
 
 std::unique_ptr<CallerStandin>
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -254,8 +254,10 @@
   // Publishes a configuration with fixed routes; aOrderPrefix is the path
   // prefix of the route for orders.
   void PutConfig(int aVersion, const std::string& aOrderPrefix = "/order/");
+  // aStartWallMs identifies the upstream's incarnation; 0: not stated.
   void RegisterUpstream(std::size_t aIndex,
-                        const std::string& aState = "ready");
+                        const std::string& aState = "ready",
+                        std::int64_t aStartWallMs = 0);
 
   std::unique_ptr<CallerStandin> Connect();
   // Retries while the router does not listen; null after kHarnessWaitTimeout.
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -416,6 +416,93 @@
     [&] { return StatusOf(harness.Fetch("GET", "/lookup/")) == 200; }));
 }
 
+// Guards against requests for an upstream that has said in an answer that it
+// leaves, before its registration says so, or after that was written again.
+TEST(Router, UpstreamThatSaysItLeavesGetsNoNewRequests)
+{
+  RouterHarness harness(2);
+  // Lines about i-0: its registration, and each change of it.
+  const auto waitForListed = [&](std::size_t aLines) {
+    const std::string line =
+      R"("name":"upstream_listed","daemon":"d1","upstream":"i-0")";
+    return harness.WaitUntil([&] {
+      const std::string log = harness.LogText();
+      std::size_t lines = 0;
+      for (std::size_t at = log.find(line); at != std::string::npos;
+           at = log.find(line, at + 1)) {
+        ++lines;
+      }
+      return lines == aLines;
+    });
+  };
+  ASSERT_TRUE(waitForListed(1));
+  harness.RegisterUpstream(0, "ready", 1);
+  ASSERT_TRUE(waitForListed(2));
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write(MakeUpstreamResponse(
+      aExchange->Request(), 200, "done", "Server-Leaving: 1\r\n"));
+  });
+  const auto requests = [&] { return harness.Upstream(0).Exchanges().size(); };
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    harness.Fetch("GET", "/lookup/");
+    return requests() == 1;
+  }));
+  harness.RegisterUpstream(0, "ready", 1); // its registration lags behind
+  harness.RunLoopFor(Duration(800));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(200, StatusOf(harness.Fetch("GET", "/lookup/")));
+  }
+  EXPECT_EQ(1U, requests());
+  EXPECT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find(
+             R"("name":"upstream_leaving","daemon":"d1","upstream":"i-0","from":"answer")") !=
+           std::string::npos;
+  }));
+  harness.RegisterUpstream(0, "ready", 2); // the next incarnation
+  ASSERT_TRUE(waitForListed(4));           // 3: it was leaving
+  EXPECT_TRUE(harness.WaitUntil([&] {
+    harness.Fetch("GET", "/lookup/");
+    return requests() == 2;
+  }));
+}
+
+// Guards against requests for an upstream that has asked for none, and against
+// callers that wait although all upstreams have.
+TEST(Router, UpstreamThatSendsRetryAfterIsLeftAlone)
+{
+  RouterHarness harness(2);
+  const auto rest = [](const Exchange& aExchange) {
+    aExchange->Write(
+      MakeUpstreamResponse(aExchange->Request(),
+                           503,
+                           "full",
+                           "X-Not-Executed: 1\r\nRetry-After: 30.5\r\n"));
+  };
+  harness.Upstream(0).SetHandler(rest);
+  const auto requests = [&] { return harness.Upstream(0).Exchanges().size(); };
+  ASSERT_TRUE(harness.WaitUntil([&] {
+    EXPECT_EQ(200, StatusOf(harness.Fetch("POST", "/order/", "", "x")));
+    return requests() == 1;
+  }));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(200, StatusOf(harness.Fetch("POST", "/order/", "", "x")));
+  }
+  EXPECT_EQ(1U, requests());
+  EXPECT_TRUE(harness.WaitUntil([&] {
+    return harness.LogText().find(R"("retry_after":"30.5","for_ms":30500)") !=
+           std::string::npos;
+  }));
+
+  harness.Upstream(1).SetHandler(rest);
+  EXPECT_EQ(503, StatusOf(harness.Fetch("POST", "/order/", "", "x")));
+  const std::size_t before = harness.CountExchanges();
+  const std::string refused = harness.Fetch("POST", "/order/", "", "x");
+  EXPECT_EQ(503, StatusOf(refused));
+  EXPECT_NE(std::string::npos, refused.find("Retry-After: "));
+  EXPECT_NE(std::string::npos, refused.find(R"("ran":"not run")"));
+  EXPECT_EQ(before, harness.CountExchanges());
+}
+
 // The store does not respond, or responds with an error. Requests are served
 // during the outage, and a change made meanwhile is applied afterwards, even if
 // the store has dropped its history.
--- a/walnutwing/routing/upstream_directory.cc
+++ b/walnutwing/routing/upstream_directory.cc
@@ -62,13 +62,14 @@
 }
 
 void
-UpstreamDirectory::RememberLeaving(const UpstreamEntry& aEntry)
+UpstreamDirectory::RememberLeaving(const UpstreamId& aId,
+                                   std::int64_t aStartWallMs)
 {
-  if (aEntry.m_startWallMs == 0) {
+  if (aStartWallMs == 0) {
     return;
   }
-  if (m_left.insert_or_assign(aEntry.m_id, aEntry.m_startWallMs).second) {
-    m_leftOrder.push_back(aEntry.m_id);
+  if (m_left.insert_or_assign(aId, aStartWallMs).second) {
+    m_leftOrder.push_back(aId);
   }
   if (m_leftOrder.size() > kMaxRememberedLeaving) {
     m_left.erase(m_leftOrder.front());
@@ -81,6 +82,7 @@
 {
   const auto found = m_known.find(aId);
   if (found == m_known.end()) {
+    RememberLeaving(aId, aStartWallMs);
     return UpstreamChange::None;
   }
   UpstreamEntry& entry = found->second.m_entry;
@@ -88,7 +90,7 @@
     return UpstreamChange::None;
   }
   entry.m_draining = true;
-  RememberLeaving(entry);
+  RememberLeaving(aId, aStartWallMs);
   return UpstreamChange::Updated;
 }
 
@@ -98,7 +100,7 @@
   UpstreamEntry current = aEntry;
   current.m_draining = aEntry.m_draining || HasLeft(aEntry);
   if (current.m_draining) {
-    RememberLeaving(current);
+    RememberLeaving(current.m_id, current.m_startWallMs);
   }
   const auto [entry, added] = m_known.try_emplace(current.m_id);
   KnownUpstream& known = entry->second;
--- a/walnutwing/routing/upstream_directory.h
+++ b/walnutwing/routing/upstream_directory.h
@@ -97,7 +97,7 @@
 private:
   bool StoreRecentlyUnavailable(Time aNow) const;
   bool HasLeft(const UpstreamEntry& aEntry) const;
-  void RememberLeaving(const UpstreamEntry& aEntry);
+  void RememberLeaving(const UpstreamId& aId, std::int64_t aStartWallMs);
 
   Duration m_reregistrationTime;
   std::map<UpstreamId, KnownUpstream> m_known;
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -40,6 +40,8 @@
       return "unreachable";
     case SelectionFailure::Cold:
       return "cold";
+    case SelectionFailure::Resting:
+      return "resting";
   }
   return "unknown";
 }
@@ -147,9 +149,17 @@
         upstream.m_tracker->RecentlyRefused(aNow)) {
       continue;
     }
+    if (const Time restUntil = upstream.m_tracker->RestUntil();
+        aNow < restUntil) {
+      candidateSet.m_failure = SelectionFailure::Resting;
+      candidateSet.m_restUntil = std::min(candidateSet.m_restUntil, restUntil);
+      continue;
+    }
     if (!upstream.m_tracker->Reachable(aNow) ||
         partitionedZones.contains(entry.m_zone)) {
-      candidateSet.m_failure = SelectionFailure::Unreachable;
+      if (candidateSet.m_failure == SelectionFailure::NoUpstream) {
+        candidateSet.m_failure = SelectionFailure::Unreachable;
+      }
       continue;
     }
     Candidate candidate;
@@ -272,6 +282,7 @@
   CandidateSet candidateSet = FindCandidates(aRequest, aNow);
   std::vector<Candidate>& candidates = candidateSet.m_candidates;
   choice.m_failure = candidateSet.m_failure;
+  choice.m_restUntil = candidateSet.m_restUntil;
   choice.m_listed = candidateSet.m_listed;
   choice.m_usable = candidates.size();
   DropSuspect(candidates);
@@ -326,6 +337,7 @@
   choice.m_upstream = upstream.m_entry.m_id;
   choice.m_zone = upstream.m_entry.m_zone;
   choice.m_address = upstream.m_entry.m_address;
+  choice.m_startWallMs = upstream.m_entry.m_startWallMs;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
   choice.m_minLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -72,6 +72,7 @@
   NoUpstream,  // the service has none that may get the request
   Unreachable, // some may, but they cannot be reached
   Cold,        // all are cold, and this daemon's share of their rate is used
+  Resting,     // all others asked to get no requests for a while
 };
 
 std::string_view
@@ -96,6 +97,9 @@
   UpstreamId m_upstream;
   ZoneId m_zone;
   std::string m_address;
+  std::int64_t m_startWallMs = 0; // identifies its incarnation
+  // If it failed with Resting: until the first may get requests again.
+  Time m_restUntil;
   // Not shared with the upstream's state after a restart.
   std::shared_ptr<UpstreamTracker> m_tracker;
   double m_load = 0;         // its load before this request
@@ -174,6 +178,7 @@
     std::vector<Candidate> m_candidates;
     std::size_t m_listed = 0; // upstreams of the service, candidates or not
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
+    Time m_restUntil = Time::max(); // of those that rest, the earliest
   };
 
   CandidateSet FindCandidates(const SelectionRequest& aRequest, Time aNow);
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -91,6 +91,12 @@
   m_refusedUntil = aNow + kRefusalDuration;
 }
 
+void
+UpstreamTracker::OnRestRequested(Duration aTime, Time aNow)
+{
+  m_restUntil = std::max(m_restUntil, aNow + aTime);
+}
+
 void
 UpstreamTracker::OnLoadReport(const LoadReport& aReport, Time aNow)
 {
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -44,6 +44,8 @@
   void OnConnectFailed(Time aNow);
   void OnLoadReport(const LoadReport& aReport, Time aNow);
   void OnRefused(Time aNow);
+  // The upstream asked to get no requests from this daemon for aTime.
+  void OnRestRequested(Duration aTime, Time aNow);
 
   std::uint32_t InFlight() const { return m_inFlight; }
 
@@ -69,6 +71,9 @@
   // Whether it refused a request a short time ago.
   bool RecentlyRefused(Time aNow) const { return aNow < m_refusedUntil; }
 
+  // Until when it asked to get no requests; not in the future if it did not.
+  Time RestUntil() const { return m_restUntil; }
+
   // Moving average of failures among the ended requests, from 0 to 1.
   double FailureRate(Time aNow) const;
 
@@ -84,6 +89,7 @@
   std::uint32_t m_connectFailures = 0;
   Time m_unreachableUntil;
   Time m_refusedUntil;
+  Time m_restUntil;
 };
 
 } // namespace walnutwing
