Router: responses without a body send no body bytes

What callers saw: after a HEAD, and after a 204 from a route for streams, bytes that belong to no response ("0\r\n\r\n", or the JSON of an error), which a caller on a kept connection takes for the start of its next response; and a Content-Length or Transfer-Encoding that RFC 9112 forbids for 204.

Cause: the caller's connection framed each body by what the flow said of its length, without regard to the request's method or the status.

The connection now knows that a response to HEAD, a 204 or a 304 ends with its empty line.

--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -24,6 +24,15 @@
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
+// Whether responses with that status line have no body (RFC 9112, 6.3).
+bool
+IsBodylessStatus(std::string_view aHead)
+{
+  constexpr std::size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
+  const std::string_view status = aHead.substr(kStatusAt, 3);
+  return status == "204" || status == "304";
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(Context& aContext,
@@ -152,6 +161,7 @@
   m_parser.reset();
   m_keepAlive = request.keep_alive();
   m_isHttp10 = request.version() < kHttp11;
+  m_headRequest = request.method() == http::verb::head;
   m_responseEnded = false;
   m_aborted = false;
   m_flow = std::make_shared<RequestFlow>(m_context, std::move(request), *this);
@@ -184,6 +194,7 @@
   m_state = State::Responding;
   m_timer.cancel();
   m_keepAlive = false;
+  m_headRequest = false; // not known; the connection is closed
   m_responseEnded = false;
   WriteErrorResponse(*this, aCode, std::nullopt);
 }
@@ -214,9 +225,12 @@
 CallerConnection::Begin(std::string aHead, std::optional<std::uint64_t> aLength)
 {
   m_keepAlive = m_keepAlive && !m_context.m_stopping;
-  m_chunked = !aLength && !m_isHttp10;
+  m_bodyless = m_headRequest || IsBodylessStatus(aHead);
+  m_chunked = !aLength && !m_isHttp10 && !m_bodyless;
   m_pending += aHead;
-  if (aLength) {
+  if (m_bodyless) {
+    // Neither a length nor chunks: the empty line ends the response.
+  } else if (aLength) {
     m_pending += "Content-Length: " + std::to_string(*aLength) + "\r\n";
   } else if (m_chunked) {
     m_pending += "Transfer-Encoding: chunked\r\n";
@@ -233,7 +247,7 @@
 void
 CallerConnection::Write(std::string_view aPiece)
 {
-  if (aPiece.empty()) {
+  if (aPiece.empty() || m_bodyless) {
     return;
   }
   if (!m_chunked) {
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -93,6 +93,8 @@
   std::shared_ptr<RequestFlow> m_flow;
   std::string m_pending; // buffered for the next write
   std::string m_writing; // owned by the write in flight
+  bool m_headRequest = false; // HEAD: responses have no body
+  bool m_bodyless = false;    // this response has no body
   bool m_chunked = false;
   bool m_responseEnded = false;
   bool m_aborted = false;
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -282,6 +282,43 @@
   EXPECT_EQ(502, StatusOf(harness.Fetch("POST", "/order/", "", "x")));
 }
 
+// Guards against body bytes after a response that has none, which the caller
+// would take for the start of the next response: HEAD, 204 and 304, also from a
+// route for streams and for errors of the router's own.
+TEST(Router, ResponsesWithoutBodySendNoBodyBytes)
+{
+  RouterHarness harness(1);
+  const struct
+  {
+    const char* m_request;
+    int m_upstreamStatus;
+  } cases[] = {
+    { "HEAD /lookup/", 200 },  { "HEAD /stream/", 200 },
+    { "HEAD /nowhere/", 200 }, { "GET /lookup/", 204 },
+    { "GET /stream/", 204 },   { "GET /lookup/", 304 },
+  };
+  for (const auto& one : cases) {
+    harness.Upstream(0).SetHandler([&one](const Exchange& aExchange) {
+      aExchange->Write("HTTP/1.1 " + std::to_string(one.m_upstreamStatus) +
+                       " Answer\r\nX-Attempt-Id: a1\r\n"
+                       "Content-Type: text/event-stream\r\n\r\n");
+      aExchange->Close();
+    });
+    const auto caller = harness.Connect();
+    caller->Send(std::string(one.m_request) +
+                 " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                 "Authorization: Bearer k1\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(harness.WaitUntil([&] { return caller->Ended(); }));
+    const std::string answer = caller->Received();
+    EXPECT_NE(0, StatusOf(answer)) << one.m_request;
+    EXPECT_EQ("", BodyOf(answer)) << one.m_request << one.m_upstreamStatus;
+    EXPECT_EQ(std::string::npos, answer.find("Content-Length: 0"))
+      << one.m_request << one.m_upstreamStatus;
+    EXPECT_EQ(std::string::npos, answer.find("Transfer-Encoding"))
+      << one.m_request << one.m_upstreamStatus;
+  }
+}
+
 TEST(Router, StreamIsForwardedEventByEvent)
 {
   RouterHarness harness(1);
