Router: a reload keeps the zone, the peer address and the repeat window

What could happen: a reload with another zone or peer_listen took both over without binding the address or telling the parts that were built with them. The daemon announced an address on which nobody listened, so that its peers' loads and digests were lost, and sent its zone's sums under another name.

Cause: the list of what holds until the next start, in the middle of the reload, lacked them, though docs/ROUTER.md says it. It is now ApplyReload, beside the settings, and RouterSettings.ReloadKeepsIdentityAndAddresses checks each one (the function is new; with the old list its lines for zone, peer address and window would have failed, which was read, not run).

--- a/router/router.cc
+++ b/router/router.cc
@@ -227,15 +227,9 @@
   void ReloadSettings(const std::string& aText)
   {
     try {
-      RouterSettings settings = ParseRouterSettings(aText, m_settingsFile);
-      // Changes of these settings take effect only at the next start: the name
-      // identifies this daemon, and the addresses are already in use.
-      settings.m_name = m_context.m_settings.m_name;
-      settings.m_listen = m_context.m_settings.m_listen;
-      settings.m_readyListen = m_context.m_settings.m_readyListen;
-      settings.m_metricsPort = m_context.m_settings.m_metricsPort;
-      settings.m_storeAddress = m_context.m_settings.m_storeAddress;
-      m_context.m_settings = settings;
+      m_context.m_settings =
+        ApplyReload(m_context.m_settings,
+                    ParseRouterSettings(aText, m_settingsFile));
       ApplySettings();
       LogLine(Event::SettingsReloaded).Add("file", m_settingsFile);
     } catch (const SettingsError& error) {
--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -272,4 +272,19 @@
   return settings;
 }
 
+RouterSettings
+ApplyReload(const RouterSettings& aInForce, const RouterSettings& aNew)
+{
+  RouterSettings settings = aNew;
+  settings.m_name = aInForce.m_name;
+  settings.m_zone = aInForce.m_zone;
+  settings.m_listen = aInForce.m_listen;
+  settings.m_readyListen = aInForce.m_readyListen;
+  settings.m_peerListen = aInForce.m_peerListen;
+  settings.m_metricsPort = aInForce.m_metricsPort;
+  settings.m_storeAddress = aInForce.m_storeAddress;
+  settings.m_repeatWindow = aInForce.m_repeatWindow;
+  return settings;
+}
+
 } // namespace walnutwing::router
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -46,6 +46,12 @@
 RouterSettings
 ParseRouterSettings(std::string_view aText, const std::string& aFile);
 
+// The settings after a reload of aNew. Some hold until the next start: the name
+// and the zone identify this daemon to the others, the addresses are already in
+// use, and repeats were counted in the window in force.
+RouterSettings
+ApplyReload(const RouterSettings& aInForce, const RouterSettings& aNew);
+
 } // namespace walnutwing::router
 
 #endif // WALNUTWING_ROUTER_ROUTER_SETTINGS_H_
--- a/router/router_settings_test.cc
+++ b/router/router_settings_test.cc
@@ -92,5 +92,39 @@
   }
 }
 
+// Guards against a daemon that announces an address on which it does not
+// listen, or another zone than the one by which its peers and upstreams were
+// chosen.
+TEST(RouterSettings, ReloadKeepsIdentityAndAddresses)
+{
+  const RouterSettings inForce = ParseRouterSettings(kValidSettings, "f.ini");
+  const RouterSettings other =
+    ParseRouterSettings("[router]\n"
+                        "name = d2\n"
+                        "zone = z2\n"
+                        "listen = 10.0.0.2:180\n"
+                        "ready_listen = 10.0.0.2:181\n"
+                        "peer_listen = 10.0.0.2:182\n"
+                        "weight = 0.5\n"
+                        "metrics_port = 99\n"
+                        "[platform]\n"
+                        "address = 10.9.9.8:90\n"
+                        "[bounds]\n"
+                        "repeat_window_s = 3\n"
+                        "repeat_ratio = 0.3\n",
+                        "f.ini");
+  const RouterSettings settings = ApplyReload(inForce, other);
+  EXPECT_EQ("d1", settings.m_name.Value());
+  EXPECT_EQ("z1", settings.m_zone.Value());
+  EXPECT_EQ("10.0.0.1:80", settings.m_listen);
+  EXPECT_EQ("10.0.0.1:81", settings.m_readyListen);
+  EXPECT_EQ("10.0.0.1:82", settings.m_peerListen);
+  EXPECT_EQ("10.9.9.9:90", settings.m_storeAddress);
+  EXPECT_EQ(9464U, settings.m_metricsPort);
+  EXPECT_EQ(inForce.m_repeatWindow, settings.m_repeatWindow);
+  EXPECT_EQ(0.5, settings.m_weight);
+  EXPECT_EQ(0.3, settings.m_repeatRatio);
+}
+
 } // namespace
 } // namespace walnutwing::router
