Router: one acceptor, which repeats a failed accept after a delay and counts it

The callers' front had the delay and the count, the page server neither; the accept stood twice.

Acceptor holds the loop of both. accept_failures_total counts for all listeners.

--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -91,8 +91,8 @@
   bool m_isHttp10 = false; // without chunked encoding
 
   std::shared_ptr<RequestFlow> m_flow;
-  std::string m_pending; // buffered for the next write
-  std::string m_writing; // owned by the write in flight
+  std::string m_pending;      // buffered for the next write
+  std::string m_writing;      // owned by the write in flight
   bool m_headRequest = false; // HEAD: responses have no body
   bool m_bodyless = false;    // this response has no body
   bool m_chunked = false;
--- a/router/front.cc
+++ b/router/front.cc
@@ -6,13 +6,10 @@
 namespace walnutwing::router {
 namespace {
 
-constexpr int kBacklog = 1024;
 // After the start, accepting is delayed until requests can be served, which is
 // polled at kReadyPollInterval, but for kMaxAcceptDelay at most.
-// kAcceptRetryDelay follows a failed accept, as when descriptors run out.
 constexpr Duration kMaxAcceptDelay = std::chrono::milliseconds(500);
 constexpr Duration kReadyPollInterval = std::chrono::milliseconds(2);
-constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -20,15 +17,15 @@
   : m_context(aContext)
   , m_canServe(std::move(aCanServe))
   , m_startedAt(Now())
-  , m_acceptor(aContext.m_loop.get_executor())
-  , m_retryTimer(aContext.m_loop.get_executor())
+  , m_acceptor(
+      aContext.m_loop,
+      ParseEndpoint(aContext.m_settings.m_listen).value(),
+      [this](Socket aSocket) { OnAccepted(std::move(aSocket)); },
+      [this](const error_code&) {
+        ++m_context.m_metrics.Counter("accept_failures_total");
+      })
+  , m_readyTimer(aContext.m_loop.get_executor())
 {
-  const Tcp::endpoint endpoint =
-    ParseEndpoint(aContext.m_settings.m_listen).value();
-  m_acceptor.open(endpoint.protocol());
-  m_acceptor.set_option(asio::socket_base::reuse_address(true));
-  m_acceptor.bind(endpoint);
-  m_acceptor.listen(kBacklog);
   AcceptWhenReady();
 }
 
@@ -38,11 +35,11 @@
 Front::AcceptWhenReady()
 {
   if (m_canServe() || Now() - m_startedAt >= kMaxAcceptDelay) {
-    Accept();
+    m_acceptor.Start();
     return;
   }
-  m_retryTimer.expires_after(kReadyPollInterval);
-  m_retryTimer.async_wait([this](const error_code& aError) {
+  m_readyTimer.expires_after(kReadyPollInterval);
+  m_readyTimer.async_wait([this](const error_code& aError) {
     if (!aError) {
       AcceptWhenReady();
     }
@@ -50,42 +47,25 @@
 }
 
 void
-Front::Accept()
+Front::OnAccepted(Socket aSocket)
 {
-  m_acceptor.async_accept([this](const error_code& aError, Socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      ++m_context.m_metrics.Counter("accept_failures_total");
-      m_retryTimer.expires_after(kAcceptRetryDelay);
-      m_retryTimer.async_wait([this](const error_code& aCancelled) {
-        if (!aCancelled) {
-          Accept();
-        }
-      });
-      return;
-    }
-    // m_connections owns the connection. The callback holds only a weak
-    // reference, as a strong one would be a cycle.
-    auto self = std::make_shared<std::weak_ptr<CallerConnection>>();
-    auto connection = std::make_shared<CallerConnection>(
-      m_context, std::move(aSocket), [this, self] {
-        m_connections.erase(self->lock());
-      });
-    *self = connection;
-    m_connections.insert(connection);
-    connection->Start();
-    Accept();
-  });
+  // m_connections owns the connection. The callback holds only a weak
+  // reference, as a strong one would be a cycle.
+  auto self = std::make_shared<std::weak_ptr<CallerConnection>>();
+  auto connection = std::make_shared<CallerConnection>(
+    m_context, std::move(aSocket), [this, self] {
+      m_connections.erase(self->lock());
+    });
+  *self = connection;
+  m_connections.insert(connection);
+  connection->Start();
 }
 
 void
 Front::StopAccepting()
 {
-  error_code ignored; // the acceptor is not used again
-  m_retryTimer.cancel();
-  m_acceptor.close(ignored);
+  m_readyTimer.cancel();
+  m_acceptor.Stop();
 }
 
 // Returns a copy, as closing a connection removes it from the set.
--- a/router/front.h
+++ b/router/front.h
@@ -9,8 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include <boost/asio/basic_socket_acceptor.hpp>
-
+#include "router/acceptor.h"
 #include "router/caller_connection.h"
 
 namespace walnutwing::router {
@@ -39,13 +38,13 @@
 private:
   std::vector<std::shared_ptr<CallerConnection>> Connections() const;
   void AcceptWhenReady();
-  void Accept();
+  void OnAccepted(Socket aSocket);
 
   Context& m_context;
   std::function<bool()> m_canServe;
   Time m_startedAt;
-  asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
-  Timer m_retryTimer;
+  Acceptor m_acceptor;
+  Timer m_readyTimer; // of AcceptWhenReady
   std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
 };
 
--- a/router/page_server.cc
+++ b/router/page_server.cc
@@ -86,31 +86,21 @@
 
 PageServer::PageServer(Loop& aLoop,
                        const Tcp::endpoint& aEndpoint,
-                       Handler aHandler)
+                       Handler aHandler,
+                       std::function<void(const error_code&)> aOnAcceptFailed)
   : m_loop(aLoop)
-  , m_acceptor(aLoop.get_executor())
   , m_handler(std::move(aHandler))
+  , m_acceptor(
+      aLoop,
+      aEndpoint,
+      [this](Socket aSocket) {
+        SetLivenessOptions(aSocket);
+        std::make_shared<Session>(m_loop, std::move(aSocket), m_handler)
+          ->Read();
+      },
+      std::move(aOnAcceptFailed))
 {
-  m_acceptor.open(aEndpoint.protocol());
-  m_acceptor.set_option(asio::socket_base::reuse_address(true));
-  m_acceptor.bind(aEndpoint);
-  m_acceptor.listen();
-  Accept();
-}
-
-void
-PageServer::Accept()
-{
-  m_acceptor.async_accept([this](const error_code& aError, Socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      SetLivenessOptions(aSocket);
-      std::make_shared<Session>(m_loop, std::move(aSocket), m_handler)->Read();
-    }
-    Accept();
-  });
+  m_acceptor.Start();
 }
 
 } // namespace walnutwing::router
--- a/router/page_server.h
+++ b/router/page_server.h
@@ -8,9 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include <boost/asio/basic_socket_acceptor.hpp>
-
-#include "router/asio.h"
+#include "router/acceptor.h"
 
 namespace walnutwing::router {
 
@@ -27,17 +25,20 @@
   using Handler = std::function<Page(std::string_view aPath)>;
 
   // Throws boost::system::system_error if the address cannot be bound.
-  PageServer(Loop& aLoop, const Tcp::endpoint& aEndpoint, Handler aHandler);
+  // aOnAcceptFailed is called for each connection that could not be accepted.
+  PageServer(Loop& aLoop,
+             const Tcp::endpoint& aEndpoint,
+             Handler aHandler,
+             std::function<void(const error_code&)> aOnAcceptFailed);
   PageServer(const PageServer&) = delete;
   PageServer& operator=(const PageServer&) = delete;
 
 private:
   class Session;
-  void Accept();
 
   Loop& m_loop;
-  asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
   Handler m_handler;
+  Acceptor m_acceptor;
 };
 
 } // namespace walnutwing::router
--- a/router/router.cc
+++ b/router/router.cc
@@ -67,9 +67,11 @@
     , m_state(m_context, m_exchange)
     , m_stateChanges(m_context, m_exchange)
     , m_front(m_context, [this] { return m_state.CanServe(); })
-    , m_readyPage(m_loop,
-                  ParseEndpoint(aSettings.m_readyListen).value(),
-                  [this](std::string_view aPath) { return ReadyPage(aPath); })
+    , m_readyPage(
+        m_loop,
+        ParseEndpoint(aSettings.m_readyListen).value(),
+        [this](std::string_view aPath) { return ReadyPage(aPath); },
+        [this](const error_code&) { CountAcceptFailure(); })
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(m_loop.get_executor())
     , m_settingsTimer(m_loop.get_executor())
@@ -117,6 +119,8 @@
 
   EventLog::Line LogLine(Event aEvent) { return { m_log, aEvent, Now() }; }
 
+  void CountAcceptFailure() { ++m_metrics.Counter("accept_failures_total"); }
+
   void StartMetrics()
   {
     if (m_context.m_settings.m_metricsPort == 0) {
@@ -126,9 +130,11 @@
       ParseEndpoint(m_context.m_settings.m_listen).value();
     endpoint.port(
       static_cast<std::uint16_t>(m_context.m_settings.m_metricsPort));
-    m_metricsPage.emplace(m_loop, endpoint, [this](std::string_view aPath) {
-      return MetricsPage(aPath);
-    });
+    m_metricsPage.emplace(
+      m_loop,
+      endpoint,
+      [this](std::string_view aPath) { return MetricsPage(aPath); },
+      [this](const error_code&) { CountAcceptFailure(); });
   }
 
   // Readiness, metrics and settings.
@@ -227,9 +233,8 @@
   void ReloadSettings(const std::string& aText)
   {
     try {
-      m_context.m_settings =
-        ApplyReload(m_context.m_settings,
-                    ParseRouterSettings(aText, m_settingsFile));
+      m_context.m_settings = ApplyReload(
+        m_context.m_settings, ParseRouterSettings(aText, m_settingsFile));
       ApplySettings();
       LogLine(Event::SettingsReloaded).Add("file", m_settingsFile);
     } catch (const SettingsError& error) {
