Daemon: a load report of a wrong type is malformed, not an exception

What could happen: an engine whose load report had "as_of_ms" as a text ended the component that owns upstreams by an exception (nlohmann: type_error.302, tried on the line as it was), and the supervisor restarted it at each poll, with the permits of all its upstreams. Counts of a wrong type became 0 without a word.

--- a/daemon/owner_host.cc
+++ b/daemon/owner_host.cc
@@ -9,9 +9,8 @@
 #include <variant>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "daemon/config_feed.h"
+#include "daemon/engine_load_report.h"
 #include "daemon/fleet_view.h"
 #include "daemon/log.h"
 #include "daemon/peer_link.h"
@@ -58,16 +57,6 @@
   return options;
 }
 
-// Returns 0 if the number is missing, negative or of another type.
-std::uint32_t
-UnsignedOrZero(const nlohmann::json& aObject, const char* aKey)
-{
-  const auto found = aObject.find(aKey);
-  return found != aObject.end() && found->is_number_unsigned()
-           ? found->get<std::uint32_t>()
-           : 0;
-}
-
 } // namespace
 
 struct OwnerHost::OwnedUpstream
@@ -240,21 +229,14 @@
   if (!answered || aResponse.m_status == kHttpNotFound) {
     return;
   }
-  const nlohmann::json report =
-    nlohmann::json::parse(aResponse.m_body, nullptr, false);
-  if (!report.is_object()) {
+  const std::optional<EngineLoad> load = DecodeEngineLoad(
+    aResponse.m_body, m_context.m_loop.WallNow(), m_context.m_loop.Now());
+  if (!load) {
     ++m_context.m_metrics.Counter("load_reports_malformed_total");
     return;
   }
-  EngineLoad load;
-  load.m_running = UnsignedOrZero(report, "running");
-  load.m_waiting = UnsignedOrZero(report, "waiting");
-  load.m_cold = report.value("cold", nlohmann::json(false)) == true;
-  const Duration age = m_context.m_loop.WallNow().time_since_epoch() -
-                       Duration(report.value("as_of_ms", 0LL));
-  load.m_measuredAt = m_context.m_loop.Now() - std::max(age, Duration::zero());
   OwnerActions actions;
-  owned.m_owner.OnLoad(load, m_context.m_loop.Now(), actions);
+  owned.m_owner.OnLoad(*load, m_context.m_loop.Now(), actions);
   CarryOut(actions);
 }
 
