Router: the caller's side of a response in a file of its own

request_flow had grown to 777 lines and held the interface of the caller's response and the router's own error responses besides the flow.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -6,7 +6,6 @@
 #include "router/request_flow.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 #include "platform/field_text.h"
@@ -55,40 +54,8 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-std::string
-FormatSeconds(Duration aTime)
-{
-  char text[32];
-  std::snprintf(
-    text, sizeof(text), "%.2f", std::chrono::duration<double>(aTime).count());
-  return text;
-}
-
 } // namespace
 
-void
-WriteErrorResponse(ResponseWriter& aWriter,
-                   ResultCode aCode,
-                   std::optional<Duration> aRetryAfter)
-{
-  const ResultCodeRow& row = RowOf(aCode);
-  const std::string number = std::to_string(static_cast<int>(aCode));
-  std::string head = "HTTP/1.1 " + std::to_string(row.m_httpStatus) + " " +
-                     std::string(row.m_name) + "\r\n";
-  head += "Content-Type: application/json\r\n";
-  head += "walnutwing-code: " + number + "\r\n";
-  if (aRetryAfter) {
-    head += "Retry-After: " + FormatSeconds(*aRetryAfter) + "\r\n";
-  }
-  const std::string body = R"({"error":{"code":)" + number + R"(,"name":")" +
-                           std::string(row.m_name) + R"(","ran":")" +
-                           std::string(NameOf(row.m_ran)) + R"(","text":")" +
-                           std::string(row.m_text) + "\"}}\n";
-  aWriter.Begin(std::move(head), body.size());
-  aWriter.Write(body);
-  aWriter.End();
-}
-
 RequestFlow::RequestFlow(Context& aContext,
                          CallerRequest aRequest,
                          ResponseWriter& aWriter)
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -22,6 +22,7 @@
 #include "platform/request_codec.h"
 #include "router/context.h"
 #include "router/request_record.h"
+#include "router/response_writer.h"
 #include "router/upstream_connection.h"
 #include "walnutwing/base/result_code.h"
 #include "walnutwing/relay/event_splitter.h"
@@ -31,32 +32,6 @@
 using CallerRequest =
   boost::beast::http::request<boost::beast::http::string_body>;
 
-// Writes the response to the caller, in one or several pieces.
-class ResponseWriter
-{
-public:
-  virtual ~ResponseWriter() = default;
-  // Begins a response. aHead is the status line and fields except those that
-  // frame the body. The body has aLength bytes, or an unknown length if it is
-  // not given.
-  virtual void Begin(std::string aHead,
-                     std::optional<std::uint64_t> aLength) = 0;
-  virtual void Write(std::string_view aPiece) = 0;
-  // The response is complete.
-  virtual void End() = 0;
-  // Ends an incomplete response in a way that the caller can detect.
-  virtual void Abort() = 0;
-  // Bytes that are not yet written to the caller's socket.
-  virtual std::size_t PendingBytes() const = 0;
-};
-
-// Writes a complete error response with a numbered code. aRetryAfter, if given,
-// becomes the Retry-After field.
-void
-WriteErrorResponse(ResponseWriter& aWriter,
-                   ResultCode aCode,
-                   std::optional<Duration> aRetryAfter);
-
 // Outcome of the attempt to send a request again.
 enum class RepeatResult
 {
--- /dev/null
+++ b/router/response_writer.h
@@ -0,0 +1,44 @@
+#ifndef WALNUTWING_ROUTER_RESPONSE_WRITER_H_
+#define WALNUTWING_ROUTER_RESPONSE_WRITER_H_
+
+// The caller's side of a response, and the router's own error responses.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/base/result_code.h"
+
+namespace walnutwing::router {
+
+// Writes the response to the caller, in one or several pieces.
+class ResponseWriter
+{
+public:
+  virtual ~ResponseWriter() = default;
+  // Begins a response. aHead is the status line and fields except those that
+  // frame the body. The body has aLength bytes, or an unknown length if it is
+  // not given.
+  virtual void Begin(std::string aHead,
+                     std::optional<std::uint64_t> aLength) = 0;
+  virtual void Write(std::string_view aPiece) = 0;
+  // The response is complete.
+  virtual void End() = 0;
+  // Ends an incomplete response in a way that the caller can detect.
+  virtual void Abort() = 0;
+  // Bytes that are not yet written to the caller's socket.
+  virtual std::size_t PendingBytes() const = 0;
+};
+
+// Writes a complete error response with a numbered code. aRetryAfter, if given,
+// becomes the Retry-After field.
+void
+WriteErrorResponse(ResponseWriter& aWriter,
+                   ResultCode aCode,
+                   std::optional<Duration> aRetryAfter);
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_RESPONSE_WRITER_H_
