Router: zones are read anew once writers of a restored store have had time

Found while reading the diff: after a restore a zone that the store's list lacks stays out for 2.3 s, and then the list was to be read again. That read was dropped whenever a call was in flight, which is nearly always for the operators' topic, so the zone stayed out for good.

The read now follows the call in flight. ZoneThatRestoredStoreLacksIsBackAfterAWhile failed before (503 for 20 s).

--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -112,7 +112,7 @@
   }
   if (m_restoredZonesUntil != Time() && aNow >= m_restoredZonesUntil) {
     m_restoredZonesUntil = Time();
-    m_operatorFeed.ReadNewest();
+    m_operatorFeed.ReadNewestSoon();
   }
 }
 
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -70,6 +70,10 @@
     m_loaded = m_loaded || update.m_isSnapshot;
     m_onUpdate(update);
   }
+  if (std::exchange(m_newestRequested, false)) {
+    m_follower.RestartFromNewest();
+    m_readRequested = true;
+  }
   Duration delay = m_readRequested ? Duration::zero() : m_follower.Delay();
   if (!update.m_succeeded) {
     std::uniform_real_distribution<double> jitter(1.0, 1.0 + kRetryJitter);
@@ -117,6 +121,13 @@
   ReadNow();
 }
 
+void
+TopicFeed::ReadNewestSoon()
+{
+  m_newestRequested = m_callInFlight;
+  ReadNewest();
+}
+
 void
 TopicFeed::OnOtherEra()
 {
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -51,6 +51,9 @@
   // call is in flight.
   void ReadNewest();
 
+  // The same, but after the call in flight if there is one.
+  void ReadNewestSoon();
+
   // The store is in another era by what others say. Reads from it, whatever a
   // peer does; its response states the era.
   void OnOtherEra();
@@ -85,7 +88,8 @@
   bool m_loaded = false;
   bool m_storeAvailable = true;
   bool m_callInFlight = false;
-  bool m_readRequested = false; // call again without delay
+  bool m_readRequested = false;   // call again without delay
+  bool m_newestRequested = false; // and fetch the newest records
   Time m_lastCallAt;
   Time m_lastResponseAt;
   Time m_relyOnPeerUntil;
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -623,6 +623,23 @@
   EXPECT_TRUE(harness.WaitUntil([&] { return status("/fifth/") == 200; }));
 }
 
+// Guards against a zone that stays out for good: what a restored store lacks
+// holds only until the operators have had time to write it again.
+TEST(Router, ZoneThatRestoredStoreLacksIsBackAfterAWhile)
+{
+  RouterHarness harness(2);
+  StoreStandin& store = harness.Store();
+  store.SetEra(1);
+  store.TakeCopy();
+  store.Put("keyed.op", "evacuate/z1", "{}");
+  const auto status = [&] {
+    return StatusOf(harness.Fetch("GET", "/lookup/"));
+  };
+  ASSERT_TRUE(harness.WaitUntil([&] { return status() == 503; }));
+  store.RestoreCopy();
+  EXPECT_TRUE(harness.WaitUntil([&] { return status() == 200; }));
+}
+
 // Guards against a daemon that the restored store lacks for a whole interval of
 // announcements: the others would count too few daemons.
 TEST(Router, OwnRecordIsWrittenAgainAfterStoreWasRestored)
