--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -41,7 +41,7 @@
   { BudgetRegained, "budget_regained", DropPolicy::DropLast, "requests of the service may be repeated again" },
   { StoreEraChanged, "store_era_changed", DropPolicy::DropLast, "the platform's store was restored from an older copy and is read anew" },
   { UpstreamLeaving, "upstream_leaving", DropPolicy::DropLast, "an upstream says in an answer that it is leaving" },
-  { UpstreamResting, "upstream_resting", DropPolicy::DropLast, "an upstream asked this daemon for no requests for a while" },
+  { UpstreamBackoff, "upstream_backoff", DropPolicy::DropLast, "an upstream asked this daemon for no requests for a while" },
   { RequestSent, "request_sent", DropPolicy::DropFirst, "a request was sent to an upstream" },
   { RequestAnswered, "request_answered", DropPolicy::DropFirst, "the caller received the upstream's complete answer" },
   { RequestRefused, "request_refused", DropPolicy::DropLast, "the request has not run and will not" },
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -47,7 +47,7 @@
   BudgetRegained = 214,
   StoreEraChanged = 215,
   UpstreamLeaving = 216,
-  UpstreamResting = 217,
+  UpstreamBackoff = 217,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -307,9 +307,9 @@
     case SelectionFailure::Unreachable:
       Refuse(ResultCode::UpstreamUnreachable, kRetryAfter, aChoice);
       return;
-    case SelectionFailure::Resting:
+    case SelectionFailure::BackingOff:
       Refuse(ResultCode::QueueFull,
-             std::max(kRetryAfter, aChoice.m_restUntil - Now()),
+             std::max(kRetryAfter, aChoice.m_backoffUntil - Now()),
              aChoice);
       return;
     default:
@@ -387,7 +387,7 @@
   m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamState(aFacts);
   const bool success = IsSuccess(aHead.result_int());
-  m_isEventStream = StatesEvents(aFacts, success);
+  m_isEventStream = IsEventStream(aFacts, success);
   const bool continues = success && m_isEventStream == m_forwardsEvents;
   m_discardResponse =
     m_notExecuted || m_unconfirmedRefusal || (m_forwarding && !continues);
@@ -413,16 +413,16 @@
     m_context.m_onUpstreamLeaving(m_choice.m_upstream, m_choice.m_startWallMs);
   }
   if (!aFacts.m_retryAfterText.empty()) {
-    const Duration rest = aFacts.m_retryAfter.value_or(Duration::zero());
-    m_choice.m_tracker->OnRestRequested(rest, now);
-    m_record.LogUpstreamResting(m_choice, aFacts.m_retryAfterText, rest);
+    const Duration backoff = aFacts.m_retryAfter.value_or(Duration::zero());
+    m_choice.m_tracker->OnBackoffRequested(backoff, now);
+    m_record.LogUpstreamBackoff(m_choice, aFacts.m_retryAfterText, backoff);
   }
 }
 
 // The Content-Type decides; without one, a stream's route says what it sends.
 bool
-RequestFlow::StatesEvents(const platform::ResponseFacts& aFacts,
-                          bool aSuccess) const
+RequestFlow::IsEventStream(const platform::ResponseFacts& aFacts,
+                           bool aSuccess) const
 {
   if (aFacts.m_mediaType == platform::MediaType::Unstated) {
     return aSuccess && m_route->m_kind == RouteKind::Stream;
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -90,7 +90,8 @@
   void BeginForwarding();
   void ForwardBody(std::string_view aPiece);
   void NoteUpstreamState(const platform::ResponseFacts& aFacts);
-  bool StatesEvents(const platform::ResponseFacts& aFacts, bool aSuccess) const;
+  bool IsEventStream(const platform::ResponseFacts& aFacts,
+                     bool aSuccess) const;
   void OnResponseComplete();
   void OnNotExecuted();
   void OnAttemptFailed(const std::string& aWhy);
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -69,14 +69,14 @@
 }
 
 void
-RequestRecord::LogUpstreamResting(const Choice& aChoice,
+RequestRecord::LogUpstreamBackoff(const Choice& aChoice,
                                   std::string_view aRetryAfter,
-                                  Duration aRest)
+                                  Duration aBackoff)
 {
-  StartLine(Event::UpstreamResting)
+  StartLine(Event::UpstreamBackoff)
     .Add("upstream", aChoice.m_upstream.Value())
     .Add("retry_after", aRetryAfter.substr(0, kMaxLoggedFieldBytes))
-    .Add("for_ms", ToMilliseconds(aRest));
+    .Add("for_ms", ToMilliseconds(aBackoff));
 }
 
 void
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -38,10 +38,11 @@
                    const Choice& aFailed,
                    std::string_view aWhy,
                    std::string_view aAfterEvent);
-  // aRetryAfter: as the upstream sent it. aRest: how long it gets no requests.
-  void LogUpstreamResting(const Choice& aChoice,
+  // aRetryAfter: as the upstream sent it. aBackoff: how long it gets no
+  // requests.
+  void LogUpstreamBackoff(const Choice& aChoice,
                           std::string_view aRetryAfter,
-                          Duration aRest);
+                          Duration aBackoff);
   // Counts a repeat that the budget did not allow.
   void CountDeniedRepeat();
   // aFirstByteAt: when the head of the response was received.
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -40,8 +40,8 @@
       return "unreachable";
     case SelectionFailure::Cold:
       return "cold";
-    case SelectionFailure::Resting:
-      return "resting";
+    case SelectionFailure::BackingOff:
+      return "backing_off";
   }
   return "unknown";
 }
@@ -149,10 +149,11 @@
         upstream.m_tracker->RecentlyRefused(aNow)) {
       continue;
     }
-    if (const Time restUntil = upstream.m_tracker->RestUntil();
-        aNow < restUntil) {
-      candidateSet.m_failure = SelectionFailure::Resting;
-      candidateSet.m_restUntil = std::min(candidateSet.m_restUntil, restUntil);
+    if (const Time backoffUntil = upstream.m_tracker->BackoffUntil();
+        aNow < backoffUntil) {
+      candidateSet.m_failure = SelectionFailure::BackingOff;
+      candidateSet.m_backoffUntil =
+        std::min(candidateSet.m_backoffUntil, backoffUntil);
       continue;
     }
     if (!upstream.m_tracker->Reachable(aNow) ||
@@ -282,7 +283,7 @@
   CandidateSet candidateSet = FindCandidates(aRequest, aNow);
   std::vector<Candidate>& candidates = candidateSet.m_candidates;
   choice.m_failure = candidateSet.m_failure;
-  choice.m_restUntil = candidateSet.m_restUntil;
+  choice.m_backoffUntil = candidateSet.m_backoffUntil;
   choice.m_listed = candidateSet.m_listed;
   choice.m_usable = candidates.size();
   DropSuspect(candidates);
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -72,7 +72,7 @@
   NoUpstream,  // the service has none that may get the request
   Unreachable, // some may, but they cannot be reached
   Cold,        // all are cold, and this daemon's share of their rate is used
-  Resting,     // all others asked to get no requests for a while
+  BackingOff,  // all others asked to get no requests for a while
 };
 
 std::string_view
@@ -98,8 +98,8 @@
   ZoneId m_zone;
   std::string m_address;
   std::int64_t m_startWallMs = 0; // identifies its incarnation
-  // If it failed with Resting: until the first may get requests again.
-  Time m_restUntil;
+  // If it failed with BackingOff: until the first may get requests again.
+  Time m_backoffUntil;
   // Not shared with the upstream's state after a restart.
   std::shared_ptr<UpstreamTracker> m_tracker;
   double m_load = 0;         // its load before this request
@@ -178,7 +178,7 @@
     std::vector<Candidate> m_candidates;
     std::size_t m_listed = 0; // upstreams of the service, candidates or not
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
-    Time m_restUntil = Time::max(); // of those that rest, the earliest
+    Time m_backoffUntil = Time::max(); // the earliest end of a backoff
   };
 
   CandidateSet FindCandidates(const SelectionRequest& aRequest, Time aNow);
--- a/walnutwing/routing/upstream_selector_test.cc
+++ b/walnutwing/routing/upstream_selector_test.cc
@@ -117,7 +117,7 @@
 
 // Guards against requests for upstreams that asked for none: the others get
 // them, and if all asked, the earliest end is known at once.
-TEST(UpstreamSelector, RestingUpstreamsGetNoRequests)
+TEST(UpstreamSelector, UpstreamsThatAskedForBackoffGetNoRequests)
 {
   TestFleet fleet(1, 2);
   UpstreamSelector& selector = fleet.Daemon(0).m_selector;
@@ -125,14 +125,14 @@
     return selector.Choose(MakeSelection(0), fleet.m_clock.Now());
   };
   const Choice first = choose();
-  first.m_tracker->OnRestRequested(milliseconds(900), fleet.m_clock.Now());
+  first.m_tracker->OnBackoffRequested(milliseconds(900), fleet.m_clock.Now());
   const Choice second = choose();
   EXPECT_EQ(SelectionFailure::None, second.m_failure);
   EXPECT_NE(first.m_upstream, second.m_upstream);
-  second.m_tracker->OnRestRequested(milliseconds(400), fleet.m_clock.Now());
+  second.m_tracker->OnBackoffRequested(milliseconds(400), fleet.m_clock.Now());
   const Choice none = choose();
-  EXPECT_EQ(SelectionFailure::Resting, none.m_failure);
-  EXPECT_EQ(fleet.m_clock.Now() + milliseconds(400), none.m_restUntil);
+  EXPECT_EQ(SelectionFailure::BackingOff, none.m_failure);
+  EXPECT_EQ(fleet.m_clock.Now() + milliseconds(400), none.m_backoffUntil);
   fleet.m_clock.Advance(milliseconds(400));
   EXPECT_EQ(second.m_upstream, choose().m_upstream);
 }
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -92,9 +92,9 @@
 }
 
 void
-UpstreamTracker::OnRestRequested(Duration aTime, Time aNow)
+UpstreamTracker::OnBackoffRequested(Duration aTime, Time aNow)
 {
-  m_restUntil = std::max(m_restUntil, aNow + aTime);
+  m_backoffUntil = std::max(m_backoffUntil, aNow + aTime);
 }
 
 void
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -45,7 +45,7 @@
   void OnLoadReport(const LoadReport& aReport, Time aNow);
   void OnRefused(Time aNow);
   // The upstream asked to get no requests from this daemon for aTime.
-  void OnRestRequested(Duration aTime, Time aNow);
+  void OnBackoffRequested(Duration aTime, Time aNow);
 
   std::uint32_t InFlight() const { return m_inFlight; }
 
@@ -72,7 +72,7 @@
   bool RecentlyRefused(Time aNow) const { return aNow < m_refusedUntil; }
 
   // Until when it asked to get no requests; not in the future if it did not.
-  Time RestUntil() const { return m_restUntil; }
+  Time BackoffUntil() const { return m_backoffUntil; }
 
   // Moving average of failures among the ended requests, from 0 to 1.
   double FailureRate(Time aNow) const;
@@ -89,7 +89,7 @@
   std::uint32_t m_connectFailures = 0;
   Time m_unreachableUntil;
   Time m_refusedUntil;
-  Time m_restUntil;
+  Time m_backoffUntil;
 };
 
 } // namespace walnutwing
