--- a/router/peers.cc
+++ b/router/peers.cc
@@ -141,7 +141,8 @@
     }
     const std::uint64_t era = feed.Follower().Era().value_or(0);
     if (state.era() != era) {
-      // Its offsets mean nothing here. Whoever is behind reads the store.
+      // Offsets of two eras cannot be compared. The daemon that knows the older
+      // one reads the store.
       if (state.era() > era) {
         feed.OnOtherEra();
       }
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -23,7 +23,8 @@
 // Responses up to this size are buffered until they are complete, so that the
 // request can be repeated if the response breaks off.
 constexpr std::size_t kMaxBufferedBodyBytes = 256U << 10U;
-// An upstream whose event is larger is taken to send no events at all.
+// A stream with a larger event is broken off, since an event is kept in memory
+// until it is complete.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 // Unwritten bytes of a slow caller above which reading from the upstream
 // pauses.
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -54,8 +54,8 @@
   // The same, but after the call in flight if there is one.
   void ReadNewestSoon();
 
-  // The store is in another era by what others say. Reads from it, whatever a
-  // peer does; its response states the era.
+  // Another topic or a peer has seen a new era of the store. Reads the store
+  // itself instead of relying on peers; the response states the era.
   void OnOtherEra();
 
   // Applies records that another daemon has read, up to but excluding offset
--- a/walnutwing/routing/upstream_directory.cc
+++ b/walnutwing/routing/upstream_directory.cc
@@ -52,7 +52,7 @@
   m_restoredListUntil = aNow + m_reregistrationTime;
 }
 
-// An incarnation without a start time cannot be told from the one after it.
+// Returns false without a start time: a restarted upstream would look the same.
 bool
 UpstreamDirectory::HasLeft(const UpstreamEntry& aEntry) const
 {
