Router: a response whose head arrives before its body is forwarded

Callers saw 502 upstream_failed (cause "malformed HTTP response: body limit exceeded") for a sound response with Content-Length whose head and body came in two reads; a lookup was run again elsewhere, an order that had run was reported as unknown.

Cause: with body_limit(boost::none), Boost.Beast 1.74 compares the length with an empty optional, which is less than any number, and returns the error when the head ends the bytes that it was given. When a part of the body follows in the same read, it goes on and the error is lost, which is why responses in one piece passed. Found by a test of endless bodies that failed in two different ways.

A limit of the greatest number never compares so. The test failed before for an order, a lookup and a stream, and passes now.

--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -1,6 +1,7 @@
 #include "router/upstream_connection.h"
 
 #include <array>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -18,6 +19,10 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr std::size_t kReadBufferBytes = 8U << 10U;
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
+// Not boost::none: with it Boost.Beast rejects a response whose head arrives
+// without a part of its body.
+constexpr std::uint64_t kNoBodyLimit =
+  std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContentStatus = 204;
 constexpr unsigned kNotModifiedStatus = 304;
@@ -65,7 +70,7 @@
   m_parser.emplace();
   m_parser->eager(true);
   m_parser->header_limit(kMaxHeadBytes);
-  m_parser->body_limit(boost::none);
+  m_parser->body_limit(kNoBodyLimit);
   m_parser->skip(m_request.m_headOnly);
   m_headParsed = false;
   m_skipResponse = false;
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -263,6 +263,31 @@
   EXPECT_EQ("third", ask("3"));
 }
 
+// Guards against a sound response that fails as malformed, although the request
+// has run, because its head and its body arrived one after the other.
+TEST(Router, ResponseWhoseHeadArrivesBeforeItsBodyIsForwarded)
+{
+  for (const std::string path : { "/order/", "/lookup/", "/stream/" }) {
+    RouterHarness harness(1);
+    Exchange exchange;
+    harness.Upstream(0).SetHandler([&exchange](const Exchange& aExchange) {
+      exchange = aExchange;
+      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                       "X-Response-Seal: seal\r\nContent-Length: 6\r\n\r\n");
+    });
+    const auto caller = harness.Connect();
+    caller->Send(EmptyPost(path));
+    ASSERT_TRUE(harness.WaitUntil([&] { return exchange != nullptr; }));
+    harness.RunLoopFor(Duration(100));
+    exchange->Write("data\n\n");
+    EXPECT_TRUE(harness.WaitUntil([&] {
+      return caller->Received().find("data\n\n") != std::string::npos ||
+             caller->Ended();
+    }));
+    EXPECT_EQ(200, StatusOf(caller->Received())) << path;
+  }
+}
+
 TEST(Router, ResponseWithoutLengthIsCompleteOnlyAfterOrderlyClose)
 {
   RouterHarness harness(2);
