Router: the length that an upstream states reserves no memory

Callers saw all their connections end: a router that receives a response with "Content-Length:" ended by itself (std::bad_alloc out of the event loop, exit by signal), with every request that it held.

Cause: Boost.Beast's string_body reserves the stated length before the first byte of the body; the router has no use for that, as it passes the body on in pieces. The limit of the body did not help: the router allows any length.

PieceBody appends what arrives and reserves nothing.

--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -17,10 +17,10 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "platform/answer_codec.h"
 #include "router/asio.h"
+#include "router/piece_body.h"
 #include "walnutwing/relay/body_end.h"
 
 namespace walnutwing::router {
@@ -106,8 +106,7 @@
   bool IsOpen() const { return !m_closed; }
 
 private:
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<PieceBody>;
 
   void Connect();
   void Write();
