Router: input that no parser consumes is bounded, whoever sends it

Seen with a stand-in that sends as fast as the loopback allows: a chunk-size line, a chunk extension, one long trailer or many of them, from an upstream, filled the router's memory until the request's deadline (504), and the same from a client of the readiness page for 30 s. A caller that did so was not read on and learned of it only when its timer ended (408). A response of the store was kept up to 64 MiB, and one that trickled held its call for ever.

Cause: each of the four readers had a buffer of its own without a limit; the limits of head and body do not cover what lies between.

InputBuffer has the limit, and all four read into it. A full buffer of which the parser consumes nothing ends the connection: upstreams count as failed (502, may have run), callers get 400 at once. Responses of the store are kept in pieces up to 7 MiB and 10 s after their first byte; the platform's pages hold 1 MB, or one record.

--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -16,9 +16,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBufferBytes = 4U << 10U;
-// Reading pauses when a caller has sent more than this before the response to
-// its current request is complete.
-constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
 // How long a caller may take to close the connection after the final response.
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -66,13 +63,13 @@
 void
 CallerConnection::Read()
 {
-  if (m_reading || m_state == State::Closed ||
-      m_input.size() > kMaxPipelinedBytes) {
+  // A full buffer holds requests that the caller has sent ahead of responses.
+  if (m_reading || m_state == State::Closed || m_input.IsFull()) {
     return;
   }
   m_reading = true;
   m_socket.async_read_some(
-    m_input.prepare(kReadBufferBytes),
+    m_input.PrepareUpTo(kReadBufferBytes),
     [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
       self->m_reading = false;
       if (self->m_state != State::Closed) {
@@ -105,6 +102,7 @@
   m_parser.emplace();
   m_parser->eager(true);
   m_parser->header_limit(Limits().m_maxHeaderBytes);
+  m_input.AllowHead(Limits().m_maxHeaderBytes);
   m_parser->body_limit(Limits().m_maxBodyBytes);
   SetTimer(Limits().m_headerTimeout);
 }
@@ -134,9 +132,12 @@
       return;
     }
     if (used == 0) {
-      return;
+      break;
     }
   }
+  if (m_input.IsFull()) {
+    Reject(ResultCode::BadRequest); // a line before a chunk, or trailers
+  }
 }
 
 void
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -11,11 +11,11 @@
 #include <string>
 #include <string_view>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "router/context.h"
+#include "router/input_buffer.h"
 #include "router/request_flow.h"
 
 namespace walnutwing::router {
@@ -83,7 +83,7 @@
   Timer m_timer;
   std::function<void()> m_onClosed;
   State m_state = State::Idle;
-  boost::beast::flat_buffer m_input;
+  InputBuffer m_input;
   std::optional<Parser> m_parser;
   bool m_reading = false;
   bool m_headParsed = false;
--- a/router/page_server.cc
+++ b/router/page_server.cc
@@ -3,13 +3,13 @@
 #include <memory>
 #include <utility>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "platform/field_text.h"
+#include "router/input_buffer.h"
 #include "router/socket_options.h"
 
 namespace walnutwing::router {
@@ -79,7 +79,7 @@
   Socket m_socket;
   Timer m_timer;
   const Handler& m_handler;
-  boost::beast::flat_buffer m_input;
+  InputBuffer m_input;
   http::request<http::empty_body> m_request;
   http::response<http::string_body> m_response;
 };
--- a/router/store_channel.cc
+++ b/router/store_channel.cc
@@ -17,7 +17,10 @@
 // Shorter than the timeout of a call, so that a store that accepts no
 // connections is retried sooner than one that does not respond.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+// A page of the newest records and a read hold about 1 MB, or one larger record.
+constexpr std::uint64_t kMaxResponseBytes = 7U << 20U;
+constexpr Duration kMaxResponseTime = std::chrono::seconds(10);
+constexpr std::size_t kBodyPieceBytes = 64U << 10U;
 
 std::string
 EncodeRequest(const platform::StoreRequest& aCall, const Tcp::endpoint& aStore)
@@ -39,6 +42,7 @@
   : m_socket(aLoop.get_executor())
   , m_timer(aLoop.get_executor())
   , m_connectTimer(aLoop.get_executor())
+  , m_responseTimer(aLoop.get_executor())
   , m_store(std::move(aStore))
 {
 }
@@ -55,6 +59,8 @@
   m_parser.emplace();
   m_parser->body_limit(kMaxResponseBytes);
   m_parser->eager(true);
+  m_body.clear();
+  m_responseBegun = false;
   m_timeout = aTimeout;
   SetTimeout();
   if (m_connected) {
@@ -129,36 +135,83 @@
     *m_parser,
     [self = shared_from_this(),
      generation = m_generation](const error_code& aError, std::size_t aBytes) {
-      if (generation != self->m_generation) {
-        return;
+      if (generation == self->m_generation) {
+        self->OnRead(aError, aBytes);
       }
-      self->m_bytesRead += aBytes;
-      if (aError) {
-        self->Finish({ 0, "", aError.message(), {} }, false);
-        return;
-      }
-      if (!self->m_parser->is_done()) {
-        self->SetTimeout();
-        self->Read();
-        return;
+    });
+}
+
+void
+StoreChannel::OnRead(const error_code& aError, std::size_t aBytes)
+{
+  m_bytesRead += aBytes;
+  KeepBody();
+  if (aError) {
+    Finish({ 0, "", aError.message(), {} }, false);
+    return;
+  }
+  if (m_parser->is_done()) {
+    OnComplete();
+    return;
+  }
+  if (!std::exchange(m_responseBegun, true)) {
+    SetResponseTimer();
+  }
+  SetTimeout();
+  Read();
+}
+
+void
+StoreChannel::OnComplete()
+{
+  const auto& response = m_parser->get();
+  const bool keepOpen = response.keep_alive() && m_input.size() == 0;
+  std::string body;
+  for (const std::string& piece : m_body) {
+    body += piece;
+  }
+  Finish({ static_cast<int>(response.result_int()),
+           std::move(body),
+           "",
+           platform::DecodeEra(
+             platform::FieldOf(response, platform::kStoreEra)) },
+         keepOpen);
+}
+
+void
+StoreChannel::SetResponseTimer()
+{
+  m_responseTimer.expires_after(kMaxResponseTime);
+  m_responseTimer.async_wait(
+    [self = shared_from_this(),
+     generation = m_generation](const error_code& aError) {
+      if (!aError && generation == self->m_generation) {
+        self->Finish({ 0, "", "response takes too long", {} }, false);
       }
-      auto& response = self->m_parser->get();
-      const bool keepOpen = response.keep_alive() && self->m_input.size() == 0;
-      self->Finish({ static_cast<int>(response.result_int()),
-                     std::move(response.body()),
-                     "",
-                     platform::DecodeEra(
-                       platform::FieldOf(response, platform::kStoreEra)) },
-                   keepOpen);
     });
 }
 
+// Takes over what the parser has read of the body.
+void
+StoreChannel::KeepBody()
+{
+  std::string& read = m_parser->get().body();
+  if (m_body.empty() || m_body.back().size() + read.size() > kBodyPieceBytes) {
+    m_body.push_back(std::move(read));
+  } else {
+    m_body.back() += read;
+  }
+  read.clear();
+}
+
 void
 StoreChannel::Finish(StoreResponse aResponse, bool aKeepOpen)
 {
   ++m_generation;
   m_timer.cancel();
   m_connectTimer.cancel();
+  m_responseTimer.cancel();
+  m_body.clear();
   if (!aKeepOpen) {
     error_code ignored; // the socket is not used again
     m_socket.close(ignored);
--- a/router/store_channel.h
+++ b/router/store_channel.h
@@ -9,13 +9,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "platform/store_codec.h"
 #include "router/asio.h"
+#include "router/input_buffer.h"
+#include "router/piece_body.h"
 
 namespace walnutwing::router {
 
@@ -38,7 +39,8 @@
 
   // Must not be called while a call is in flight. aCallback is never called
   // from within Call. aTimeout bounds the time without any progress of the
-  // response.
+  // response. A response that is too long, or takes too long once it has begun,
+  // fails.
   void Call(const platform::StoreRequest& aCall,
             Duration aTimeout,
             Callback aCallback);
@@ -52,19 +54,25 @@
   void Connect();
   void Write();
   void Read();
+  void OnRead(const error_code& aError, std::size_t aBytes);
+  void OnComplete();
+  void SetResponseTimer();
+  void KeepBody();
   void Finish(StoreResponse aResponse, bool aKeepOpen);
 
   Socket m_socket;
   Timer m_timer;
   Timer m_connectTimer;
+  Timer m_responseTimer; // from the first byte on
   Tcp::endpoint m_store;
   bool m_connected = false;
   std::string m_request;
   Duration m_timeout{}; // without receiving a byte
-  boost::beast::flat_buffer m_input;
-  std::optional<
-    boost::beast::http::response_parser<boost::beast::http::string_body>>
-    m_parser;
+  InputBuffer m_input;
+  std::optional<boost::beast::http::response_parser<PieceBody>> m_parser;
+  // In pieces, as a string that grows needs twice its memory for a moment.
+  std::vector<std::string> m_body;
+  bool m_responseBegun = false;
   Callback m_callback;
   std::uint64_t m_generation = 0; // handlers of earlier calls do nothing
   std::uint64_t m_calls = 0;
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -18,7 +18,6 @@
 // packet costs a second, which is longer than trying another upstream takes.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr std::size_t kReadBufferBytes = 8U << 10U;
-constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 // Not boost::none: with it Boost.Beast rejects a response whose head arrives
 // without a part of its body.
 constexpr std::uint64_t kNoBodyLimit =
@@ -69,7 +68,7 @@
 {
   m_parser.emplace();
   m_parser->eager(true);
-  m_parser->header_limit(kMaxHeadBytes);
+  m_parser->header_limit(kMaxUnparsedBytes);
   m_parser->body_limit(kNoBodyLimit);
   m_parser->skip(m_request.m_headOnly);
   m_headParsed = false;
@@ -136,7 +135,7 @@
   }
   m_reading = true;
   m_socket.async_read_some(
-    m_input.prepare(kReadBufferBytes),
+    m_input.PrepareUpTo(kReadBufferBytes),
     [self = shared_from_this(),
      generation = m_generation](const error_code& aError, std::size_t aBytes) {
       self->m_reading = false;
@@ -199,6 +198,10 @@
       break;
     }
   }
+  if (m_input.IsFull()) {
+    Finish(m_stage, "malformed HTTP response: line or trailers too long");
+    return false;
+  }
   return true;
 }
 
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -15,11 +15,11 @@
 #include <string>
 #include <string_view>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "platform/answer_codec.h"
 #include "router/asio.h"
+#include "router/input_buffer.h"
 #include "router/piece_body.h"
 #include "walnutwing/relay/body_end.h"
 
@@ -128,7 +128,7 @@
   OnClosed m_onClosed;
   UpstreamRequest m_request;
   ResponseReceiver* m_receiver = nullptr;
-  boost::beast::flat_buffer m_input;
+  InputBuffer m_input;
   std::optional<Parser> m_parser;
   std::optional<Duration> m_keepAlive;
   BodyFraming m_framing = BodyFraming::Unknown;
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -53,6 +53,43 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+// Writes aPiece again and again until the peer closes the connection, and then
+// calls aOnEnd. aOwner keeps aSocket alive meanwhile.
+void
+WriteUntilClosed(std::shared_ptr<void> aOwner,
+                 Tcp::socket& aSocket,
+                 std::shared_ptr<const std::string> aPiece,
+                 std::function<void()> aOnEnd)
+{
+  const asio::const_buffer buffer = asio::buffer(*aPiece);
+  asio::async_write(aSocket,
+                    buffer,
+                    [owner = std::move(aOwner),
+                     &aSocket,
+                     piece = std::move(aPiece),
+                     onEnd = std::move(aOnEnd)](const error_code& aError,
+                                                std::size_t) {
+                      if (aError) {
+                        onEnd();
+                        return;
+                      }
+                      WriteUntilClosed(owner, aSocket, piece, onEnd);
+                    });
+}
+
+// At least kEndlessPieceBytes of repetitions of aText, so that a few system
+// calls write much.
+std::shared_ptr<const std::string>
+RepeatedText(const std::string& aText)
+{
+  constexpr std::size_t kEndlessPieceBytes = 64U << 10U;
+  std::string piece;
+  while (piece.size() < kEndlessPieceBytes) {
+    piece += aText;
+  }
+  return std::make_shared<const std::string>(std::move(piece));
+}
+
 std::string
 Base64(const std::string& aBytes)
 {
@@ -132,6 +169,10 @@
       }
       return;
     }
+    if (!m_store.m_endlessPiece.empty()) {
+      AnswerEndlessly();
+      return;
+    }
     const std::string target(m_request.target());
     m_query = ParseQuery(target);
     Topic& topic = m_store.m_topics[m_query["topic"]];
@@ -156,6 +197,35 @@
     }
   }
 
+  void AnswerEndlessly()
+  {
+    error_code ignored; // the write that follows reports a closed connection
+    asio::write(m_socket, asio::buffer(m_store.m_endlessHead), ignored);
+    m_store.m_endlessAnswerEnded = false;
+    if (m_store.m_endlessPause > Duration::zero()) {
+      Trickle(std::exchange(m_store.m_endlessPiece, {}));
+      return;
+    }
+    WriteUntilClosed(
+      shared_from_this(),
+      m_socket,
+      RepeatedText(std::exchange(m_store.m_endlessPiece, {})),
+      [&store = m_store] { store.m_endlessAnswerEnded = true; });
+  }
+
+  void Trickle(const std::string& aPiece)
+  {
+    error_code error;
+    asio::write(m_socket, asio::buffer(aPiece), error);
+    if (error) {
+      m_store.m_endlessAnswerEnded = true;
+      return;
+    }
+    m_pieceTimer.expires_after(m_store.m_endlessPause);
+    m_pieceTimer.async_wait([self = shared_from_this(), aPiece](
+                              const error_code&) { self->Trickle(aPiece); });
+  }
+
   static std::string EncodeNewest(const Topic& aTopic)
   {
     std::string items;
@@ -466,6 +536,14 @@
       error_code ignored; // PeerClosed reports a closed connection
       asio::write(m_connection->m_socket, asio::buffer(aBytes), ignored);
     }
+    void WriteEndlessly(const std::string& aPiece) override
+    {
+      WriteUntilClosed(
+        m_connection,
+        m_connection->m_socket,
+        RepeatedText(aPiece),
+        [connection = m_connection] { connection->m_peerClosed = true; });
+    }
     void Close() override
     {
       error_code ignored; // the test is done with it
@@ -564,6 +642,12 @@
   asio::write(m_state->m_socket, asio::buffer(aBytes), ignored);
 }
 
+void
+CallerStandin::SendEndlessly(const std::string& aPiece)
+{
+  WriteUntilClosed(m_state, m_state->m_socket, RepeatedText(aPiece), [] {});
+}
+
 void
 CallerStandin::Close()
 {
@@ -713,11 +797,23 @@
   return caller;
 }
 
+std::unique_ptr<CallerStandin>
+RouterHarness::ConnectTo(std::uint16_t aPort)
+{
+  return std::make_unique<CallerStandin>(m_loop,
+                                         m_ip + ":" + std::to_string(aPort));
+}
+
 std::unique_ptr<CallerStandin>
 RouterHarness::Connect()
 {
-  return std::make_unique<CallerStandin>(
-    m_loop, m_ip + ":" + std::to_string(kListenPort));
+  return ConnectTo(kListenPort);
+}
+
+std::unique_ptr<CallerStandin>
+RouterHarness::ConnectToReadyPage()
+{
+  return ConnectTo(kReadyPort);
 }
 
 std::string
@@ -764,6 +860,21 @@
   return static_cast<int>(FetchPage(kReadyPort, "/api/readyz").result_int());
 }
 
+std::size_t
+RouterHarness::RouterPeakMemory() const
+{
+  constexpr std::size_t kBytesPerKb = 1024;
+  const std::string field = "VmHWM:";
+  std::ifstream file("/proc/" + std::to_string(m_router->Pid()) + "/status");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with(field)) {
+      return std::stoul(line.substr(field.size())) * kBytesPerKb;
+    }
+  }
+  throw std::runtime_error("the router has no peak memory: it has ended");
+}
+
 std::string
 RouterHarness::MetricsText()
 {
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -73,6 +73,22 @@
     m_piecePause = aPause;
   }
 
+  // The next response begins with aHead, and aPiece follows without end: as fast
+  // as possible, or each after aPause. Later responses are as usual.
+  void AnswerEndlessly(const std::string& aHead,
+                       const std::string& aPiece,
+                       Duration aPause = Duration(0))
+  {
+    m_endlessHead = aHead;
+    m_endlessPiece = aPiece;
+    m_endlessPause = aPause;
+  }
+  // Whether such a response has begun, and the router has ended it.
+  bool EndlessAnswerEnded() const
+  {
+    return m_endlessAnswerEnded.value_or(false);
+  }
+
   std::string Address() const;
   // Number of requests for the newest records of a topic.
   std::size_t CountNewestRequests(const std::string& aTopic) const
@@ -112,6 +128,10 @@
   std::map<std::string, std::size_t> m_appends;        // by topic
   std::size_t m_pieces = 1;
   Duration m_piecePause{ 0 };
+  std::string m_endlessHead; // of AnswerEndlessly
+  std::string m_endlessPiece;
+  Duration m_endlessPause{ 0 };
+  std::optional<bool> m_endlessAnswerEnded; // empty until it has begun
 };
 
 // One request at an upstream, and the connection that it came on.
@@ -122,6 +142,8 @@
   virtual const http::request<http::string_body>& Request() const = 0;
   // Writes raw bytes.
   virtual void Write(const std::string& aBytes) = 0;
+  // Writes aPiece again and again until the router closes the connection.
+  virtual void WriteEndlessly(const std::string& aPiece) = 0;
   virtual void Close() = 0; // orderly, without a reset
   virtual void Reset() = 0;
   virtual bool PeerClosed() const = 0;
@@ -191,6 +213,8 @@
   CallerStandin& operator=(const CallerStandin&) = delete;
 
   void Send(const std::string& aBytes);
+  // Sends aPiece again and again until the router closes the connection.
+  void SendEndlessly(const std::string& aPiece);
   void Close();
 
   const std::string& Received() const { return m_state->m_received; }
@@ -260,6 +284,8 @@
                         std::int64_t aStartWallMs = 0);
 
   std::unique_ptr<CallerStandin> Connect();
+  // Connects to the router's readiness page.
+  std::unique_ptr<CallerStandin> ConnectToReadyPage();
   // Retries while the router does not listen; null after kHarnessWaitTimeout.
   std::unique_ptr<CallerStandin> ConnectOnceItListens();
 
@@ -272,6 +298,8 @@
 
   // Status of the router's readiness page; 0 without a response.
   int ReadyStatus();
+  // The router's peak memory so far, in bytes.
+  std::size_t RouterPeakMemory() const;
   // The router's metrics page.
   std::string MetricsText();
 
@@ -292,6 +320,7 @@
 private:
   http::response<http::string_body> FetchPage(std::uint16_t aPort,
                                               const std::string& aPath);
+  std::unique_ptr<CallerStandin> ConnectTo(std::uint16_t aPort);
 
   std::string m_ip;
   HarnessOptions m_options;
