Router: responses that are not forwarded are read up to a limit

Callers waited for their deadline and got 504 when an upstream sent interim responses, or a second answer to an earlier request, without end, or behind a head that says "not executed" a body without end; the router read all of it at the loopback's speed meanwhile.

Cause: skipped and discarded bytes counted as progress and had no limit. A late response without length swallows its own successor in the same way.

Skipped responses now end the attempt after 1 MiB, discarded ones after 256 KiB: the upstream counts as failed and the caller gets its final answer at once, "may have run" also behind "not executed", as such an upstream is out of order.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -23,6 +23,9 @@
 // Responses up to this size are buffered until they are complete, so that the
 // request can be repeated if the response breaks off.
 constexpr std::size_t kMaxBufferedBodyBytes = 256U << 10U;
+// The connection of a response that is not forwarded is closed after that much,
+// as reading on would cost more than a new connection.
+constexpr std::uint64_t kMaxDiscardedBytes = 256U << 10U;
 // A stream with a larger event is broken off, since an event is kept in memory
 // until it is complete.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
@@ -290,6 +293,7 @@
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
+  m_discardedBytes = 0;
   m_isEventStream = false;
   m_bodyEnd = {};
   m_body.clear();
@@ -444,9 +448,13 @@
 {
   m_lastByteAt = Now();
   m_choice.m_tracker->OnBytesReceived(m_lastByteAt);
-  if (m_discardResponse || m_caller == nullptr) {
+  if (m_discardResponse) {
+    DiscardBody(aPiece.size());
     return;
   }
+  if (m_caller == nullptr) {
+    return; // an order that runs to its end
+  }
   if (m_isEventStream) {
     aPiece = m_events.Feed(aPiece);
     if (m_events.PartialEvent().size() > kMaxEventBytes) {
@@ -467,6 +475,20 @@
   }
 }
 
+// A response that says "not executed" without an end does not count as such: its
+// upstream is out of order, and the caller must not be told so wrongly.
+void
+RequestFlow::DiscardBody(std::size_t aBytes)
+{
+  m_discardedBytes += aBytes;
+  if (m_discardedBytes <= kMaxDiscardedBytes) {
+    return;
+  }
+  const auto self = shared_from_this();
+  CancelAttempt(SendOutcome::Failed);
+  OnAttemptFailed("response too large to discard");
+}
+
 void
 RequestFlow::ForwardBody(std::string_view aPiece)
 {
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -89,6 +89,7 @@
 
   void BeginForwarding();
   void ForwardBody(std::string_view aPiece);
+  void DiscardBody(std::size_t aBytes);
   void NoteUpstreamState(const platform::ResponseFacts& aFacts);
   bool IsEventStream(const platform::ResponseFacts& aFacts,
                      bool aSuccess) const;
@@ -136,6 +137,7 @@
   // The status means "not run", but the upstream did not report that.
   bool m_unconfirmedRefusal = false;
   bool m_discardResponse = false; // do not forward its response
+  std::uint64_t m_discardedBytes = 0;
   bool m_isEventStream = false;   // its response is a stream of events
 
   std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -18,6 +18,9 @@
 // packet costs a second, which is longer than trying another upstream takes.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr std::size_t kReadBufferBytes = 8U << 10U;
+// Of the responses that precede the one to the request. The response to an
+// earlier request can be as long as any; more bytes have no end.
+constexpr std::uint64_t kMaxSkippedBytes = 1U << 20U;
 // Not boost::none: with it Boost.Beast rejects a response whose head arrives
 // without a part of its body.
 constexpr std::uint64_t kNoBodyLimit =
@@ -51,6 +54,7 @@
   m_keepAlive.reset();
   m_framing = BodyFraming::Unknown;
   m_bodyBytes = 0;
+  m_skippedBytes = 0;
   m_paused = false;
   NewParser();
   if (!m_connected) {
@@ -188,6 +192,13 @@
       Finish(m_stage, "malformed HTTP response: " + error.message());
       return false;
     }
+    if (m_skipResponse) {
+      m_skippedBytes += used;
+      if (m_skippedBytes > kMaxSkippedBytes) {
+        Finish(m_stage, "no response to the request among the first bytes");
+        return false;
+      }
+    }
     if (m_parser->is_done()) {
       if (!OnResponseComplete()) {
         return false;
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -5,9 +5,10 @@
 // response is parsed by Boost.Beast and delivered piece by piece.
 //
 // A response is matched to the request by its attempt id, because a reused
-// connection may still deliver the response to an earlier request, which is
-// skipped. Only a "not executed" response may lack the id. A connection with
-// bytes beyond the response is closed rather than reused.
+// connection may still deliver the response to an earlier request. That one is
+// skipped, as are interim responses, up to a limit of bytes for each request.
+// Only a "not executed" response may lack the id. A connection with bytes
+// beyond the response is closed rather than reused.
 
 #include <functional>
 #include <memory>
@@ -133,6 +134,7 @@
   std::optional<Duration> m_keepAlive;
   BodyFraming m_framing = BodyFraming::Unknown;
   std::uint64_t m_bodyBytes = 0; // received of the response to the request
+  std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
   bool m_closed = false;
