Router: a caller that goes on sending after an error is not read for a second

After 400, 413 or 431 the router discards input for up to a second so that the response is not lost in a reset. A caller that sends without end was read at full speed all that time. It is closed after 1 MiB: whoever has sent that much does not read. Covered by EndlessInput.CallersGetAnErrorAtOnce, which passed before too (the second is short); the bound itself has no test of its own.

--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kReadBufferBytes = 4U << 10U;
 // How long a caller may take to close the connection after the final response.
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+// A caller that sends more than this meanwhile does not read the response.
+constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
@@ -88,6 +90,11 @@
   m_input.commit(aBytes);
   if (m_state == State::Lingering) {
     m_input.consume(m_input.size());
+    m_lingeredBytes += aBytes;
+    if (m_lingeredBytes > kMaxLingerBytes) {
+      Close();
+      return;
+    }
   } else if (m_state != State::Responding) {
     Parse();
   }
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -98,6 +98,7 @@
   bool m_chunked = false;
   bool m_responseEnded = false;
   bool m_aborted = false;
+  std::size_t m_lingeredBytes = 0; // discarded after the final response
 };
 
 } // namespace walnutwing::router
