Event splitter: an event in many pieces costs linear time

An upstream that sends an event without end, or one line of it, kept the router busy until the event's limit of 1 MiB: each piece was searched and copied with all that was kept before. What was kept holds no empty line, so only the new piece is searched; the result is the same for any split (event_splitter_test).

--- a/walnutwing/relay/event_splitter.cc
+++ b/walnutwing/relay/event_splitter.cc
@@ -1,6 +1,7 @@
 // Searches each piece backwards for the last empty line, which ends the last
 // complete event, and keeps what follows it. Most pieces hold whole events and
-// are returned without a copy.
+// are returned without a copy. What was kept is not searched again, so that an
+// event in many small pieces costs no more than one in few.
 
 #include "walnutwing/relay/event_splitter.h"
 
@@ -10,13 +11,20 @@
 constexpr std::string_view kIdField = "id:";
 constexpr std::string_view kLineEnds = "\r\n";
 
-// The number of bytes up to and including the last empty line of aText, or 0 if
-// it has none. aText begins a line. A CR at its end counts as a line end; if an
-// LF follows in the next piece, that is an empty line by itself.
+// The number of bytes up to and including the last empty line of aText that
+// ends at aFrom or later, or 0 if there is none. aText begins a line. A CR at
+// its end counts as a line end; if an LF follows in the next piece, that is an
+// empty line by itself.
 std::size_t
-EndOfLastEvent(std::string_view aText)
+EndOfLastEvent(std::string_view aText, std::size_t aFrom)
 {
-  std::size_t end = aText.find_last_of(kLineEnds);
+  const auto findLineEnd = [&](std::size_t aLast) {
+    const std::string_view text = aText.substr(aFrom, aLast + 1 - aFrom);
+    const std::size_t found = text.find_last_of(kLineEnds);
+    return found == std::string_view::npos ? found : found + aFrom;
+  };
+  std::size_t end = aText.empty() ? std::string_view::npos
+                                  : findLineEnd(aText.size() - 1);
   while (end != std::string_view::npos) {
     const bool crLf = aText[end] == '\n' && end != 0 && aText[end - 1] == '\r';
     const std::size_t lineEnd = crLf ? end - 1 : end;
@@ -24,7 +32,10 @@
         kLineEnds.find(aText[lineEnd - 1]) != std::string_view::npos) {
       return end + 1;
     }
-    end = aText.find_last_of(kLineEnds, lineEnd - 1);
+    if (lineEnd <= aFrom) {
+      break;
+    }
+    end = findLineEnd(lineEnd - 1);
   }
   return 0;
 }
@@ -34,13 +45,20 @@
 std::string_view
 EventSplitter::Feed(std::string_view aPiece)
 {
-  std::string_view events = aPiece;
-  if (!m_partialEvent.empty()) {
-    m_partialEvent += aPiece;
-    m_completeEvents.swap(m_partialEvent);
-    events = m_completeEvents;
+  const std::size_t kept = m_partialEvent.size();
+  if (kept == 0) {
+    const std::size_t end = EndOfLastEvent(aPiece, 0);
+    m_partialEvent.assign(aPiece.substr(end));
+    UpdateLastId(aPiece.substr(0, end));
+    return aPiece.substr(0, end);
+  }
+  m_partialEvent += aPiece;
+  const std::size_t end = EndOfLastEvent(m_partialEvent, kept);
+  if (end == 0) {
+    return {};
   }
-  const std::size_t end = EndOfLastEvent(events);
+  m_completeEvents.swap(m_partialEvent);
+  std::string_view events = m_completeEvents;
   m_partialEvent.assign(events.substr(end));
   events = events.substr(0, end);
   UpdateLastId(events);
