Router: only a complete event is progress of a stream

A resumable stream whose upstream had stalled, but sent a byte of an event now and then, was never resumed: the caller waited until its deadline, as each byte reset the progress timeout. Progress is now an event, which is what the route's gap speaks of; other bodies keep counting bytes, and a discarded response counts nothing.

--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -298,7 +298,7 @@
   m_bodyEnd = {};
   m_body.clear();
   m_self = shared_from_this();
-  m_lastByteAt = Now();
+  m_progressAt = Now();
   if (IsRepeatable() && m_runs + 1 < m_route->m_maxAttempts) {
     StartProgressTimer(ProgressTimeout());
   }
@@ -344,7 +344,7 @@
           !self->m_attemptInFlight) {
         return;
       }
-      const Duration silentFor = Now() - self->m_lastByteAt;
+      const Duration silentFor = Now() - self->m_progressAt;
       const Duration timeout = self->ProgressTimeout();
       if (silentFor < timeout) {
         self->StartProgressTimer(timeout - silentFor);
@@ -386,7 +386,7 @@
 {
   const Time now = Now();
   m_attemptHeadReceived = true;
-  m_lastByteAt = now;
+  m_progressAt = now;
   m_notExecuted = aFacts.m_notExecuted;
   m_unconfirmedRefusal = aFacts.m_unconfirmedRefusal;
   m_choice.m_tracker->OnBytesReceived(now);
@@ -443,11 +443,13 @@
   m_caller->Begin(platform::EncodeCallerHead(*m_head), std::nullopt);
 }
 
+// Any byte of a body is progress, but of a stream only a complete event is: an
+// upstream that has stalled may still send a byte now and then.
 void
 RequestFlow::OnBody(std::string_view aPiece)
 {
-  m_lastByteAt = Now();
-  m_choice.m_tracker->OnBytesReceived(m_lastByteAt);
+  const Time now = Now();
+  m_choice.m_tracker->OnBytesReceived(now);
   if (m_discardResponse) {
     DiscardBody(aPiece.size());
     return;
@@ -455,14 +457,11 @@
   if (m_caller == nullptr) {
     return; // an order that runs to its end
   }
-  if (m_isEventStream) {
-    aPiece = m_events.Feed(aPiece);
-    if (m_events.PartialEvent().size() > kMaxEventBytes) {
-      const auto self = shared_from_this();
-      CancelAttempt(SendOutcome::Failed);
-      OnAttemptFailed("event too large");
-      return;
-    }
+  if (m_isEventStream && !SplitEvents(aPiece)) {
+    return;
+  }
+  if (!aPiece.empty()) {
+    m_progressAt = now;
   }
   if (m_forwarding) {
     ForwardBody(aPiece);
@@ -475,6 +474,21 @@
   }
 }
 
+// Replaces aPiece by the events that it completes. Returns false if the attempt
+// has ended, because an event is too large.
+bool
+RequestFlow::SplitEvents(std::string_view& aPiece)
+{
+  aPiece = m_events.Feed(aPiece);
+  if (m_events.PartialEvent().size() <= kMaxEventBytes) {
+    return true;
+  }
+  const auto self = shared_from_this();
+  CancelAttempt(SendOutcome::Failed);
+  OnAttemptFailed("event too large");
+  return false;
+}
+
 // A response that says "not executed" without an end does not count as such: its
 // upstream is out of order, and the caller must not be told so wrongly.
 void
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -88,6 +88,7 @@
   void OnDeadline();
 
   void BeginForwarding();
+  bool SplitEvents(std::string_view& aPiece);
   void ForwardBody(std::string_view aPiece);
   void DiscardBody(std::size_t aBytes);
   void NoteUpstreamState(const platform::ResponseFacts& aFacts);
@@ -157,7 +158,7 @@
   EventSplitter m_events; // of a response that is a stream of events
   BodyEnd m_bodyEnd;      // of the last attempt
   std::optional<Time> m_firstByteAt;
-  Time m_lastByteAt;
+  Time m_progressAt; // of the attempt, for the progress timeout
   std::shared_ptr<RequestFlow> m_self; // keeps this alive during an attempt
 };
 
--- a/standin/stream_end_test.cc
+++ b/standin/stream_end_test.cc
@@ -90,6 +90,67 @@
   EXPECT_TRUE(Contains(answer, kLastChunk));
 }
 
+// Guards against a stalled stream that never ends, because a byte now and then
+// counted as progress although no event was completed.
+TEST(StreamEnd, StalledStreamThatSendsAByteNowAndThenIsResumed)
+{
+  RouterHarness harness(2);
+  Exchange stalled;
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([&](const Exchange& aExchange) {
+      aExchange->Write(MakeStreamHead(aExchange->Request()));
+      if (stalled == nullptr) {
+        stalled = aExchange;
+        aExchange->Write(MakeEventChunk(1) + MakeChunk("data: "));
+        return;
+      }
+      EXPECT_EQ("1", aExchange->Request()["Last-Event-Id"]);
+      aExchange->Write(MakeEventChunk(2) + "0\r\n\r\n");
+    });
+  }
+  const auto caller = harness.Connect();
+  caller->Send("POST /resume/ HTTP/1.1\r\nHost: h.example\r\n"
+               "X-Attempt-Id: a1\r\nAuthorization: Bearer k1\r\n"
+               "Content-Length: 0\r\n\r\n");
+  const auto ended = [&] { return caller->Received().ends_with(kLastChunk); };
+  // The route's timeout is 8 s: this ends before it.
+  for (int i = 0; i < 50 && !ended(); ++i) {
+    harness.RunLoopFor(Duration(100));
+    if (stalled != nullptr && !stalled->PeerClosed()) {
+      stalled->Write(MakeChunk("x"));
+    }
+  }
+  EXPECT_TRUE(ended());
+  EXPECT_TRUE(Contains(caller->Received(), "data: e2"));
+  EXPECT_FALSE(Contains(caller->Received(), "data: x"));
+}
+
+// Guards against a slow but sound stream that is cut or resumed elsewhere.
+TEST(StreamEnd, SlowStreamThatCompletesEventsIsLeftAlone)
+{
+  RouterHarness harness(2);
+  Exchange slow;
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([&slow](const Exchange& aExchange) {
+      slow = aExchange;
+      aExchange->Write(MakeStreamHead(aExchange->Request()));
+    });
+  }
+  const auto caller = harness.Connect();
+  caller->Send("POST /resume/ HTTP/1.1\r\nHost: h.example\r\n"
+               "X-Attempt-Id: a1\r\nAuthorization: Bearer k1\r\n"
+               "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE(harness.WaitUntil([&] { return slow != nullptr; }));
+  for (int i = 1; i <= 10; ++i) {
+    harness.RunLoopFor(Duration(200));
+    slow->Write(MakeEventChunk(i));
+  }
+  slow->Write("0\r\n\r\n");
+  EXPECT_TRUE(harness.WaitUntil(
+    [&] { return caller->Received().ends_with(kLastChunk); }));
+  EXPECT_EQ(1U, harness.CountExchanges());
+}
+
 // Guards against an empty stream that looks complete: an engine that crashed
 // after its head had closed the connection in an orderly way.
 TEST(StreamEnd, UnframedStreamWithoutAnyEventNeverLooksComplete)
