Router: a planned stop serves the connections that wait to be accepted

Callers of a busy router got a reset without an answer during its planned stop, orders included: closing the listening socket resets the connections that the system holds in its queue, and a connection that was just accepted was closed as idle although its request had arrived and only waited to be read.

The acceptor now takes what waits in the queue, without blocking and at most one queue's length, before it closes the socket. A connection counts as idle only if nothing waits to be read on it; one that has had no request yet is given 500 ms for it. An accept that completes after the stop no longer starts another one on the closed socket.

GracefulStopServesConnectionsThatWaitToBeAccepted pauses the router across the end of accepting: 20 of 20 callers got nothing before, and all get 200 now. Ruled out: connections in progress, which GracefulStopCompletesRequestsInFlight covers and which were not cut.

--- a/router/acceptor.cc
+++ b/router/acceptor.cc
@@ -34,6 +34,11 @@
     }
     if (!aError) {
       m_onAccepted(std::move(aSocket));
+    }
+    if (m_stopped) {
+      return;
+    }
+    if (!aError) {
       Start();
       return;
     }
@@ -50,9 +55,29 @@
 void
 Acceptor::Stop()
 {
-  error_code ignored; // the acceptor is not used again
+  m_stopped = true;
   m_retryTimer.cancel();
+  AcceptWaiting();
+  error_code ignored; // the acceptor is not used again
   m_acceptor.close(ignored);
 }
 
+void
+Acceptor::AcceptWaiting()
+{
+  error_code error;
+  m_acceptor.non_blocking(true, error);
+  // Not without end, as callers may go on connecting.
+  for (int i = 0; i < kBacklog && !error; ++i) {
+    Socket socket(m_acceptor.get_executor());
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      m_onAccepted(std::move(socket));
+    }
+  }
+  if (error && error != asio::error::would_block) {
+    m_onFailed(error);
+  }
+}
+
 } // namespace walnutwing::router
--- a/router/acceptor.h
+++ b/router/acceptor.h
@@ -27,12 +27,16 @@
 
   void Start();
 
-  // Stops listening for good.
+  // Accepts the connections that already wait, as closing the socket would
+  // reset them, and stops listening for good.
   void Stop();
 
 private:
+  void AcceptWaiting();
+
   asio::basic_socket_acceptor<Tcp, Executor> m_acceptor;
   Timer m_retryTimer;
+  bool m_stopped = false;
   std::function<void(Socket)> m_onAccepted;
   std::function<void(const error_code&)> m_onFailed;
 };
--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kReadBufferBytes = 4U << 10U;
 // How long a caller may take to close the connection after the final response.
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+// A caller connects in order to send a request, which arrives soon after.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 // A caller that sends more than this meanwhile does not read the response.
 constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -41,6 +43,7 @@
   , m_socket(std::move(aSocket))
   , m_timer(aContext.m_loop.get_executor())
   , m_onClosed(std::move(aOnClosed))
+  , m_acceptedAt(Now())
 {
 }
 
@@ -105,6 +108,7 @@
 CallerConnection::BeginRequest()
 {
   m_state = State::Receiving;
+  m_hadRequest = true;
   m_headParsed = false;
   m_parser.emplace();
   m_parser->eager(true);
@@ -398,9 +402,15 @@
 void
 CallerConnection::CloseIfIdle()
 {
-  if (m_state == State::Idle) {
-    Close();
+  if (m_state != State::Idle) {
+    return;
   }
+  const bool isNew = !m_hadRequest && Now() - m_acceptedAt < kFirstRequestTime;
+  error_code ignored; // a broken connection has nothing to read
+  if (isNew || m_socket.available(ignored) != 0) {
+    return;
+  }
+  Close();
 }
 
 void
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -35,7 +35,8 @@
 
   void Start();
 
-  // Closes the connection if no part of a request has been received.
+  // Closes the connection if the caller has no request in progress and has sent
+  // no part of one. A new connection is given some time for its first request.
   void CloseIfIdle();
 
   // Ends the request in progress and closes the connection, because the process
@@ -82,10 +83,12 @@
   Socket m_socket;
   Timer m_timer;
   std::function<void()> m_onClosed;
+  Time m_acceptedAt;
   State m_state = State::Idle;
   InputBuffer m_input;
   std::optional<Parser> m_parser;
   bool m_reading = false;
+  bool m_hadRequest = false;
   bool m_headParsed = false;
   bool m_keepAlive = true; // keep the connection open after this response
   bool m_isHttp10 = false; // without chunked encoding
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -735,6 +735,31 @@
   EXPECT_FALSE(harness.Router().ExitStatus());
 }
 
+// Guards against requests that a planned stop cuts although they were sent
+// before it stopped listening: a busy router had not accepted their connections
+// yet, or not read what had arrived on them.
+TEST(Router, GracefulStopServesConnectionsThatWaitToBeAccepted)
+{
+  RouterHarness harness(2);
+  constexpr int kCallers = 20;
+  std::vector<std::unique_ptr<CallerStandin>> callers;
+  harness.Router().Signal(SIGTERM);
+  harness.RunLoopFor(Duration(2400));
+  harness.Router().Signal(SIGSTOP);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(harness.Connect());
+    callers.back()->Send(EmptyPost(i % 2 == 0 ? "/order/" : "/lookup/"));
+  }
+  harness.RunLoopFor(Duration(400)); // past the end of accepting
+  harness.Router().Signal(SIGCONT);
+  for (const auto& caller : callers) {
+    EXPECT_TRUE(harness.WaitUntil([&] { return caller->Ended(); }));
+    EXPECT_EQ(200, StatusOf(caller->Received()));
+  }
+  EXPECT_TRUE(
+    harness.WaitUntil([&] { return harness.Router().ExitStatus() == 0; }));
+}
+
 TEST(Router, GracefulStopCompletesRequestsInFlight)
 {
   RouterHarness harness(1);
