--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -489,8 +489,8 @@
   return false;
 }
 
-// A response that says "not executed" without an end does not count as such: its
-// upstream is out of order, and the caller must not be told so wrongly.
+// A response that says "not executed" without an end does not count as such:
+// its upstream is out of order, and the caller must not be told so wrongly.
 void
 RequestFlow::DiscardBody(std::size_t aBytes)
 {
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -139,7 +139,7 @@
   bool m_unconfirmedRefusal = false;
   bool m_discardResponse = false; // do not forward its response
   std::uint64_t m_discardedBytes = 0;
-  bool m_isEventStream = false;   // its response is a stream of events
+  bool m_isEventStream = false; // its response is a stream of events
 
   std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
--- a/router/store_channel.cc
+++ b/router/store_channel.cc
@@ -17,7 +17,8 @@
 // Shorter than the timeout of a call, so that a store that accepts no
 // connections is retried sooner than one that does not respond.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-// A page of the newest records and a read hold about 1 MB, or one larger record.
+// A page of the newest records and a read hold about 1 MB, or one larger
+// record.
 constexpr std::uint64_t kMaxResponseBytes = 7U << 20U;
 constexpr Duration kMaxResponseTime = std::chrono::seconds(10);
 constexpr std::size_t kBodyPieceBytes = 64U << 10U;
@@ -129,16 +130,15 @@
 void
 StoreChannel::Read()
 {
-  http::async_read_some(
-    m_socket,
-    m_input,
-    *m_parser,
-    [self = shared_from_this(),
-     generation = m_generation](const error_code& aError, std::size_t aBytes) {
-      if (generation == self->m_generation) {
-        self->OnRead(aError, aBytes);
-      }
-    });
+  http::async_read_some(m_socket,
+                        m_input,
+                        *m_parser,
+                        [self = shared_from_this(), generation = m_generation](
+                          const error_code& aError, std::size_t aBytes) {
+                          if (generation == self->m_generation) {
+                            self->OnRead(aError, aBytes);
+                          }
+                        });
 }
 
 void
@@ -170,12 +170,12 @@
   for (const std::string& piece : m_body) {
     body += piece;
   }
-  Finish({ static_cast<int>(response.result_int()),
-           std::move(body),
-           "",
-           platform::DecodeEra(
-             platform::FieldOf(response, platform::kStoreEra)) },
-         keepOpen);
+  Finish(
+    { static_cast<int>(response.result_int()),
+      std::move(body),
+      "",
+      platform::DecodeEra(platform::FieldOf(response, platform::kStoreEra)) },
+    keepOpen);
 }
 
 void
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -133,7 +133,7 @@
   std::optional<Parser> m_parser;
   std::optional<Duration> m_keepAlive;
   BodyFraming m_framing = BodyFraming::Unknown;
-  std::uint64_t m_bodyBytes = 0; // received of the response to the request
+  std::uint64_t m_bodyBytes = 0;    // received of the response to the request
   std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -62,19 +62,19 @@
                  std::function<void()> aOnEnd)
 {
   const asio::const_buffer buffer = asio::buffer(*aPiece);
-  asio::async_write(aSocket,
-                    buffer,
-                    [owner = std::move(aOwner),
-                     &aSocket,
-                     piece = std::move(aPiece),
-                     onEnd = std::move(aOnEnd)](const error_code& aError,
-                                                std::size_t) {
-                      if (aError) {
-                        onEnd();
-                        return;
-                      }
-                      WriteUntilClosed(owner, aSocket, piece, onEnd);
-                    });
+  asio::async_write(
+    aSocket,
+    buffer,
+    [owner = std::move(aOwner),
+     &aSocket,
+     piece = std::move(aPiece),
+     onEnd = std::move(aOnEnd)](const error_code& aError, std::size_t) {
+      if (aError) {
+        onEnd();
+        return;
+      }
+      WriteUntilClosed(owner, aSocket, piece, onEnd);
+    });
 }
 
 // At least kEndlessPieceBytes of repetitions of aText, so that a few system
@@ -206,11 +206,10 @@
       Trickle(std::exchange(m_store.m_endlessPiece, {}));
       return;
     }
-    WriteUntilClosed(
-      shared_from_this(),
-      m_socket,
-      RepeatedText(std::exchange(m_store.m_endlessPiece, {})),
-      [&store = m_store] { store.m_endlessAnswerEnded = true; });
+    WriteUntilClosed(shared_from_this(),
+                     m_socket,
+                     RepeatedText(std::exchange(m_store.m_endlessPiece, {})),
+                     [&store = m_store] { store.m_endlessAnswerEnded = true; });
   }
 
   void Trickle(const std::string& aPiece)
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -73,8 +73,8 @@
     m_piecePause = aPause;
   }
 
-  // The next response begins with aHead, and aPiece follows without end: as fast
-  // as possible, or each after aPause. Later responses are as usual.
+  // The next response begins with aHead, and aPiece follows without end: as
+  // fast as possible, or each after aPause. Later responses are as usual.
   void AnswerEndlessly(const std::string& aHead,
                        const std::string& aPiece,
                        Duration aPause = Duration(0))
--- a/walnutwing/relay/event_splitter.cc
+++ b/walnutwing/relay/event_splitter.cc
@@ -23,8 +23,8 @@
     const std::size_t found = text.find_last_of(kLineEnds);
     return found == std::string_view::npos ? found : found + aFrom;
   };
-  std::size_t end = aText.empty() ? std::string_view::npos
-                                  : findLineEnd(aText.size() - 1);
+  std::size_t end =
+    aText.empty() ? std::string_view::npos : findLineEnd(aText.size() - 1);
   while (end != std::string_view::npos) {
     const bool crLf = aText[end] == '\n' && end != 0 && aText[end - 1] == '\r';
     const std::size_t lineEnd = crLf ? end - 1 : end;
