Router: "not executed" without an id counts only on a new connection

An order could be refused with 503 ("has not run and will not"), or be sent to another upstream, while it ran: a response that says "not executed" was taken for the request's own without an attempt id, so a second copy of an earlier one that arrives late on a connection in use again did the same. Upstreams echo the id of each request that has one; such a response is expected without it only for a request without.

On the first request of a connection nothing else can precede it, so it still counts there. On a reused one the attempt fails at once as one that may have run. LateRefusalWithoutAttemptIdIsNotTakenForTheNextRequest saw 503 before and sees 502.

--- a/router/piece_body.h
+++ b/router/piece_body.h
@@ -19,7 +19,9 @@
 
 namespace walnutwing::router {
 
-// Meets Boost.Beast's requirements of a Body with a BodyReader.
+// Meets Boost.Beast's requirements of a Body with a BodyReader, which include
+// these names.
+// NOLINTBEGIN(readability-identifier-naming)
 struct PieceBody
 {
   using value_type = std::string;
@@ -60,6 +62,7 @@
     value_type& m_body;
   };
 };
+// NOLINTEND(readability-identifier-naming)
 
 } // namespace walnutwing::router
 
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -174,9 +174,8 @@
       error = {};
     }
     if (!error && m_parser->is_header_done() && !m_headParsed) {
-      OnResponseHead();
-      if (generation != m_generation || m_receiver == nullptr) {
-        return false; // the receiver canceled the request
+      if (!OnResponseHead()) {
+        return false;
       }
     }
     std::string& body = m_parser->get().body();
@@ -216,25 +215,31 @@
   return true;
 }
 
-void
+bool
 UpstreamConnection::OnResponseHead()
 {
   m_headParsed = true;
   const auto& head = m_parser->get();
   if (head.result_int() < kFirstFinalStatus) {
     m_skipResponse = true; // an interim (1xx) response
-    return;
+    return true;
   }
   const platform::ResponseFacts facts = platform::DecodeResponse(head);
   const bool lacksAttemptId = facts.m_attemptId.empty() && facts.m_notExecuted;
+  if (lacksAttemptId && m_reused) {
+    Finish(m_stage, "\"not executed\" without an attempt id");
+    return false;
+  }
   if (facts.m_attemptId != m_request.m_attemptId && !lacksAttemptId) {
     m_skipResponse = true;
-    return;
+    return true;
   }
   m_keepAlive = facts.m_keepAlive;
   m_framing = Framing();
   m_stage = SendStage::HeadReceived;
+  const std::uint64_t generation = m_generation;
   m_receiver->OnHead(head, facts);
+  return generation == m_generation && m_receiver != nullptr;
 }
 
 BodyFraming
@@ -266,6 +271,7 @@
   ResponseReceiver* receiver = std::exchange(m_receiver, nullptr);
   ++m_generation;
   const auto self = shared_from_this();
+  m_reused = true;
   if (keepOpen) {
     m_onReusable(self, m_keepAlive);
   } else {
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -7,8 +7,10 @@
 // A response is matched to the request by its attempt id, because a reused
 // connection may still deliver the response to an earlier request. That one is
 // skipped, as are interim responses, up to a limit of bytes for each request.
-// Only a "not executed" response may lack the id. A connection with bytes
-// beyond the response is closed rather than reused.
+// Only a "not executed" response may lack the id, and only to the first request
+// of a connection: on a reused one it may answer an earlier request, so that the
+// attempt fails. A connection with bytes beyond the response is closed rather
+// than reused.
 
 #include <functional>
 #include <memory>
@@ -115,7 +117,8 @@
   void OnRead(const error_code& aError, std::size_t aBytes);
   // Parses the received bytes. Returns false if the request has ended.
   bool Parse();
-  void OnResponseHead();
+  // Returns false if the request has ended.
+  bool OnResponseHead();
   bool OnResponseComplete();
   void OnPeerClosed(const error_code& aError);
   void NewParser();
@@ -137,6 +140,7 @@
   std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
+  bool m_reused = false; // a response was completed on it
   bool m_closed = false;
   bool m_writing = false;
   bool m_reading = false;
--- a/standin/endless_input_test.cc
+++ b/standin/endless_input_test.cc
@@ -158,9 +158,9 @@
   for (const std::string length :
        { "9000000000000000000", "1000000000000000" }) {
     RouterHarness harness(1);
-    RespondEndlessly(
-      harness,
-      { "Length", kHead + "Content-Length: " + length + "\r\n\r\n", "x" });
+    std::string head = kHead + "Content-Length: ";
+    head += length + "\r\n\r\n";
+    RespondEndlessly(harness, { "Length", head, "x" });
     const std::size_t idlePeak = harness.RouterPeakMemory();
     const auto caller = harness.Connect();
     caller->Send("POST /order/ HTTP/1.1\r\nHost: h.example\r\n"
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -263,6 +263,23 @@
   EXPECT_EQ("third", ask("3"));
 }
 
+// Guards against an order that is refused as not run, or run again elsewhere,
+// while it runs: an upstream had sent a second copy of an earlier "not executed"
+// response late, without an attempt id, on a connection that was in use again.
+TEST(Router, LateRefusalWithoutAttemptIdIsNotTakenForTheNextRequest)
+{
+  RouterHarness harness(1);
+  EXPECT_EQ("done", BodyOf(harness.Fetch("POST", "/order/")));
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+  });
+  EXPECT_EQ(502, StatusOf(harness.Fetch("POST", "/order/")));
+  EXPECT_NE(std::string::npos,
+            harness.MetricsText().find(
+              "walnutwing_upstream_connections_opened_total 1\n"));
+}
+
 // Guards against a sound response that fails as malformed, although the request
 // has run, because its head and its body arrived one after the other.
 TEST(Router, ResponseWhoseHeadArrivesBeforeItsBodyIsForwarded)
