--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -284,6 +284,7 @@
   if (m_connection == nullptr) {
     return;
   }
+  m_reusedConnection = m_connection->IsReused();
   m_sentAt = Now();
   m_context.m_selector.OnSent(aChoice, m_sentAt);
   m_context.AdmissionOf(m_serviceId).OnSent(Customer());
@@ -752,6 +753,7 @@
   m_record.LogFailed(m_choice,
                      { aCode,
                        m_cause,
+                       m_reusedConnection,
                        m_tries,
                        m_runs,
                        m_forwarding,
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -132,6 +132,7 @@
   std::shared_ptr<UpstreamConnection> m_connection;
   Choice m_choice;
   Time m_sentAt;
+  bool m_reusedConnection = false;
   bool m_attemptInFlight = false;
   bool m_attemptHeadReceived = false; // its response head was received
   bool m_notExecuted = false; // the upstream reported that it did not run it
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -69,6 +69,7 @@
   {
     ResultCode m_code = ResultCode::UpstreamFailed;
     std::string_view m_cause; // how the last attempt failed
+    bool m_reusedConnection = false;
     std::uint32_t m_tries = 0;
     std::uint32_t m_runs = 0;     // attempts that may have run
     bool m_responseBegun = false; // part of the response was sent
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -8,9 +8,9 @@
 // connection may still deliver the response to an earlier request. That one is
 // skipped, as are interim responses, up to a limit of bytes for each request.
 // Only a "not executed" response may lack the id, and only to the first request
-// of a connection: on a reused one it may answer an earlier request, so that the
-// attempt fails. A connection with bytes beyond the response is closed rather
-// than reused.
+// of a connection: on a reused one it may answer an earlier request, so that
+// the attempt fails. A connection with bytes beyond the response is closed
+// rather than reused.
 
 #include <functional>
 #include <memory>
@@ -108,6 +108,9 @@
   void Close();
   bool IsOpen() const { return !m_closed; }
 
+  // Whether a response to an earlier request was completed on it.
+  bool IsReused() const { return m_reused; }
+
 private:
   using Parser = boost::beast::http::response_parser<PieceBody>;
 
@@ -140,7 +143,7 @@
   std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
-  bool m_reused = false; // a response was completed on it
+  bool m_reused = false;
   bool m_closed = false;
   bool m_writing = false;
   bool m_reading = false;
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -112,6 +112,14 @@
   FetchUntilLogged(aHarness, R"("code":2002)");
 }
 
+void
+FailOnReusedConnection(RouterHarness& aHarness)
+{
+  aHarness.Fetch("POST", "/order/");
+  aHarness.Upstream(0).SetHandler(ResetConnection);
+  aHarness.Fetch("POST", "/order/");
+}
+
 void
 RegisterClosedPort(RouterHarness& aHarness)
 {
@@ -248,7 +256,18 @@
       WithUpstreams(ResetConnection, SendOrder()),
       "request_failed",
       3004,
-      { kId, kRoute, R"("cause":")", R"("upstream":"i-)", R"("runs":1)" } },
+      { kId,
+        kRoute,
+        R"("cause":")",
+        R"("upstream":"i-)",
+        R"("connection":"new")",
+        R"("runs":1)" } },
+    { "UpstreamFailedOnReusedConnection",
+      kOneUpstream,
+      FailOnReusedConnection,
+      "request_failed",
+      3004,
+      { kId, R"("connection":"reused")", R"("runs":1)" } },
     { "StreamBroken",
       {},
       WithUpstreams(
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -264,8 +264,9 @@
 }
 
 // Guards against an order that is refused as not run, or run again elsewhere,
-// while it runs: an upstream had sent a second copy of an earlier "not executed"
-// response late, without an attempt id, on a connection that was in use again.
+// while it runs: an upstream had sent a second copy of an earlier "not
+// executed" response late, without an attempt id, on a connection that was in
+// use again.
 TEST(Router, LateRefusalWithoutAttemptIdIsNotTakenForTheNextRequest)
 {
   RouterHarness harness(1);
