Router: an exception while input is handled ends only its connection or call

Whatever a handler of outside input threw ended the process with all its requests, as the stated length of 10^11 bytes did: the event loop lets exceptions out. Input from callers, upstreams, peers and the store is now handled so that an exception ends the connection, the attempt (502, may have run) or the call to the store, with the line input_failed or a cause, and a counter. Timers and the loop stay as they are: a router whose tick has failed is better restarted.

--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include "platform/field_text.h"
+#include "router/input_guard.h"
 #include "router/socket_options.h"
 
 namespace walnutwing::router {
@@ -98,12 +99,21 @@
       Close();
       return;
     }
-  } else if (m_state != State::Responding) {
-    Parse();
+  } else if (m_state != State::Responding && !ParseGuarded()) {
+    OnConnectionLost();
+    return;
   }
   Read();
 }
 
+// Returns false if the input cannot be handled because of an unexpected error.
+bool
+CallerConnection::ParseGuarded()
+{
+  return RunGuarded(
+    m_context.m_log, m_context.m_metrics, "caller", Now(), [this] { Parse(); });
+}
+
 void
 CallerConnection::BeginRequest()
 {
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -64,6 +64,7 @@
   void Read();
   void OnRead(const error_code& aError, std::size_t aBytes);
   void Parse();
+  bool ParseGuarded();
   void BeginRequest();
   void OnRequestHead();
   void OnRequest();
--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -25,6 +25,7 @@
   { SettingsRefused, "settings_refused", DropPolicy::DropLast, "a new settings file is wrong; the old one stays in force" },
   { ReadyChanged, "ready_changed", DropPolicy::DropLast, "the daemon became ready for new connections, or stopped being so" },
   { LinesDropped, "lines_dropped", DropPolicy::DropLast, "log lines were dropped since the last such line" },
+  { InputFailed, "input_failed", DropPolicy::DropLast, "a message could not be handled; its connection or call was ended" },
   { StoreLost, "store_lost", DropPolicy::DropLast, "a topic of the platform's store cannot be read" },
   { StoreRegained, "store_regained", DropPolicy::DropLast, "the topic can be read again" },
   { ConfigInForce, "config_in_force", DropPolicy::DropLast, "a new version of the operators' configuration is in force" },
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -30,6 +30,7 @@
   SettingsRefused = 105,
   ReadyChanged = 106,
   LinesDropped = 107,
+  InputFailed = 108,
 
   StoreLost = 201,
   StoreRegained = 202,
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "router/input_guard.h"
 #include "router/store_pace.h"
 
 namespace walnutwing::router {
@@ -77,7 +78,9 @@
       proto::RouterPeerMessage message;
       if (!aError &&
           message.ParseFromArray(m_input.data(), static_cast<int>(aBytes))) {
-        OnMessage(message);
+        RunGuarded(m_context.m_log, m_context.m_metrics, "peer", Now(), [&] {
+          OnMessage(message);
+        });
       } else {
         ++m_context.m_metrics.Counter("peer_messages_unreadable_total");
       }
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "router/input_guard.h"
 #include "router/store_pace.h"
 
 namespace walnutwing::router {
@@ -59,16 +60,16 @@
 TopicFeed::OnResponse(const StoreResponse& aResponse)
 {
   m_callInFlight = false;
-  const TopicUpdate update = m_follower.OnResponse(
-    aResponse.m_status, aResponse.m_body, aResponse.m_era);
-  SetStoreAvailable(update.m_succeeded, aResponse);
-  if (update.m_eraChange) {
-    m_onEra(m_topic, *update.m_eraChange);
-  }
-  if (update.m_succeeded) {
-    m_lastResponseAt = Now();
-    m_loaded = m_loaded || update.m_isSnapshot;
-    m_onUpdate(update);
+  TopicUpdate update;
+  const bool handled =
+    RunGuarded(m_context.m_log, m_context.m_metrics, "store", Now(), [&] {
+      update = Apply(aResponse);
+    });
+  if (!handled) {
+    // Some of its records may not have been applied.
+    m_follower.RestartFromNewest();
+    ScheduleCall(kMinFailedCallInterval);
+    return;
   }
   if (std::exchange(m_newestRequested, false)) {
     m_follower.RestartFromNewest();
@@ -84,6 +85,23 @@
   ScheduleCall(delay);
 }
 
+TopicUpdate
+TopicFeed::Apply(const StoreResponse& aResponse)
+{
+  TopicUpdate update = m_follower.OnResponse(
+    aResponse.m_status, aResponse.m_body, aResponse.m_era);
+  SetStoreAvailable(update.m_succeeded, aResponse);
+  if (update.m_eraChange) {
+    m_onEra(m_topic, *update.m_eraChange);
+  }
+  if (update.m_succeeded) {
+    m_lastResponseAt = Now();
+    m_loaded = m_loaded || update.m_isSnapshot;
+    m_onUpdate(update);
+  }
+  return update;
+}
+
 void
 TopicFeed::ScheduleCall(Duration aDelay)
 {
--- a/router/topic_feed.h
+++ b/router/topic_feed.h
@@ -75,6 +75,7 @@
   void CallNext();
   void ScheduleCall(Duration aDelay);
   void OnResponse(const StoreResponse& aResponse);
+  TopicUpdate Apply(const StoreResponse& aResponse);
   void SetStoreAvailable(bool aAvailable, const StoreResponse& aResponse);
 
   Context& m_context;
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -1,6 +1,7 @@
 #include "router/upstream_connection.h"
 
 #include <array>
+#include <exception>
 #include <limits>
 #include <utility>
 
@@ -157,8 +158,12 @@
     OnPeerClosed(aError);
     return;
   }
-  if (Parse()) {
-    Read();
+  try {
+    if (Parse()) {
+      Read();
+    }
+  } catch (const std::exception& error) {
+    Finish(m_stage, std::string("unexpected error: ") + error.what());
   }
 }
 
