--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -50,7 +50,8 @@
   SendStage m_stage = SendStage::NotConnected;
   std::string m_error; // empty when complete
   BodyFraming m_framing = BodyFraming::Unknown;
-  std::uint64_t m_bodyBytes = 0; // received
+  std::uint64_t m_bodyBytes = 0;    // received
+  bool m_connectUnanswered = false; // no reply, not even a rejection
 };
 
 // Receives the response. OnEnd is the last call; there are no calls after
@@ -143,6 +144,7 @@
   std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
+  bool m_connectUnanswered = false;
   bool m_reused = false;
   bool m_closed = false;
   bool m_writing = false;
