--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -187,7 +187,6 @@
   selection.m_affinity = m_facts.m_sharedPrefixHash;
   selection.m_daemons = m_context.m_daemons;
   selection.m_avoid = m_avoid;
-  selection.m_unansweredZones = m_unansweredZones;
   selection.m_excludeRefusing = m_refusedByUpstream;
   if (m_service != nullptr) {
     selection.m_coldPerSecond =
@@ -532,9 +531,6 @@
   if (aResult.m_stage == SendStage::NotConnected) {
     EndAttempt(SendOutcome::Unreachable);
     m_avoid.insert(m_choice.m_upstream);
-    if (aResult.m_connectUnanswered) {
-      m_unansweredZones.insert(m_choice.m_zone);
-    }
     SendNext();
     return;
   }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -142,10 +142,9 @@
   std::uint64_t m_discardedBytes = 0;
   bool m_isEventStream = false; // its response is a stream of events
 
-  std::set<UpstreamId> m_avoid;       // upstreams whose attempt failed
-  std::set<ZoneId> m_unansweredZones; // where a connect got no reply
-  bool m_refusedByUpstream = false;   // an upstream reported "not executed"
-  std::uint32_t m_runs = 0;           // ended attempts that may have run
+  std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
+  bool m_refusedByUpstream = false; // an upstream reported "not executed"
+  std::uint32_t m_runs = 0;         // ended attempts that may have run
   std::uint32_t m_tries = 0; // including attempts that reached no upstream
 
   std::string m_cause; // why the last attempt failed
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -87,7 +87,6 @@
   m_timer.async_wait([self = shared_from_this(),
                       generation = m_generation](const error_code& aError) {
     if (!aError && generation == self->m_generation && !self->m_connected) {
-      self->m_connectUnanswered = true;
       self->Finish(SendStage::NotConnected, "connect timeout");
     }
   });
@@ -99,8 +98,6 @@
         return;
       }
       if (aError) {
-        self->m_connectUnanswered = aError == asio::error::timed_out ||
-                                    aError == asio::error::host_unreachable;
         self->Finish(SendStage::NotConnected, aError.message());
         return;
       }
@@ -313,11 +310,7 @@
   const auto self = shared_from_this();
   Close();
   if (receiver != nullptr) {
-    receiver->OnEnd({ aStage,
-                      std::move(aError),
-                      m_framing,
-                      m_bodyBytes,
-                      m_connectUnanswered });
+    receiver->OnEnd({ aStage, std::move(aError), m_framing, m_bodyBytes });
   }
 }
 
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -50,8 +50,7 @@
   SendStage m_stage = SendStage::NotConnected;
   std::string m_error; // empty when complete
   BodyFraming m_framing = BodyFraming::Unknown;
-  std::uint64_t m_bodyBytes = 0;    // received
-  bool m_connectUnanswered = false; // no reply, not even a rejection
+  std::uint64_t m_bodyBytes = 0; // received
 };
 
 // Receives the response. OnEnd is the last call; there are no calls after
@@ -144,7 +143,6 @@
   std::uint64_t m_skippedBytes = 0; // of responses that precede it
   SendStage m_stage = SendStage::NotConnected;
   bool m_connected = false;
-  bool m_connectUnanswered = false;
   bool m_reused = false;
   bool m_closed = false;
   bool m_writing = false;
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -170,30 +170,6 @@
   return candidateSet;
 }
 
-// A connect timeout is as long as many requests take. If this daemon's zone is
-// cut off, all others are out of reach, so that the next attempt should not
-// meet a second one; its own zone costs a cache miss at most.
-void
-UpstreamSelector::DropUnansweredZones(std::vector<Candidate>& aCandidates,
-                                      const SelectionRequest& aRequest) const
-{
-  if (aRequest.m_unansweredZones.empty()) {
-    return;
-  }
-  const auto dropUnlessAll = [&aCandidates](const auto& aIsDropped) {
-    if (!std::all_of(aCandidates.begin(), aCandidates.end(), aIsDropped)) {
-      std::erase_if(aCandidates, aIsDropped);
-    }
-  };
-  dropUnlessAll([&aRequest](const Candidate& aCandidate) {
-    return aRequest.m_unansweredZones.contains(
-      aCandidate.m_upstream->m_entry.m_zone);
-  });
-  dropUnlessAll([this](const Candidate& aCandidate) {
-    return aCandidate.m_upstream->m_entry.m_zone != m_zone;
-  });
-}
-
 // Returns the load bound: a request goes to the first candidate in its order
 // whose load is below it.
 double
@@ -310,7 +286,6 @@
   choice.m_backoffUntil = candidateSet.m_backoffUntil;
   choice.m_listed = candidateSet.m_listed;
   choice.m_usable = candidates.size();
-  DropUnansweredZones(candidates, aRequest);
   DropSuspect(candidates);
   DropFailing(candidates, aNow);
   if (candidates.empty()) {
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -60,8 +60,6 @@
   double m_coldPerSecond = 0;   // requests that a cold upstream takes; 0: any
   std::uint32_t m_daemons = 1;  // in the fleet
   std::set<UpstreamId> m_avoid; // upstreams that have been tried already
-  // Zones in which a connection attempt of this request got no reply.
-  std::set<ZoneId> m_unansweredZones;
   // Also skip upstreams that refused a request recently, because one has
   // already refused this one.
   bool m_excludeRefusing = false;
@@ -188,11 +186,6 @@
   // in flight or are not reachable, most are not reachable. Empty if that
   // applies to all zones, as the cause is then not in a zone.
   std::set<ZoneId> PartitionedZones(Time aNow) const;
-  // Drops the candidates of zones where a connection attempt of this request
-  // got no reply and, unless this daemon's own zone is one of them, those of
-  // all other zones. Keeps all if none would be left.
-  void DropUnansweredZones(std::vector<Candidate>& aCandidates,
-                           const SelectionRequest& aRequest) const;
   double LoadBound(const CandidateSet& aCandidateSet, double aMeanLoad) const;
   static void DropSuspect(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
