--- a/standin/endless_input_test.cc
+++ b/standin/endless_input_test.cc
@@ -108,7 +108,7 @@
   ASSERT_FALSE(harness.Router().ExitStatus());
   EXPECT_LE(harness.RouterPeakMemory(), idlePeak + kMaxMemoryGrowth);
   EXPECT_TRUE(harness.WaitUntil([&] { return AllConnectionsClosed(harness); }));
-  EXPECT_FALSE(Contains(harness.LogText(), R"("name":"deadline_passed")"));
+  EXPECT_FALSE(Contains(harness.LogText(), R"("why":"deadline_passed")"));
   EXPECT_TRUE(harness.Fetch("GET", "/public/").ends_with("done"));
 }
 
