--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -73,6 +73,7 @@
   , m_progressTimer(aContext.m_loop.get_executor())
 {
   ++m_context.m_requestsInProgress;
+  m_record.SetSharedParts(m_facts.m_sharedParts);
 }
 
 RequestFlow::~RequestFlow()
@@ -291,6 +292,7 @@
   m_choice = aChoice;
   m_attemptInFlight = true;
   m_attemptHeadReceived = false;
+  m_attemptDelivered = false;
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
@@ -463,6 +465,7 @@
   }
   if (!aPiece.empty()) {
     m_progressAt = now;
+    m_attemptDelivered = true;
   }
   if (m_forwarding) {
     ForwardBody(aPiece);
@@ -648,7 +651,8 @@
     m_record.CountDeniedRepeat();
     return RepeatResult::NoBudget;
   }
-  m_record.LogRepeated(m_forwarding, m_choice, aWhy, m_events.LastId());
+  m_record.LogRepeated(
+    m_choice, { m_forwarding, aWhy, m_events.LastId(), m_attemptDelivered });
   SendNext(choice);
   return RepeatResult::Sent;
 }
@@ -757,6 +761,7 @@
                        m_tries,
                        m_runs,
                        m_forwarding,
+                       m_attemptDelivered,
                        m_bodyEnd,
                        TimeLeftIfKnown() });
   ResponseWriter* caller = m_caller;
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -135,6 +135,8 @@
   bool m_reusedConnection = false;
   bool m_attemptInFlight = false;
   bool m_attemptHeadReceived = false; // its response head was received
+  // A whole event of its response was received, or a byte if it is no stream.
+  bool m_attemptDelivered = false;
   bool m_notExecuted = false; // the upstream reported that it did not run it
   // The status means "not run", but the upstream did not report that.
   bool m_unconfirmedRefusal = false;
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -5,6 +5,7 @@
 
 // Of a field that an upstream sent.
 constexpr std::size_t kMaxLoggedFieldBytes = 40;
+constexpr std::size_t kMaxLoggedParts = 8; // of a prompt
 
 std::string
 FormatLabel(std::string_view aName, std::string_view aValue)
@@ -55,15 +56,15 @@
 }
 
 void
-RequestRecord::LogRepeated(bool aResumed,
-                           const Choice& aFailed,
-                           std::string_view aWhy,
-                           std::string_view aAfterEvent)
+RequestRecord::LogRepeated(const Choice& aFailed, const Repetition& aRepetition)
 {
-  StartLine(aResumed ? Event::RequestResumed : Event::RequestRepeated)
+  StartLine(aRepetition.m_resumed ? Event::RequestResumed
+                                  : Event::RequestRepeated)
     .Add("upstream", aFailed.m_upstream.Value())
-    .Add("why", aWhy)
-    .Add("after_event", aAfterEvent);
+    .Add("why", aRepetition.m_why)
+    .Add("after_event", aRepetition.m_afterEvent)
+    .Add("begun", static_cast<std::int64_t>(aRepetition.m_begun))
+    .Add("parts", SharedPartsText());
   ++m_context.m_metrics.Counter("repeats_total",
                                 FormatLabel("service", m_service.Value()));
 }
@@ -165,6 +166,8 @@
     .Add("bytes", static_cast<std::int64_t>(aFailure.m_bodyEnd.m_bytes))
     .Add("partial_event_bytes",
          static_cast<std::int64_t>(aFailure.m_bodyEnd.m_partialEventBytes))
+    .Add("begun", static_cast<std::int64_t>(aFailure.m_begun))
+    .Add("parts", SharedPartsText())
     .Add("ms", ElapsedMs());
   if (aFailure.m_timeLeft) {
     line.Add("left_ms", ToMilliseconds(*aFailure.m_timeLeft));
@@ -195,6 +198,23 @@
   });
 }
 
+// The names joined by commas, with "..." in place of those beyond the limit.
+std::string
+RequestRecord::SharedPartsText() const
+{
+  std::string text;
+  if (m_sharedParts == nullptr) {
+    return text;
+  }
+  for (std::size_t i = 0; i < m_sharedParts->size(); ++i) {
+    if (i == kMaxLoggedParts) {
+      return text + ",...";
+    }
+    text += (i == 0 ? "" : ",") + (*m_sharedParts)[i].Value();
+  }
+  return text;
+}
+
 void
 RequestRecord::CountOutcome(ResultCode aCode, std::string_view aZone)
 {
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "router/context.h"
 #include "router/event_log.h"
@@ -30,14 +31,23 @@
                 const ServiceId& aService,
                 std::uint64_t aVersion);
 
+  // Adds the shared parts of the prompt to the lines of failed attempts.
+  // aParts must outlive this object.
+  void SetSharedParts(const std::vector<PromptPartId>& aParts)
+  {
+    m_sharedParts = &aParts;
+  }
+
   // aTimeLeft: time left for the upstream.
   void LogSent(const Choice& aChoice, Duration aTimeLeft);
-  // aResumed: the caller's response had already begun. aAfterEvent: id of the
-  // last event that was forwarded.
-  void LogRepeated(bool aResumed,
-                   const Choice& aFailed,
-                   std::string_view aWhy,
-                   std::string_view aAfterEvent);
+  struct Repetition
+  {
+    bool m_resumed = false;        // the caller's response had already begun
+    std::string_view m_why;        // how the last attempt failed
+    std::string_view m_afterEvent; // id of the last event that was forwarded
+    bool m_begun = false; // the last attempt had delivered a part of a response
+  };
+  void LogRepeated(const Choice& aFailed, const Repetition& aRepetition);
   // aRetryAfter: as the upstream sent it. aBackoff: how long it gets no
   // requests.
   void LogUpstreamBackoff(const Choice& aChoice,
@@ -73,7 +83,8 @@
     std::uint32_t m_tries = 0;
     std::uint32_t m_runs = 0;     // attempts that may have run
     bool m_responseBegun = false; // part of the response was sent
-    BodyEnd m_bodyEnd;            // of the last response
+    bool m_begun = false; // the last attempt had delivered a part of a response
+    BodyEnd m_bodyEnd;    // of the last response
     std::optional<Duration> m_timeLeft;
   };
   void LogFailed(const Choice& aLast, const Failure& aFailure);
@@ -85,6 +96,7 @@
 
 private:
   EventLog::Line StartLine(Event aEvent) const;
+  std::string SharedPartsText() const;
   void CountOutcome(ResultCode aCode, std::string_view aZone);
   std::int64_t ElapsedMs() const; // since the request arrived
 
@@ -92,6 +104,7 @@
   const std::string& m_attemptId;
   Time m_arrivedAt;
   const Route* m_route = nullptr;
+  const std::vector<PromptPartId>* m_sharedParts = nullptr;
   ServiceId m_service;
   std::uint64_t m_version = 0;
 };
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -95,6 +95,13 @@
   aExchange->Close();
 }
 
+void
+BreakStreamBeforeItsFirstEvent(const Exchange& aExchange)
+{
+  aExchange->Write(MakeStreamHead(aExchange->Request()));
+  aExchange->Close();
+}
+
 void
 FetchUntilLogged(RouterHarness& aHarness, const std::string& aText)
 {
@@ -280,7 +287,20 @@
         R"("cause":"End of file")",
         R"("framing":"chunked")",
         R"("bytes":16)",
-        R"("partial_event_bytes":0)" } },
+        R"("partial_event_bytes":0)",
+        R"("begun":1)",
+        R"("parts":"")" } },
+    { "StreamBrokenBeforeItsFirstEvent",
+      {},
+      WithUpstreams(BreakStreamBeforeItsFirstEvent,
+                    [](RouterHarness& aHarness) {
+                      aHarness.Fetch("POST",
+                                     "/stream/",
+                                     "X-Prompt-Prefix: aa:1,bb:2,cc:3\r\n");
+                    }),
+      "request_failed",
+      3005,
+      { kId, R"("begun":0)", R"("parts":"aa,bb")" } },
     { "DeadlinePassed",
       {},
       WithUpstreams(DoNotRespond, SendOrder("X-Deadline-Ms: 200\r\n")),
--- a/walnutwing/base/id.h
+++ b/walnutwing/base/id.h
@@ -74,6 +74,8 @@
 using PresetId = TextId<struct PresetIdTag>;
 using ChatId = TextId<struct ChatIdTag>;
 using OrderKey = TextId<struct OrderKeyTag>;
+using PromptPartId =
+  TextId<struct PromptPartIdTag>; // a part of prompts that requests may share
 
 using RequestId =
   NumberId<struct RequestIdTag>; // unique within one daemon process
