Harness: several routers, upstreams that crash and restart, a second customer

Children no longer inherit the sockets of the process that starts them: a listening socket that a router held too kept accepting after its stand-in had closed it.

--- a/standin/child_process.cc
+++ b/standin/child_process.cc
@@ -30,6 +30,9 @@
   const int log = open(aLogFile, O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
+  // A socket of the parent that the child holds too stays open when the parent
+  // closes it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(aArguments[0], aArguments);
   _exit(kExecFailedStatus);
 }
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -1,6 +1,6 @@
-// Each harness has its own IP address within 127.128.0.0/9, derived from the
-// process id and a counter, so that tests that run at the same time don't
-// conflict.
+// The stand-ins and each router have an IP address of their own within
+// 127.128.0.0/9, derived from the process id and a counter, so that tests that
+// run at the same time don't conflict.
 
 #include "standin/router_harness.h"
 
@@ -27,9 +27,9 @@
 std::string
 NextIp()
 {
-  static unsigned harnesses = 0;
+  static unsigned addresses = 0;
   const auto pid = static_cast<unsigned>(getpid());
-  const unsigned number = pid * 64 + harnesses++;
+  const unsigned number = pid * 64 + addresses++;
   return "127." + std::to_string(128 + (number >> 16U & 127U)) + "." +
          std::to_string(number >> 8U & 255U) + "." +
          std::to_string(number & 255U);
@@ -59,23 +59,53 @@
     m_upstreams.push_back(std::make_unique<UpstreamStandin>(m_loop, m_ip));
     RegisterUpstream(i);
   }
+  for (std::size_t i = 0; i < aOptions.m_routers; ++i) {
+    m_routers.push_back({ "d" + std::to_string(i + 1),
+                          "z" + std::to_string(i % 2 + 1),
+                          i == 0 ? m_ip : NextIp(),
+                          nullptr });
+  }
   WriteSettings();
-  m_router = std::make_unique<ChildProcess>(
+  for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    StartRouter(i);
+  }
+  const int status = aOptions.m_startWithConfig ? 200 : 503;
+  for (std::size_t i = 0; aOptions.m_waitUntilReady && i < m_routers.size();
+       ++i) {
+    if (!WaitUntil([&] { return ReadyStatus(i) == status; })) {
+      throw std::runtime_error("a router did not become ready: " + LogText(i));
+    }
+  }
+}
+
+void
+RouterHarness::StartRouter(std::size_t aRouter)
+{
+  RouterProcess& router = m_routers.at(aRouter);
+  router.m_process.reset();
+  router.m_process = std::make_unique<ChildProcess>(
     std::vector<std::string>{ WALNUTWING_BUILD_DIR "/router/walnutwing-router",
                               "router",
                               "--config",
-                              m_directory + "/router.ini" },
-    m_directory + "/log");
-  const int status = aOptions.m_startWithConfig ? 200 : 503;
-  if (aOptions.m_waitUntilReady &&
-      !WaitUntil([&] { return ReadyStatus() == status; })) {
-    throw std::runtime_error("the router did not become ready: " + LogText());
-  }
+                              SettingsFileOf(router) },
+    LogFileOf(router));
+}
+
+std::string
+RouterHarness::SettingsFileOf(const RouterProcess& aRouter) const
+{
+  return m_directory + "/" + aRouter.m_name + ".ini";
+}
+
+std::string
+RouterHarness::LogFileOf(const RouterProcess& aRouter) const
+{
+  return m_directory + "/" + aRouter.m_name + ".log";
 }
 
 RouterHarness::~RouterHarness()
 {
-  m_router.reset();
+  m_routers.clear();
   std::error_code ignored; // a temporary directory
   std::filesystem::remove_all(m_directory, ignored);
 }
@@ -83,20 +113,25 @@
 void
 RouterHarness::WriteSettings(const std::string& aExtra)
 {
-  std::ofstream(m_directory + "/router.ini")
-    << "[router]\nname = d1\nzone = z1\nlisten = " << m_ip << ":" << kListenPort
-    << "\nready_listen = " << m_ip << ":" << kReadyPort
-    << "\npeer_listen = " << m_ip << ":" << kPeerPort
-    << "\nmetrics_port = " << kMetricsPort
-    << "\n[platform]\naddress = " << m_store->Address()
-    << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds << "\n"
-    << m_options.m_extraBounds << aExtra;
+  for (const RouterProcess& router : m_routers) {
+    std::ofstream(SettingsFileOf(router))
+      << "[router]\nname = " << router.m_name << "\nzone = " << router.m_zone
+      << "\nlisten = " << router.m_ip << ":" << kListenPort
+      << "\nready_listen = " << router.m_ip << ":" << kReadyPort
+      << "\npeer_listen = " << router.m_ip << ":" << kPeerPort
+      << "\nmetrics_port = " << kMetricsPort
+      << "\n[platform]\naddress = " << m_store->Address()
+      << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds << "\n"
+      << m_options.m_extraBounds << aExtra;
+  }
 }
 
 void
 RouterHarness::RemoveSettings()
 {
-  std::filesystem::remove(m_directory + "/router.ini");
+  for (const RouterProcess& router : m_routers) {
+    std::filesystem::remove(SettingsFileOf(router));
+  }
 }
 
 bool
@@ -145,19 +180,35 @@
       R"(],"services":[{"name":"s"}],)"
       R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,)"
       R"("headerTimeoutMs":300,"idleTimeoutMs":5000},)"
-      R"("tenants":[{"name":"c1","apiKeys":["k1"],"priority":3}]})");
+      R"("tenants":[{"name":"c1","apiKeys":["k1"],"priority":3},)"
+      R"({"name":"c2","apiKeys":["k2"],"priority":3}]})");
 }
 
 void
 RouterHarness::RegisterUpstream(std::size_t aIndex,
                                 const std::string& aState,
                                 std::int64_t aStartWallMs)
+{
+  PutRegistration("i-" + std::to_string(aIndex), aIndex, aState, aStartWallMs);
+}
+
+void
+RouterHarness::RegisterUpstreamAs(const std::string& aId, std::size_t aIndex)
+{
+  PutRegistration(aId, aIndex, "ready", 0);
+}
+
+void
+RouterHarness::PutRegistration(const std::string& aId,
+                               std::size_t aIndex,
+                               const std::string& aState,
+                               std::int64_t aStartWallMs)
 {
   const std::string born =
     aStartWallMs == 0 ? "" : R"(,"born":)" + std::to_string(aStartWallMs);
   m_store->Put(
     "keyed.servers",
-    "i-" + std::to_string(aIndex),
+    aId,
     R"({"service":"s","address":")" + m_upstreams.at(aIndex)->Address() +
       R"(","zone":"z1","slots":8,"state":")" + aState + "\"" + born + "}");
 }
@@ -178,22 +229,22 @@
 }
 
 std::unique_ptr<CallerStandin>
-RouterHarness::ConnectTo(std::uint16_t aPort)
+RouterHarness::ConnectTo(std::size_t aRouter, std::uint16_t aPort)
 {
-  return std::make_unique<CallerStandin>(m_loop,
-                                         m_ip + ":" + std::to_string(aPort));
+  return std::make_unique<CallerStandin>(
+    m_loop, m_routers.at(aRouter).m_ip + ":" + std::to_string(aPort));
 }
 
 std::unique_ptr<CallerStandin>
-RouterHarness::Connect()
+RouterHarness::Connect(std::size_t aRouter)
 {
-  return ConnectTo(kListenPort);
+  return ConnectTo(aRouter, kListenPort);
 }
 
 std::unique_ptr<CallerStandin>
 RouterHarness::ConnectToReadyPage()
 {
-  return ConnectTo(kReadyPort);
+  return ConnectTo(0, kReadyPort);
 }
 
 std::string
@@ -216,13 +267,16 @@
 
 // Returns status 0 if there was no response.
 http::response<http::string_body>
-RouterHarness::FetchPage(std::uint16_t aPort, const std::string& aPath)
+RouterHarness::FetchPage(std::size_t aRouter,
+                         std::uint16_t aPort,
+                         const std::string& aPath)
 {
   error_code error;
   Tcp::socket socket(m_loop);
   http::response<http::string_body> answer;
   answer.result(0U);
-  socket.connect({ asio::ip::make_address_v4(m_ip), aPort }, error);
+  socket.connect(
+    { asio::ip::make_address_v4(m_routers.at(aRouter).m_ip), aPort }, error);
   if (error) {
     return answer;
   }
@@ -235,9 +289,10 @@
 }
 
 int
-RouterHarness::ReadyStatus()
+RouterHarness::ReadyStatus(std::size_t aRouter)
 {
-  return static_cast<int>(FetchPage(kReadyPort, "/api/readyz").result_int());
+  return static_cast<int>(
+    FetchPage(aRouter, kReadyPort, "/api/readyz").result_int());
 }
 
 std::size_t
@@ -245,7 +300,8 @@
 {
   constexpr std::size_t kBytesPerKb = 1024;
   const std::string field = "VmHWM:";
-  std::ifstream file("/proc/" + std::to_string(m_router->Pid()) + "/status");
+  std::ifstream file(
+    "/proc/" + std::to_string(m_routers.front().m_process->Pid()) + "/status");
   std::string line;
   while (std::getline(file, line)) {
     if (line.starts_with(field)) {
@@ -256,9 +312,9 @@
 }
 
 std::string
-RouterHarness::MetricsText()
+RouterHarness::MetricsText(std::size_t aRouter)
 {
-  return FetchPage(kMetricsPort, "/metrics").body();
+  return FetchPage(aRouter, kMetricsPort, "/metrics").body();
 }
 
 std::size_t
@@ -272,9 +328,9 @@
 }
 
 std::string
-RouterHarness::LogText() const
+RouterHarness::LogText(std::size_t aRouter) const
 {
-  std::ifstream file(m_directory + "/log");
+  std::ifstream file(LogFileOf(m_routers.at(aRouter)));
   return { std::istreambuf_iterator<char>(file), {} };
 }
 
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -1,10 +1,10 @@
 #ifndef WALNUTWING_STANDIN_ROUTER_HARNESS_H_
 #define WALNUTWING_STANDIN_ROUTER_HARNESS_H_
 
-// A router process with small stand-ins in the test's process: the platform's
-// store, upstreams and callers. Upstreams and callers send raw bytes, so that
-// tests control each of them. All share one event loop; each wait ends after
-// kHarnessWaitTimeout.
+// Router processes, usually one, with small stand-ins in the test's process:
+// the platform's store, upstreams and callers. Upstreams and callers send raw
+// bytes, so that tests control each of them. All share one event loop; each
+// wait ends after kHarnessWaitTimeout.
 
 #include <cstdint>
 #include <functional>
@@ -25,6 +25,7 @@
 struct HarnessOptions
 {
   std::size_t m_upstreams = 2;
+  std::size_t m_routers = 1;     // in zone z1, z2, z1, ...
   bool m_startWithConfig = true; // published before the router starts
   int m_stopLimitSeconds = 8; // setting stop_limit_s: from SIGTERM to the exit
   // Pause in the middle of each response of the store.
@@ -36,9 +37,9 @@
 class RouterHarness
 {
 public:
-  // Starts the stand-ins and the router. If m_waitUntilReady, waits until its
-  // readiness page has status 200, or 503 if there is no configuration; throws
-  // std::runtime_error if it does not in time.
+  // Starts the stand-ins and the routers. If m_waitUntilReady, waits until
+  // their readiness pages have status 200, or 503 if there is no configuration;
+  // throws std::runtime_error if they do not in time.
   explicit RouterHarness(const HarnessOptions& aOptions);
   explicit RouterHarness(std::size_t aUpstreams = 2)
     : RouterHarness(HarnessOptions{ .m_upstreams = aUpstreams })
@@ -53,15 +54,19 @@
   bool WaitUntil(const std::function<bool()>& aCondition);
   void RunLoopFor(Duration aTime);
 
-  // Publishes a configuration with fixed routes; aOrderPrefix is the path
-  // prefix of the route for orders.
+  // Publishes a configuration with fixed routes and the customers c1 and c2,
+  // with the keys k1 and k2; aOrderPrefix is the path prefix of the route for
+  // orders.
   void PutConfig(int aVersion, const std::string& aOrderPrefix = "/order/");
   // aStartWallMs identifies the upstream's incarnation; 0: not stated.
   void RegisterUpstream(std::size_t aIndex,
                         const std::string& aState = "ready",
                         std::int64_t aStartWallMs = 0);
 
-  std::unique_ptr<CallerStandin> Connect();
+  // Registers it under another id, as an upstream does that starts again.
+  void RegisterUpstreamAs(const std::string& aId, std::size_t aIndex);
+
+  std::unique_ptr<CallerStandin> Connect(std::size_t aRouter = 0);
   // Connects to the router's readiness page.
   std::unique_ptr<CallerStandin> ConnectToReadyPage();
   // Retries while the router does not listen; null after kHarnessWaitTimeout.
@@ -75,11 +80,11 @@
                     const std::string& aBody = "");
 
   // Status of the router's readiness page; 0 without a response.
-  int ReadyStatus();
-  // The router's peak memory so far, in bytes.
+  int ReadyStatus(std::size_t aRouter = 0);
+  // The first router's peak memory so far, in bytes.
   std::size_t RouterPeakMemory() const;
-  // The router's metrics page.
-  std::string MetricsText();
+  // A router's metrics page.
+  std::string MetricsText(std::size_t aRouter = 0);
 
   StoreStandin& Store() { return *m_store; }
   UpstreamStandin& Upstream(std::size_t aIndex)
@@ -87,26 +92,48 @@
     return *m_upstreams.at(aIndex);
   }
   std::size_t Upstreams() const { return m_upstreams.size(); }
-  ChildProcess& Router() { return *m_router; }
+  std::size_t Routers() const { return m_routers.size(); }
+  ChildProcess& Router(std::size_t aRouter = 0)
+  {
+    return *m_routers.at(aRouter).m_process;
+  }
+  // Kills a router, if it still runs, and starts it again.
+  void StartRouter(std::size_t aRouter);
   // Number of requests recorded at all upstreams.
   std::size_t CountExchanges() const;
-  std::string LogText() const;
-  // Rewrites the settings file, with aExtra as further lines of [bounds].
+  std::string LogText(std::size_t aRouter = 0) const;
+  // Rewrites the settings files, with aExtra as further lines of [bounds].
   void WriteSettings(const std::string& aExtra = "");
   void RemoveSettings();
 
 private:
-  http::response<http::string_body> FetchPage(std::uint16_t aPort,
+  struct RouterProcess
+  {
+    std::string m_name;
+    std::string m_zone;
+    std::string m_ip;
+    std::unique_ptr<ChildProcess> m_process;
+  };
+
+  void PutRegistration(const std::string& aId,
+                       std::size_t aIndex,
+                       const std::string& aState,
+                       std::int64_t aStartWallMs);
+  std::string SettingsFileOf(const RouterProcess& aRouter) const;
+  std::string LogFileOf(const RouterProcess& aRouter) const;
+  http::response<http::string_body> FetchPage(std::size_t aRouter,
+                                              std::uint16_t aPort,
                                               const std::string& aPath);
-  std::unique_ptr<CallerStandin> ConnectTo(std::uint16_t aPort);
+  std::unique_ptr<CallerStandin> ConnectTo(std::size_t aRouter,
+                                           std::uint16_t aPort);
 
-  std::string m_ip;
+  std::string m_ip; // of the store and the upstreams
   HarnessOptions m_options;
   std::string m_directory;
   asio::io_context m_loop;
   std::unique_ptr<StoreStandin> m_store;
   std::vector<std::unique_ptr<UpstreamStandin>> m_upstreams;
-  std::unique_ptr<ChildProcess> m_router;
+  std::vector<RouterProcess> m_routers;
 };
 
 } // namespace walnutwing::standin
--- a/standin/upstream_standin.cc
+++ b/standin/upstream_standin.cc
@@ -102,6 +102,12 @@
       });
   }
 
+  void Shutdown()
+  {
+    error_code ignored; // the peer may have closed it
+    m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+  }
+
 private:
   class Exchange : public UpstreamExchange
   {
@@ -129,11 +135,7 @@
         RepeatedText(aPiece),
         [connection = m_connection] { connection->m_peerClosed = true; });
     }
-    void Close() override
-    {
-      error_code ignored; // the test is done with it
-      m_connection->m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
-    }
+    void Close() override { m_connection->Shutdown(); }
     void Reset() override
     {
       error_code ignored; // the test is done with it
@@ -158,7 +160,9 @@
 UpstreamStandin::UpstreamStandin(asio::io_context& aLoop,
                                  const std::string& aIp,
                                  std::uint16_t aPort)
-  : m_acceptor(Listen(aLoop, aIp, aPort))
+  : m_loop(aLoop)
+  , m_acceptor(Listen(aLoop, aIp, aPort))
+  , m_endpoint(m_acceptor.local_endpoint())
   , m_handler([](const std::shared_ptr<UpstreamExchange>& aExchange) {
     aExchange->Write(MakeUpstreamResponse(aExchange->Request(), 200, "done"));
   })
@@ -169,19 +173,45 @@
 void
 UpstreamStandin::Accept()
 {
-  m_acceptor.async_accept(
-    [this](const error_code& aError, Tcp::socket aSocket) {
-      if (!aError) {
-        std::make_shared<Connection>(*this, std::move(aSocket))->Read();
-        Accept();
-      }
-    });
+  m_acceptor.async_accept([this](const error_code& aError,
+                                 Tcp::socket aSocket) {
+    if (!aError) {
+      auto connection = std::make_shared<Connection>(*this, std::move(aSocket));
+      std::erase_if(m_connections,
+                    [](const auto& aOld) { return aOld.expired(); });
+      m_connections.push_back(connection);
+      connection->Read();
+      Accept();
+    }
+  });
+}
+
+void
+UpstreamStandin::Crash()
+{
+  error_code ignored; // it is closed either way
+  m_acceptor.close(ignored);
+  for (const auto& weak : m_connections) {
+    if (const auto connection = weak.lock()) {
+      connection->Shutdown();
+    }
+  }
+  m_connections.clear();
+}
+
+void
+UpstreamStandin::Restart()
+{
+  m_acceptor =
+    Listen(m_loop, m_endpoint.address().to_string(), m_endpoint.port());
+  Accept();
 }
 
 std::string
 UpstreamStandin::Address() const
 {
-  return AddressOf(m_acceptor);
+  return m_endpoint.address().to_string() + ":" +
+         std::to_string(m_endpoint.port());
 }
 
 } // namespace walnutwing::standin
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -65,6 +65,13 @@
 
   void SetHandler(Handler aHandler) { m_handler = std::move(aHandler); }
   std::string Address() const;
+
+  // Ends all connections in an orderly way and accepts no more, like a process
+  // that has crashed, until Restart.
+  void Crash();
+  // Listens at the same address again.
+  void Restart();
+
   // Whether Exchanges records requests; each entry keeps its connection open.
   void SetRecordsExchanges(bool aRecords) { m_recordsExchanges = aRecords; }
   // All requests received while recording was on.
@@ -77,7 +84,10 @@
   class Connection;
   void Accept();
 
+  asio::io_context& m_loop;
   Tcp::acceptor m_acceptor;
+  Tcp::endpoint m_endpoint;
+  std::vector<std::weak_ptr<Connection>> m_connections;
   Handler m_handler;
   std::vector<std::shared_ptr<UpstreamExchange>> m_exchanges;
   bool m_recordsExchanges = true;
