--- a/router/context.h
+++ b/router/context.h
@@ -16,6 +16,7 @@
 #include "router/upstream_pool.h"
 #include "walnutwing/base/metrics.h"
 #include "walnutwing/routing/admission.h"
+#include "walnutwing/routing/part_breaker.h"
 #include "walnutwing/routing/repeat_budget.h"
 #include "walnutwing/routing/route_table.h"
 #include "walnutwing/routing/upstream_selector.h"
@@ -30,6 +31,7 @@
   Metrics& m_metrics;
   UpstreamPool& m_pool;
   UpstreamSelector& m_selector;
+  PartBreaker& m_partBreaker;
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes; // null before the first version
   std::map<ServiceId, RepeatBudget> m_repeatBudgets;
@@ -41,6 +43,8 @@
   // its incarnation.
   std::function<void(const UpstreamId& aId, std::int64_t aStartWallMs)>
     m_onUpstreamLeaving{};
+  // The breaker has news for the other daemons.
+  std::function<void()> m_onPartNews{};
 
   AdmissionControl& AdmissionOf(const ServiceId& aService)
   {
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -49,6 +49,8 @@
   StoreEraChanged = 215,
   UpstreamLeaving = 216,
   UpstreamBackoff = 217,
+  PromptPartBlocked = 218,
+  PromptPartCleared = 219,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -72,6 +72,7 @@
       aContext.m_loop,
       ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
   , m_peers(m_context, m_exchange, m_operatorFeed, m_upstreamFeed, m_memberFeed)
+  , m_partBlocks(m_context, m_exchange)
   , m_announceTimer(aContext.m_loop.get_executor())
   , m_memberReadTimer(aContext.m_loop.get_executor())
 {
@@ -95,6 +96,7 @@
                                          std::int64_t aStartWallMs) {
     OnUpstreamLeaving(aId, aStartWallMs, "answer");
   };
+  m_context.m_onPartNews = [this] { m_peers.SendSoon(); };
   m_peers.SetLeavingHandler([this](const UpstreamId& aId,
                                    std::int64_t aStartWallMs,
                                    const DaemonId& aFrom) {
@@ -110,6 +112,10 @@
   for (const UpstreamId& id : m_directory.OnTick(aNow)) {
     OnUpstreamChange(id, UpstreamChange::Removed);
   }
+  m_partBlocks.Tick(aNow);
+  if (m_context.m_partBreaker.TakeHasNews()) {
+    m_peers.SendSoon();
+  }
   if (m_restoredZonesUntil != Time() && aNow >= m_restoredZonesUntil) {
     m_restoredZonesUntil = Time();
     m_operatorFeed.ReadNewestSoon();
@@ -135,7 +141,8 @@
 FleetState::StoreCalls() const
 {
   return m_operatorFeed.Channel().Calls() + m_upstreamFeed.Channel().Calls() +
-         m_memberFeed.Channel().Calls() + m_announceChannel->Calls();
+         m_memberFeed.Channel().Calls() + m_announceChannel->Calls() +
+         m_partBlocks.Channel().Calls();
 }
 
 std::uint64_t
@@ -143,7 +150,8 @@
 {
   return m_operatorFeed.Channel().BytesRead() +
          m_upstreamFeed.Channel().BytesRead() +
-         m_memberFeed.Channel().BytesRead() + m_announceChannel->BytesRead();
+         m_memberFeed.Channel().BytesRead() + m_announceChannel->BytesRead() +
+         m_partBlocks.Channel().BytesRead();
 }
 
 void
@@ -177,6 +185,7 @@
   m_operatorFeed.OnOtherEra();
   m_upstreamFeed.OnOtherEra();
   AnnounceAgain();
+  m_partBlocks.OnStoreRestored();
 }
 
 // Just after the store was restored, a zone that its list lacks stays out: the
@@ -431,6 +440,9 @@
 FleetState::OnMemberUpdate(const TopicUpdate& aUpdate)
 {
   for (const platform::StoreRecord& record : aUpdate.m_records) {
+    if (m_partBlocks.OnMemberRecord(record)) {
+      continue;
+    }
     const DaemonId name(record.m_key);
     const auto member =
       record.m_value ? DecodeMember(name, *record.m_value) : std::nullopt;
@@ -443,6 +455,11 @@
   std::vector<RosterMember> alive = m_roster.Alive(Now());
   const auto daemons =
     std::max<std::uint32_t>(1, static_cast<std::uint32_t>(alive.size()));
+  std::vector<DaemonId> names;
+  for (const RosterMember& member : alive) {
+    names.push_back(member.m_name);
+  }
+  m_context.m_partBreaker.SetMembers(std::move(names));
   m_exchange.SetMembers(std::move(alive), Now());
   if (daemons == m_context.m_daemons) {
     return;
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "router/context.h"
+#include "router/part_block_store.h"
 #include "router/peers.h"
 #include "router/store_channel.h"
 #include "router/topic_feed.h"
@@ -88,6 +89,7 @@
   TopicFeed m_memberFeed;
   std::shared_ptr<StoreChannel> m_announceChannel;
   Peers m_peers;
+  PartBlockStore m_partBlocks;
   Timer m_announceTimer;
   Timer m_memberReadTimer;
   std::set<ZoneId> m_zonesOut;
--- /dev/null
+++ b/router/part_block_store.cc
@@ -0,0 +1,151 @@
+#include "router/part_block_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "router/part_news_codec.h"
+
+namespace walnutwing::router {
+namespace {
+
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(2000);
+
+std::string
+KeyOf(const PromptPartId& aPart)
+{
+  return std::string(kBlockedPartPrefix) + aPart.Value();
+}
+
+} // namespace
+
+PartBlockStore::PartBlockStore(Context& aContext, const LoadExchange& aExchange)
+  : m_context(aContext)
+  , m_exchange(aExchange)
+  , m_channel(std::make_shared<StoreChannel>(
+      aContext.m_loop,
+      ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
+{
+}
+
+void
+PartBlockStore::Tick(Time aNow)
+{
+  m_context.m_partBreaker.Tick(aNow);
+  HandleChanges(aNow);
+  WriteNext(aNow);
+}
+
+void
+PartBlockStore::HandleChanges(Time aNow)
+{
+  for (const PartChange& change : m_context.m_partBreaker.TakeChanges()) {
+    Log(change, aNow);
+    if (change.m_kind != PartChangeKind::Tried) {
+      m_unwritten.insert(change.m_block.m_part);
+    }
+  }
+  m_context.m_metrics.Gauge("blocked_prompt_parts") =
+    static_cast<double>(m_context.m_partBreaker.BlockedParts().size());
+}
+
+void
+PartBlockStore::Log(const PartChange& aChange, Time aNow)
+{
+  const BlockedPart& block = aChange.m_block;
+  const bool ends = aChange.m_kind == PartChangeKind::Cleared ||
+                    aChange.m_kind == PartChangeKind::Forgotten;
+  EventLog::Line line = m_context.m_log.StartLine(
+    ends ? Event::PromptPartCleared : Event::PromptPartBlocked, aNow);
+  line.Add("part", block.m_part.Value())
+    .Add("why", NameOf(aChange.m_kind))
+    .Add("since_ms", static_cast<std::int64_t>((aNow - block.m_since).count()))
+    .Add("trials", static_cast<std::int64_t>(block.m_trials))
+    .Add("customers",
+         block.m_allCustomers ? std::string("all")
+                              : std::to_string(block.m_customers.size()));
+  if (aChange.m_suspicion) {
+    const Suspicion& suspicion = *aChange.m_suspicion;
+    line.Add("crashes", static_cast<std::int64_t>(suspicion.m_crashes))
+      .Add("moments", static_cast<std::int64_t>(suspicion.m_moments))
+      .Add("lead", static_cast<std::int64_t>(suspicion.m_lead))
+      .Add("prompts", static_cast<std::int64_t>(suspicion.m_prompts))
+      .Add("first_ms",
+           static_cast<std::int64_t>((aNow - suspicion.m_firstAt).count()));
+  }
+  ++m_context.m_metrics.Counter("prompt_part_changes_total",
+                                "why=\"" + std::string(NameOf(aChange.m_kind)) +
+                                  "\"");
+}
+
+// Writes one changed record, and the next one at the next call.
+void
+PartBlockStore::WriteNext(Time aNow)
+{
+  if (m_writing || m_unwritten.empty() || aNow < m_nextWriteAt ||
+      !m_exchange.IsHub()) {
+    return;
+  }
+  const PromptPartId part = *m_unwritten.begin();
+  m_unwritten.erase(m_unwritten.begin());
+  std::string record; // empty: the key is dropped
+  for (const BlockedPart& block : m_context.m_partBreaker.BlockedParts()) {
+    if (block.m_part == part) {
+      record = EncodeBlockedPart(block, aNow, SteadyClock().WallNow());
+    }
+  }
+  m_writing = true;
+  m_channel->Call(
+    platform::EncodePutRequest(platform::kMemberTopic, KeyOf(part), record),
+    kStoreTimeout,
+    [this, part](const StoreResponse& aResponse) {
+      m_writing = false;
+      if (aResponse.m_status != 200) {
+        m_unwritten.insert(part);
+        m_nextWriteAt = Now() + kRetryInterval;
+      }
+    });
+}
+
+bool
+PartBlockStore::OnMemberRecord(const platform::StoreRecord& aRecord)
+{
+  if (!aRecord.m_key.starts_with(kBlockedPartPrefix)) {
+    return false;
+  }
+  if (!aRecord.m_value || aRecord.m_value->empty()) {
+    return true; // dropped: who has it blocked hears of that from its peers
+  }
+  const Time now = Now();
+  const auto blocked =
+    DecodeBlockedPart(aRecord.m_key.substr(kBlockedPartPrefix.size()),
+                      *aRecord.m_value,
+                      now,
+                      SteadyClock().WallNow());
+  if (!blocked) {
+    m_context.m_log.StartLine(Event::InputFailed, now)
+      .Add("source", "store")
+      .Add("error", "record of a blocked part: " + aRecord.m_key);
+    return true;
+  }
+  HandleChanges(now);
+  PartNews news;
+  news.m_blocked.push_back(*blocked);
+  m_context.m_partBreaker.OnNews(news, now);
+  const bool wasUnwritten = m_unwritten.contains(blocked->m_part);
+  HandleChanges(now);
+  if (!wasUnwritten) {
+    m_unwritten.erase(blocked->m_part); // it comes from there
+  }
+  return true;
+}
+
+void
+PartBlockStore::OnStoreRestored()
+{
+  for (const BlockedPart& block : m_context.m_partBreaker.BlockedParts()) {
+    m_unwritten.insert(block.m_part);
+  }
+}
+
+} // namespace walnutwing::router
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -4,13 +4,14 @@
 #include <utility>
 
 #include "router/input_guard.h"
+#include "router/part_news_codec.h"
 #include "router/store_pace.h"
 
 namespace walnutwing::router {
 namespace {
 
-// Delay of the digest that follows a read of the store, to batch several reads.
-constexpr Duration kEarlyDigestDelay = std::chrono::milliseconds(10);
+// Delay of messages that are sent before their period, to batch several news.
+constexpr Duration kEarlySendDelay = std::chrono::milliseconds(10);
 // How long a daemon relies on its hub to read the members' topic.
 constexpr Duration kRosterRelyDuration = std::chrono::milliseconds(500);
 // How long changes are repeated in digests, for daemons that missed one.
@@ -49,7 +50,7 @@
   , m_memberFeed(aMemberFeed)
   , m_socket(aContext.m_loop.get_executor())
   , m_timer(aContext.m_loop.get_executor())
-  , m_earlyDigestTimer(aContext.m_loop.get_executor())
+  , m_earlySendTimer(aContext.m_loop.get_executor())
 {
   const Tcp::endpoint endpoint =
     ParseEndpoint(aContext.m_settings.m_peerListen).value();
@@ -99,11 +100,15 @@
   for (const proto::LeavingUpstream& leaving : aMessage.leaving()) {
     m_onLeaving(UpstreamId(leaving.id()), leaving.start_wall_ms(), from);
   }
+  const Time now = Now();
+  m_context.m_partBreaker.OnNews(DecodePartNews(aMessage, now), now);
+  if (m_context.m_partBreaker.TakeHasNews() && m_exchange.IsHub()) {
+    SendSoon();
+  }
   UpstreamLoads loads;
   for (const proto::LoadAt& load : aMessage.loads()) {
     loads[load.upstream()] = load.requests();
   }
-  const Time now = Now();
   switch (aMessage.kind()) {
     case proto::RouterPeerMessage::REPORT:
       m_exchange.OnReport(from, std::move(loads), now);
@@ -207,8 +212,10 @@
 Peers::SendMessages()
 {
   DropExpiredChanges();
+  const Time now = Now();
+  m_partNews = m_context.m_partBreaker.News(m_exchange.IsHub(), now);
   for (const LoadMessage& message :
-       m_exchange.OnPeriod(m_context.m_selector.OwnLoads(), Now())) {
+       m_exchange.OnPeriod(m_context.m_selector.OwnLoads(), now)) {
     Send(message);
   }
 }
@@ -216,12 +223,20 @@
 void
 Peers::OnTopicRead()
 {
-  if (!m_exchange.IsHub() || std::exchange(m_earlyDigestScheduled, true)) {
+  if (m_exchange.IsHub()) {
+    SendSoon();
+  }
+}
+
+void
+Peers::SendSoon()
+{
+  if (std::exchange(m_earlySendScheduled, true)) {
     return;
   }
-  m_earlyDigestTimer.expires_after(kEarlyDigestDelay);
-  m_earlyDigestTimer.async_wait([this](const error_code& aError) {
-    m_earlyDigestScheduled = false;
+  m_earlySendTimer.expires_after(kEarlySendDelay);
+  m_earlySendTimer.async_wait([this](const error_code& aError) {
+    m_earlySendScheduled = false;
     if (!aError) {
       SendMessages();
     }
@@ -294,6 +309,7 @@
     load.set_requests(requests);
   }
   AddLeaving(message);
+  EncodePartNews(m_partNews, Now(), message);
   if (aLoads.m_kind == LoadMessageKind::Digest) {
     message.set_roster(m_exchange.RosterHash());
     AddTopicStates(message);
--- a/router/peers.h
+++ b/router/peers.h
@@ -48,6 +48,10 @@
   // that the daemons that rely on it learn of the change soon.
   void OnTopicRead();
 
+  // There is something that the other daemons should hear before the next
+  // period.
+  void SendSoon();
+
   // This daemon has learned that an upstream is leaving; the others are told.
   void OnUpstreamLeaving(const UpstreamId& aId, std::int64_t aStartWallMs);
 
@@ -101,8 +105,9 @@
   TopicFeed& m_memberFeed;
   asio::basic_datagram_socket<Udp, Executor> m_socket;
   Timer m_timer;
-  Timer m_earlyDigestTimer;
-  bool m_earlyDigestScheduled = false;
+  Timer m_earlySendTimer;
+  bool m_earlySendScheduled = false;
+  PartNews m_partNews; // to be sent
   OnStoreHealth m_onStoreHealth;
   OnLeaving m_onLeaving;
   std::deque<Leaving> m_leaving; // of the last kLeavingLifetime
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -44,6 +44,10 @@
 // seconds.
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
+// An upstream that goes on sending events for this long after the first one has
+// not crashed by beginning to answer.
+constexpr Duration kProofTime = std::chrono::milliseconds(200);
+
 constexpr int kFirstServerErrorStatus = 500;
 
 bool
@@ -88,7 +92,7 @@
     Refuse(ResultCode::NoConfiguration, kRetryAfter);
     return;
   }
-  if (!FindRoute() || !CheckApiKey()) {
+  if (!FindRoute() || !CheckApiKey() || !CheckPromptParts()) {
     return;
   }
   SetDeadline();
@@ -132,6 +136,28 @@
   return true;
 }
 
+bool
+RequestFlow::CheckPromptParts()
+{
+  const PartVerdict verdict =
+    m_context.m_partBreaker.Check(MakePromptRequest(), Now());
+  if (verdict.m_allowed) {
+    m_triedPart = verdict.m_part;
+    return true;
+  }
+  m_record.SetBlockedPart(verdict.m_part);
+  Refuse(ResultCode::PromptPartBlocked, verdict.m_retryAfter);
+  return false;
+}
+
+PromptRequest
+RequestFlow::MakePromptRequest() const
+{
+  return {
+    m_facts.m_promptHash, m_facts.m_sharedParts, Customer(), m_serviceId
+  };
+}
+
 void
 RequestFlow::SetDeadline()
 {
@@ -293,6 +319,8 @@
   m_attemptInFlight = true;
   m_attemptHeadReceived = false;
   m_attemptDelivered = false;
+  m_firstEventAt.reset();
+  m_attemptProven = false;
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
@@ -466,6 +494,7 @@
   if (!aPiece.empty()) {
     m_progressAt = now;
     m_attemptDelivered = true;
+    OnEventDelivered(now);
   }
   if (m_forwarding) {
     ForwardBody(aPiece);
@@ -478,6 +507,58 @@
   }
 }
 
+void
+RequestFlow::OnEventDelivered(Time aNow)
+{
+  if (!m_firstEventAt) {
+    m_firstEventAt = aNow;
+  }
+  if (aNow - *m_firstEventAt >= kProofTime) {
+    OnAttemptProven();
+  }
+}
+
+void
+RequestFlow::OnAttemptProven()
+{
+  if (std::exchange(m_attemptProven, true) || m_facts.m_sharedParts.empty()) {
+    return;
+  }
+  m_context.m_partBreaker.OnServed(MakePromptRequest(), Now());
+  TellPartNews();
+}
+
+// The upstream has ended the connection in the middle of the attempt. If it has
+// crashed, any of the requests that it had just begun may be the cause.
+void
+RequestFlow::OnAttemptBroken()
+{
+  if (m_attemptProven || m_facts.m_sharedParts.empty()) {
+    return;
+  }
+  const std::uint64_t incarnation = StableHash(
+    m_choice.m_upstream.Value() + "/" + std::to_string(m_choice.m_startWallMs));
+  m_context.m_partBreaker.OnBroken(
+    MakePromptRequest(), static_cast<std::uint32_t>(incarnation), Now());
+  TellPartNews();
+}
+
+void
+RequestFlow::EndPartTrial()
+{
+  if (!m_triedPart.Empty()) {
+    m_context.m_partBreaker.OnTrialEnded(m_triedPart);
+  }
+}
+
+void
+RequestFlow::TellPartNews()
+{
+  if (m_context.m_partBreaker.TakeHasNews() && m_context.m_onPartNews) {
+    m_context.m_onPartNews();
+  }
+}
+
 // Replaces aPiece by the events that it completes. Returns false if the attempt
 // has ended, because an event is too large.
 bool
@@ -549,6 +630,7 @@
     error = NameOf(end);
   }
   ++m_runs;
+  OnAttemptBroken();
   EndAttempt(SendOutcome::Failed);
   OnAttemptFailed(error);
 }
@@ -566,6 +648,9 @@
     m_discardResponse ||
     static_cast<int>(m_head->result_int()) >= kFirstServerErrorStatus;
   EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
+  if (!failure && IsSuccess(m_head->result_int())) {
+    OnAttemptProven();
+  }
   if (m_discardResponse) {
     OnAttemptFailed("response reports a failure");
     return;
@@ -600,6 +685,9 @@
     Finish();
     return;
   }
+  if (!CheckPromptParts()) {
+    return; // a part was blocked meanwhile
+  }
   const RepeatResult result = TryRepeat("not executed");
   if (result != RepeatResult::Sent) {
     Refuse(result == RepeatResult::NoBudget ? ResultCode::RetryBudgetSpent
@@ -640,6 +728,10 @@
   if (m_tries >= kMaxTries || TimeLeft() < kMinAttemptTime) {
     return RepeatResult::NoTime;
   }
+  if (!m_triedPart.Empty() ||
+      !m_context.m_partBreaker.MayRepeat(MakePromptRequest(), Now())) {
+    return RepeatResult::Blocked;
+  }
   // Choose first, so that no repeat is taken from the budget without an
   // upstream to send it to.
   const Choice choice = m_context.m_selector.Choose(MakeSelection(), Now());
@@ -781,6 +873,7 @@
 RequestFlow::Finish()
 {
   m_ended = true;
+  EndPartTrial();
   m_deadlineTimer.cancel();
   m_progressTimer.cancel();
 }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -39,6 +39,7 @@
   NoTime,     // deadline too close, or too many attempts
   NoUpstream, // no upstream can take it
   NoBudget,   // the repeat budget is exhausted
+  Blocked,    // a part of its prompt is likely to crash the next upstream too
 };
 
 class RequestFlow
@@ -74,6 +75,7 @@
   // These return false if they have ended the request with a refusal.
   bool FindRoute();
   bool CheckApiKey();
+  bool CheckPromptParts();
   void SetDeadline();
   SelectionRequest MakeSelection() const;
   void SendNext();
@@ -99,6 +101,12 @@
   void OnAttemptFailed(const std::string& aWhy);
   bool MayRunAgain() const;
   RepeatResult TryRepeat(const char* aWhy);
+  // What the attempt shows of the prompt's parts.
+  void OnEventDelivered(Time aNow);
+  void OnAttemptProven();
+  void OnAttemptBroken();
+  void EndPartTrial();
+  void TellPartNews();
   void EndAttempt(SendOutcome aOutcome);
   void CancelAttempt(SendOutcome aOutcome);
 
@@ -110,6 +118,7 @@
   void Finish();
   Duration TimeLeft() const;
   std::uint32_t Priority() const;
+  PromptRequest MakePromptRequest() const;
   CustomerId Customer() const;                     // empty if unknown
   std::optional<Duration> TimeLeftIfKnown() const; // nullopt before SetDeadline
   bool IsRepeatable() const;
@@ -137,6 +146,10 @@
   bool m_attemptHeadReceived = false; // its response head was received
   // A whole event of its response was received, or a byte if it is no stream.
   bool m_attemptDelivered = false;
+  std::optional<Time> m_firstEventAt; // of its response
+  bool m_attemptProven = false;       // its upstream can answer the request
+  // The request tries this blocked part again; empty if it does not.
+  PromptPartId m_triedPart;
   bool m_notExecuted = false; // the upstream reported that it did not run it
   // The status means "not run", but the upstream did not report that.
   bool m_unconfirmedRefusal = false;
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -127,6 +127,9 @@
   if (aRefusal.m_timeLeft) {
     line.Add("left_ms", ToMilliseconds(*aRefusal.m_timeLeft));
   }
+  if (!m_blockedPart.Empty()) {
+    line.Add("part", m_blockedPart.Value());
+  }
   if (aRefusal.m_choice) {
     const Choice& choice = *aRefusal.m_choice;
     line.Add("no_choice", NameOf(choice.m_failure))
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -38,6 +38,9 @@
     m_sharedParts = &aParts;
   }
 
+  // Adds the part of the prompt that is blocked to the line of the refusal.
+  void SetBlockedPart(PromptPartId aPart) { m_blockedPart = std::move(aPart); }
+
   // aTimeLeft: time left for the upstream.
   void LogSent(const Choice& aChoice, Duration aTimeLeft);
   struct Repetition
@@ -105,6 +108,7 @@
   Time m_arrivedAt;
   const Route* m_route = nullptr;
   const std::vector<PromptPartId>* m_sharedParts = nullptr;
+  PromptPartId m_blockedPart;
   ServiceId m_service;
   std::uint64_t m_version = 0;
 };
--- a/router/router.cc
+++ b/router/router.cc
@@ -55,12 +55,14 @@
     , m_pool(m_loop)
     , m_exchange(aSettings.m_name, aSettings.m_zone, {})
     , m_selector(aSettings.m_zone, SelectorOptionsOf(aSettings), m_exchange)
+    , m_partBreaker(aSettings.m_name)
     , m_context{ m_loop,
                  aSettings,
                  m_log,
                  m_metrics,
                  m_pool,
                  m_selector,
+                 m_partBreaker,
                  std::mt19937_64(std::random_device{}()),
                  {},
                  {} }
@@ -340,6 +342,7 @@
   UpstreamPool m_pool;
   LoadExchange m_exchange;
   UpstreamSelector m_selector;
+  PartBreaker m_partBreaker;
   Context m_context;
   FleetState m_state;
   StateChangeLog m_stateChanges;
--- a/walnutwing/base/result_code.cc
+++ b/walnutwing/base/result_code.cc
@@ -61,6 +61,8 @@
     "the upstream's owner did not answer in time" },
   { OrderVoided, "order_voided", 503, Ran::NotRun, Repeat::SameKey,
     "the order was withdrawn before it was sent" },
+  { PromptPartBlocked, "prompt_part_blocked", 503, Ran::NotRun, Repeat::AfterDelay,
+    "upstreams have crashed whenever they began to answer a part of this prompt" },
   { OrderRunning, "order_running", 409, Ran::Unknown, Repeat::SameKey,
     "the order is already running" },
   { OrderOutcomeUnknown, "order_outcome_unknown", 409, Ran::Unknown, Repeat::SameKey,
--- a/walnutwing/base/result_code.h
+++ b/walnutwing/base/result_code.h
@@ -40,6 +40,7 @@
   UpstreamUnreachable = 2009,
   PermitTimeout = 2010,
   OrderVoided = 2011,
+  PromptPartBlocked = 2012,
 
   OrderRunning = 3001,
   OrderOutcomeUnknown = 3002,
--- /dev/null
+++ b/walnutwing/routing/crash_evidence.cc
@@ -0,0 +1,267 @@
+// The suspicions are found greedily: the part with the most moments explains
+// all crashes that it occurs in; the next part is sought in the remaining ones.
+
+#include "walnutwing/routing/crash_evidence.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace walnutwing {
+namespace {
+
+// How long crashes are remembered.
+constexpr Duration kCrashLifetime = std::chrono::seconds(60);
+// Limits on what is remembered.
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxRequestsPerCrash = 32;
+// Crashes closer to one another than this have one moment.
+constexpr Duration kMomentLength = std::chrono::milliseconds(100);
+// A part that was served this long before a crash, or less, did not cause it.
+// A limit, because a part may start to crash upstreams, as with new weights.
+constexpr Duration kServedValidity = std::chrono::seconds(2);
+// Fewer moments are no suspicion.
+constexpr std::size_t kMinMoments = 2;
+
+} // namespace
+
+struct CrashEvidence::Tally
+{
+  std::set<std::size_t> m_crashes; // indexes
+  std::optional<Time> m_servedAt;
+};
+
+std::vector<BrokenRequest>
+CrashEvidence::Add(const UpstreamCrash& aCrash, Time aNow)
+{
+  std::vector<BrokenRequest> added;
+  if (aNow - aCrash.m_at > kCrashLifetime) {
+    return added;
+  }
+  UpstreamCrash* crash = Find(aCrash.m_incarnation);
+  if (crash == nullptr) {
+    if (m_crashes.size() == kMaxCrashes) {
+      DropOldest();
+    }
+    m_crashes.push_back(
+      { aCrash.m_incarnation, aCrash.m_service, aCrash.m_at, {} });
+    crash = &m_crashes.back();
+  }
+  crash->m_at = std::min(crash->m_at, aCrash.m_at);
+  for (const BrokenRequest& request : aCrash.m_requests) {
+    const bool known = std::any_of(
+      crash->m_requests.begin(),
+      crash->m_requests.end(),
+      [&](const auto& aOld) { return aOld.m_prompt == request.m_prompt; });
+    if (known || crash->m_requests.size() >= kMaxRequestsPerCrash) {
+      continue;
+    }
+    crash->m_requests.push_back(request);
+    added.push_back(request);
+    for (const PromptPartId& part : request.m_parts) {
+      ++m_mentions[part];
+    }
+  }
+  return added;
+}
+
+UpstreamCrash*
+CrashEvidence::Find(std::uint32_t aIncarnation)
+{
+  const auto found =
+    std::find_if(m_crashes.begin(), m_crashes.end(), [&](const auto& aCrash) {
+      return aCrash.m_incarnation == aIncarnation;
+    });
+  return found == m_crashes.end() ? nullptr : &*found;
+}
+
+void
+CrashEvidence::DropOldest()
+{
+  for (const BrokenRequest& request : m_crashes.front().m_requests) {
+    for (const PromptPartId& part : request.m_parts) {
+      const auto found = m_mentions.find(part);
+      if (--found->second == 0) {
+        m_mentions.erase(found);
+      }
+    }
+  }
+  m_crashes.pop_front();
+}
+
+void
+CrashEvidence::DropExpired(Time aNow)
+{
+  while (!m_crashes.empty() && aNow - m_crashes.front().m_at > kCrashLifetime) {
+    DropOldest();
+  }
+}
+
+bool
+CrashEvidence::CountsAgainst(const PromptPartId& aPart, Time aCrashAt) const
+{
+  const std::optional<Time> served = m_served.LastServed(aPart);
+  return !served || *served < aCrashAt - kServedValidity;
+}
+
+// Counts the crashes against each part, without those that a known cause
+// explains.
+CrashEvidence::Tallies
+CrashEvidence::CountParts(const std::set<PromptPartId>& aKnownCauses) const
+{
+  Tallies tallies;
+  for (std::size_t i = 0; i < m_crashes.size(); ++i) {
+    if (IsExplained(m_crashes[i], aKnownCauses)) {
+      continue;
+    }
+    std::set<PromptPartId> parts;
+    for (const BrokenRequest& request : m_crashes[i].m_requests) {
+      parts.insert(request.m_parts.begin(), request.m_parts.end());
+    }
+    for (const PromptPartId& part : parts) {
+      if (!CountsAgainst(part, m_crashes[i].m_at)) {
+        continue;
+      }
+      Tally& tally = tallies[part];
+      tally.m_crashes.insert(i);
+      tally.m_servedAt = m_served.LastServed(part);
+    }
+  }
+  return tallies;
+}
+
+std::size_t
+CrashEvidence::CountMoments(const std::set<std::size_t>& aCrashes) const
+{
+  std::vector<Time> times;
+  for (const std::size_t crash : aCrashes) {
+    times.push_back(m_crashes[crash].m_at);
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t moments = 0;
+  Time last;
+  for (const Time time : times) {
+    if (moments != 0 && time - last < kMomentLength) {
+      continue;
+    }
+    ++moments;
+    last = time;
+  }
+  return moments;
+}
+
+Suspicion
+CrashEvidence::MakeSuspicion(const PromptPartId& aPart,
+                             const Tallies& aTallies) const
+{
+  const Tally& tally = aTallies.at(aPart);
+  Suspicion suspicion;
+  suspicion.m_parts = { aPart };
+  suspicion.m_crashes = tally.m_crashes.size();
+  suspicion.m_moments = CountMoments(tally.m_crashes);
+  suspicion.m_servedBefore = tally.m_servedAt.has_value();
+  std::size_t next = 0;
+  for (const auto& [part, other] : aTallies) {
+    if (part == aPart) {
+      continue;
+    }
+    const bool alike = other.m_crashes == tally.m_crashes;
+    if (alike && !other.m_servedAt && !tally.m_servedAt) {
+      suspicion.m_parts.push_back(part);
+    }
+    std::set<std::size_t> common;
+    std::set_intersection(tally.m_crashes.begin(),
+                          tally.m_crashes.end(),
+                          other.m_crashes.begin(),
+                          other.m_crashes.end(),
+                          std::inserter(common, common.end()));
+    next = std::max(next, CountMoments(common));
+  }
+  suspicion.m_lead = suspicion.m_moments - next;
+  std::set<std::uint32_t> prompts;
+  for (const std::size_t index : tally.m_crashes) {
+    const UpstreamCrash& crash = m_crashes[index];
+    suspicion.m_firstAt = suspicion.m_firstAt == Time()
+                            ? crash.m_at
+                            : std::min(suspicion.m_firstAt, crash.m_at);
+    suspicion.m_lastAt = std::max(suspicion.m_lastAt, crash.m_at);
+    suspicion.m_service = crash.m_service;
+    for (const BrokenRequest& request : crash.m_requests) {
+      if (std::find(request.m_parts.begin(), request.m_parts.end(), aPart) !=
+          request.m_parts.end()) {
+        prompts.insert(request.m_prompt);
+        suspicion.m_customers.insert(request.m_customer);
+      }
+    }
+  }
+  suspicion.m_prompts = prompts.size();
+  return suspicion;
+}
+
+// Whether a request with one of the parts was broken by the crash.
+bool
+CrashEvidence::IsExplained(const UpstreamCrash& aCrash,
+                           const std::set<PromptPartId>& aParts)
+{
+  for (const BrokenRequest& request : aCrash.m_requests) {
+    if (std::any_of(
+          request.m_parts.begin(),
+          request.m_parts.end(),
+          [&](const auto& aPart) { return aParts.contains(aPart); })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::size_t
+CrashEvidence::CountMeanwhile(const Suspicion& aSuspicion,
+                              const std::set<PromptPartId>& aKnownCauses) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_crashes.begin(), m_crashes.end(), [&](const auto& aCrash) {
+      return aCrash.m_service == aSuspicion.m_service &&
+             aCrash.m_at >= aSuspicion.m_firstAt &&
+             aCrash.m_at <= aSuspicion.m_lastAt &&
+             !IsExplained(aCrash, aKnownCauses);
+    }));
+}
+
+std::vector<Suspicion>
+CrashEvidence::FindSuspicions(const std::set<PromptPartId>& aKnownCauses) const
+{
+  std::vector<Suspicion> suspicions;
+  Tallies tallies = CountParts(aKnownCauses);
+  while (!tallies.empty()) {
+    // The part with the most moments; of those, the one that was served the
+    // longest time ago, or never.
+    const auto likeliest = std::max_element(
+      tallies.begin(),
+      tallies.end(),
+      [&](const auto& aLeft, const auto& aRight) {
+        const auto rank = [&](const Tally& aTally) {
+          return std::pair(
+            CountMoments(aTally.m_crashes),
+            -aTally.m_servedAt.value_or(Time()).time_since_epoch());
+        };
+        return rank(aLeft.second) < rank(aRight.second);
+      });
+    if (CountMoments(likeliest->second.m_crashes) < kMinMoments) {
+      break;
+    }
+    Suspicion suspicion = MakeSuspicion(likeliest->first, tallies);
+    suspicion.m_crashesMeanwhile = CountMeanwhile(suspicion, aKnownCauses);
+    suspicions.push_back(std::move(suspicion));
+    const std::set<std::size_t> explained = likeliest->second.m_crashes;
+    for (auto& [part, tally] : tallies) {
+      for (const std::size_t crash : explained) {
+        tally.m_crashes.erase(crash);
+      }
+    }
+    std::erase_if(tallies, [](const auto& aEntry) {
+      return aEntry.second.m_crashes.empty();
+    });
+  }
+  return suspicions;
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/crash_evidence.h
@@ -0,0 +1,124 @@
+#ifndef WALNUTWING_ROUTING_CRASH_EVIDENCE_H_
+#define WALNUTWING_ROUTING_CRASH_EVIDENCE_H_
+
+// Finds the prompt part that crashes upstreams.
+//
+// When an upstream crashes, each request that it had not yet proved able to
+// answer is suspected. Sound requests among them are there by chance and differ
+// from crash to crash; the part that causes the crashes is in all of them. So
+// the part in most crashes is taken as their cause, and the parts that merely
+// share these crashes with it are cleared.
+//
+// What does not count against a part:
+// - a crash shortly after, or at any time before, the part was served;
+// - several crashes at one moment, which count as one: a power failure ends
+//   many upstreams at once, a part ends them one after the other;
+// - several attempts of one request, whose own part may be the cause.
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "walnutwing/base/clock.h"
+#include "walnutwing/base/id.h"
+#include "walnutwing/routing/served_parts.h"
+
+namespace walnutwing {
+
+// A request that an upstream had not proved able to answer when it crashed.
+// Hashes are the same at all daemons.
+struct BrokenRequest
+{
+  std::uint32_t m_prompt = 0;        // hash of its whole prompt
+  std::uint32_t m_customer = 0;      // hash of its customer
+  std::vector<PromptPartId> m_parts; // that other requests may share
+};
+
+struct UpstreamCrash
+{
+  std::uint32_t m_incarnation = 0; // hash of the upstream's id and start time
+  std::uint32_t m_service = 0;     // hash of its service
+  Time m_at;                       // when it was first noticed
+  std::vector<BrokenRequest> m_requests;
+};
+
+// A likely cause of crashes.
+struct Suspicion
+{
+  // Usually one part. More if they were always together and none of them is
+  // known to have been served.
+  std::vector<PromptPartId> m_parts;
+  std::uint32_t m_service = 0; // of the last crash
+  std::size_t m_crashes = 0;   // upstreams that crashed
+  std::size_t m_moments = 0;   // different moments at which they crashed
+  // Crashes of the service from the first to the last of them, without those
+  // that known causes explain.
+  std::size_t m_crashesMeanwhile = 0;
+  // By how many moments the next likely part falls short; 0 if there are
+  // several parts.
+  std::size_t m_lead = 0;
+  std::size_t m_prompts = 0;   // different requests
+  bool m_servedBefore = false; // some time before the crashes
+  std::set<std::uint32_t> m_customers;
+  Time m_firstAt;
+  Time m_lastAt;
+};
+
+class CrashEvidence
+{
+public:
+  // aServed must outlive this object.
+  explicit CrashEvidence(const ServedParts& aServed)
+    : m_served(aServed)
+  {
+  }
+
+  // Adds what is known of a crash; repetitions change nothing. Returns the
+  // requests of aCrash that were not known.
+  std::vector<BrokenRequest> Add(const UpstreamCrash& aCrash, Time aNow);
+
+  // The likely causes of the crashes that no part in aKnownCauses explains, the
+  // likeliest first; those with at least two moments.
+  std::vector<Suspicion> FindSuspicions(
+    const std::set<PromptPartId>& aKnownCauses) const;
+
+  // Whether a request with this part was broken by a recent crash.
+  bool Mentions(const PromptPartId& aPart) const
+  {
+    return m_mentions.contains(aPart);
+  }
+
+  // Forgets crashes that are too old. Must be called regularly.
+  void DropExpired(Time aNow);
+
+  std::size_t Crashes() const { return m_crashes.size(); }
+
+  // Whether a crash at aCrashAt counts against the part, by when it was served.
+  bool CountsAgainst(const PromptPartId& aPart, Time aCrashAt) const;
+
+private:
+  struct Tally; // what speaks against one part
+  using Tallies = std::map<PromptPartId, Tally>;
+
+  UpstreamCrash* Find(std::uint32_t aIncarnation);
+  void DropOldest();
+  Tallies CountParts(const std::set<PromptPartId>& aKnownCauses) const;
+  std::size_t CountMoments(const std::set<std::size_t>& aCrashes) const;
+  Suspicion MakeSuspicion(const PromptPartId& aPart,
+                          const Tallies& aTallies) const;
+  static bool IsExplained(const UpstreamCrash& aCrash,
+                          const std::set<PromptPartId>& aParts);
+  std::size_t CountMeanwhile(const Suspicion& aSuspicion,
+                             const std::set<PromptPartId>& aKnownCauses) const;
+
+  const ServedParts& m_served;
+  std::deque<UpstreamCrash> m_crashes;
+  std::map<PromptPartId, std::size_t> m_mentions; // requests, by part
+};
+
+} // namespace walnutwing
+
+#endif // WALNUTWING_ROUTING_CRASH_EVIDENCE_H_
--- /dev/null
+++ b/walnutwing/routing/crash_evidence_test.cc
@@ -0,0 +1,144 @@
+#include "walnutwing/routing/crash_evidence.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing {
+namespace {
+
+constexpr Time kStart{ std::chrono::hours(1) };
+constexpr Duration kApart{ 200 }; // more than one moment
+
+class CrashEvidenceTest : public testing::Test
+{
+protected:
+  // A crash with requests of these parts, one string of letters a request.
+  void AddCrash(const std::vector<std::string>& aRequests, Duration aAt)
+  {
+    UpstreamCrash crash;
+    crash.m_incarnation = ++m_incarnation;
+    crash.m_at = kStart + aAt;
+    for (const std::string& letters : aRequests) {
+      BrokenRequest request;
+      request.m_prompt = ++m_prompt;
+      for (const char letter : letters) {
+        request.m_parts.emplace_back(std::string(1, letter));
+      }
+      crash.m_requests.push_back(request);
+    }
+    m_evidence.Add(crash, crash.m_at);
+  }
+
+  // The parts of all suspicions: "a bc" for one with a and one with b and c.
+  std::string Suspected(const std::set<PromptPartId>& aKnown = {}) const
+  {
+    std::string text;
+    for (const Suspicion& suspicion : m_evidence.FindSuspicions(aKnown)) {
+      text += text.empty() ? "" : " ";
+      for (const PromptPartId& part : suspicion.m_parts) {
+        text += part.Value();
+      }
+    }
+    return text;
+  }
+
+  ServedParts m_served;
+  CrashEvidence m_evidence{ m_served };
+  std::uint32_t m_incarnation = 0;
+  std::uint32_t m_prompt = 0;
+};
+
+TEST_F(CrashEvidenceTest, PartInAllCrashesExplainsThem)
+{
+  AddCrash({ "ax", "bc" }, Duration(0));
+  AddCrash({ "dx", "ef" }, kApart);
+  AddCrash({ "bx", "cg", "ag" }, 2 * kApart);
+  const auto suspicions = m_evidence.FindSuspicions({});
+  ASSERT_EQ(1U, suspicions.size());
+  EXPECT_EQ(std::vector{ PromptPartId("x") }, suspicions[0].m_parts);
+  EXPECT_EQ(3U, suspicions[0].m_crashes);
+  EXPECT_EQ(3U, suspicions[0].m_moments);
+  EXPECT_EQ(3U, suspicions[0].m_prompts);
+  EXPECT_EQ(1U, suspicions[0].m_lead); // a, b and c were there twice
+}
+
+TEST_F(CrashEvidenceTest, TwoCausesAreBothFound)
+{
+  AddCrash({ "ax" }, Duration(0));
+  AddCrash({ "by" }, kApart);
+  AddCrash({ "cx" }, 2 * kApart);
+  AddCrash({ "dy" }, 3 * kApart);
+  AddCrash({ "ex" }, 4 * kApart);
+  EXPECT_EQ("x y", Suspected());
+}
+
+// Guards against a popular part that is blamed because it is often there.
+TEST_F(CrashEvidenceTest, PartThatWasServedIsNotSuspected)
+{
+  AddCrash({ "px" }, Duration(0));
+  AddCrash({ "px" }, kApart);
+  m_served.OnServed(PromptPartId("p"), kStart + 2 * kApart);
+  EXPECT_EQ("x", Suspected());
+  // Served shortly before the crash, and long before.
+  AddCrash({ "p" }, 2 * kApart + Duration(1900));
+  AddCrash({ "p" }, 3 * kApart + Duration(1900));
+  EXPECT_EQ("x", Suspected());
+  AddCrash({ "p" }, 2 * kApart + Duration(2100));
+  AddCrash({ "p" }, 3 * kApart + Duration(2100));
+  EXPECT_EQ("x p", Suspected());
+}
+
+// Guards against parts that are blamed for a power failure of many upstreams.
+TEST_F(CrashEvidenceTest, CrashesOfOneMomentCountOnce)
+{
+  for (int i = 0; i < 10; ++i) {
+    AddCrash({ "p" }, Duration(9 * i));
+  }
+  EXPECT_EQ("", Suspected());
+}
+
+TEST_F(CrashEvidenceTest, PartsThatAreAlwaysTogetherAreSuspectedTogether)
+{
+  AddCrash({ "axy" }, Duration(0));
+  AddCrash({ "bxy" }, kApart);
+  EXPECT_EQ("xy", Suspected());
+  // Served some time ago: the other one is likelier.
+  m_served.OnServed(PromptPartId("y"), kStart - Duration(10'000));
+  EXPECT_EQ("x", Suspected());
+}
+
+TEST_F(CrashEvidenceTest, KnownCauseExplainsItsCrashes)
+{
+  AddCrash({ "ax" }, Duration(0));
+  AddCrash({ "ax" }, kApart);
+  EXPECT_EQ("", Suspected({ PromptPartId("x") }));
+}
+
+TEST_F(CrashEvidenceTest, ReportsOfOneCrashAreMerged)
+{
+  UpstreamCrash crash;
+  crash.m_incarnation = 7;
+  crash.m_at = kStart + Duration(5);
+  crash.m_requests = { { 1, 0, { PromptPartId("a") } } };
+  EXPECT_EQ(1U, m_evidence.Add(crash, kStart + Duration(5)).size());
+  EXPECT_TRUE(m_evidence.Add(crash, kStart + Duration(6)).empty());
+  crash.m_at = kStart;
+  crash.m_requests = { { 2, 0, { PromptPartId("b") } } };
+  EXPECT_EQ(1U, m_evidence.Add(crash, kStart + Duration(7)).size());
+  EXPECT_EQ(1U, m_evidence.Crashes());
+}
+
+// Guards against a memory that grows with the crashes.
+TEST_F(CrashEvidenceTest, CrashesAreBoundedAndExpire)
+{
+  for (int i = 0; i < 1000; ++i) {
+    AddCrash({ "a", "b", "c" }, Duration(i));
+  }
+  EXPECT_EQ(64U, m_evidence.Crashes());
+  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a")));
+  m_evidence.DropExpired(kStart + std::chrono::seconds(62));
+  EXPECT_EQ(0U, m_evidence.Crashes());
+  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a")));
+}
+
+} // namespace
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/part_breaker.cc
@@ -0,0 +1,546 @@
+// The state is merged from the daemons' news in such a way that their order
+// does not matter: crashes are a union, of times when a part was served and of
+// trials the greatest wins, and a part that was served after it was blocked is
+// not blocked. So daemons that hear the same news agree, however they got it.
+
+#include "walnutwing/routing/part_breaker.h"
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+
+#include "walnutwing/placement/rendezvous.h"
+
+namespace walnutwing {
+namespace {
+
+// Crashes at different moments, all with the part, until it is blocked.
+constexpr std::size_t kCrashesToBlock = 4;
+// The same while no request of the service is served, as the upstreams may then
+// crash for any reason, and of a part that was served some time ago.
+constexpr std::size_t kCrashesToBlockInDoubt = 6;
+constexpr std::size_t kMinPrompts = 2;
+// A part that explains a smaller fraction of the crashes is not their cause.
+// After more crashes the fraction may be smaller, as several parts may crash
+// upstreams at the same time.
+constexpr double kMinExplainedFraction = 0.75;
+constexpr std::size_t kManyCrashes = 5;
+constexpr double kMinExplainedFractionOfMany = 0.3;
+// A part that leads by so many crashes is blocked at once; otherwise only once
+// the first crash is so long ago that other daemons' news of it has arrived.
+constexpr std::size_t kClearLead = 2;
+constexpr Duration kNewsDelay = std::chrono::seconds(1);
+// Customers whose requests were broken, from which on all are affected.
+constexpr std::size_t kCustomersForAll = 2;
+
+// A blocked part is tried again after this time, which doubles with each trial,
+// and after the last trial it stays blocked until it is forgotten.
+constexpr Duration kTrialDelay = std::chrono::seconds(60);
+constexpr std::uint32_t kMaxTrials = 2;
+constexpr Duration kBlockLifetime = std::chrono::minutes(30);
+// The daemon that may try changes so often, as it may get no such request.
+constexpr Duration kTrialTurn = std::chrono::seconds(30);
+// A trial without a result no longer counts after this time.
+constexpr Duration kTrialTimeout = std::chrono::seconds(15);
+
+// How long news are repeated, for daemons that missed a message.
+constexpr Duration kNewsLifetime = std::chrono::seconds(2);
+// A part that is served often is reported this often at most.
+constexpr Duration kServedNewsInterval = std::chrono::milliseconds(500);
+// A part that was served at most this long before it was blocked was blocked
+// wrongly, for want of that news.
+constexpr Duration kServedBeforeBlock = std::chrono::seconds(2);
+// Evidence is evaluated this often at most.
+constexpr Duration kEvaluationInterval = std::chrono::milliseconds(20);
+
+// Limits on what is remembered and sent.
+constexpr std::size_t kMaxBlockedParts = 64;
+constexpr std::size_t kMaxRecentCrashes = 256;
+constexpr std::size_t kMaxRequestsInNews = 64;
+constexpr std::size_t kMaxServedInNews = 64;
+constexpr std::size_t kMaxServices = 64;
+
+std::uint32_t
+ShortHash(std::string_view aText)
+{
+  return static_cast<std::uint32_t>(StableHash(aText));
+}
+
+bool
+AppliesTo(const BlockedPart& aBlock, std::uint32_t aCustomer)
+{
+  return aBlock.m_allCustomers || aBlock.m_customers.contains(aCustomer);
+}
+
+// Adds a customer whose request was broken. Returns whether the block now
+// applies to more customers.
+bool
+AddCustomer(BlockedPart& aBlock, std::uint32_t aCustomer)
+{
+  if (aBlock.m_allCustomers || !aBlock.m_customers.insert(aCustomer).second) {
+    return false;
+  }
+  aBlock.m_allCustomers = aBlock.m_customers.size() >= kCustomersForAll;
+  if (aBlock.m_allCustomers) {
+    aBlock.m_customers.clear();
+  }
+  return true;
+}
+
+// When the part may be tried again, or else forgotten.
+Time
+NextChangeAt(const BlockedPart& aBlock)
+{
+  return aBlock.m_since + (aBlock.m_trials < kMaxTrials
+                             ? kTrialDelay * (1U << aBlock.m_trials)
+                             : kBlockLifetime);
+}
+
+} // namespace
+
+std::string_view
+NameOf(PartChangeKind aKind)
+{
+  switch (aKind) {
+    case PartChangeKind::Blocked:
+      return "blocked";
+    case PartChangeKind::Learned:
+      return "learned";
+    case PartChangeKind::Extended:
+      return "extended";
+    case PartChangeKind::Tried:
+      return "tried";
+    case PartChangeKind::Cleared:
+      return "cleared";
+    case PartChangeKind::Forgotten:
+      return "forgotten";
+  }
+  throw std::out_of_range("no such PartChangeKind");
+}
+
+std::vector<const BlockedPart*>
+PartBreaker::FindBlocks(const PromptRequest& aRequest) const
+{
+  std::vector<const BlockedPart*> blocks;
+  const std::uint32_t customer = ShortHash(aRequest.m_customer.Value());
+  for (const PromptPartId& part : aRequest.m_parts) {
+    const auto found = m_blocked.find(part);
+    if (found != m_blocked.end() && AppliesTo(found->second, customer)) {
+      blocks.push_back(&found->second);
+    }
+  }
+  return blocks;
+}
+
+PartVerdict
+PartBreaker::Check(const PromptRequest& aRequest, Time aNow)
+{
+  if (m_blocked.empty()) {
+    return {};
+  }
+  const std::vector<const BlockedPart*> blocks = FindBlocks(aRequest);
+  for (const BlockedPart* block : blocks) {
+    if (IsTrialDue(*block, aNow)) {
+      continue;
+    }
+    const Duration wait =
+      std::max<Duration>(NextChangeAt(*block) - aNow, std::chrono::seconds(1));
+    return { false, false, block->m_part, wait };
+  }
+  if (blocks.empty()) {
+    return {};
+  }
+  for (const BlockedPart* block : blocks) {
+    m_trials[block->m_part] = aNow;
+    Report(PartChangeKind::Tried, *block);
+  }
+  return { true, true, blocks.front()->m_part, {} };
+}
+
+bool
+PartBreaker::IsTrialDue(const BlockedPart& aBlock, Time aNow) const
+{
+  const Time dueAt = NextChangeAt(aBlock);
+  if (aBlock.m_trials >= kMaxTrials || aNow < dueAt) {
+    return false;
+  }
+  const auto trial = m_trials.find(aBlock.m_part);
+  if (trial != m_trials.end() && aNow - trial->second < kTrialTimeout) {
+    return false;
+  }
+  // The turn goes to the member that is nearest by rendezvous hashing.
+  const std::uint64_t key =
+    StableHash(aBlock.m_part.Value() + "/" + std::to_string(aBlock.m_trials) +
+               "/" + std::to_string((aNow - dueAt) / kTrialTurn));
+  const auto distance = [key](const DaemonId& aMember) {
+    return RendezvousDistance(key, { StableHash(aMember.Value()) });
+  };
+  return std::all_of(
+    m_members.begin(), m_members.end(), [&](const auto& aMember) {
+      return aMember == m_self || distance(m_self) < distance(aMember);
+    });
+}
+
+bool
+PartBreaker::MayRepeat(const PromptRequest& aRequest, Time aNow)
+{
+  EvaluateIfDue(aNow);
+  return std::none_of(
+    aRequest.m_parts.begin(), aRequest.m_parts.end(), [&](const auto& aPart) {
+      return m_blocked.contains(aPart) ||
+             std::any_of(m_suspicions.begin(),
+                         m_suspicions.end(),
+                         [&](const Suspicion& aSuspicion) {
+                           const auto& parts = aSuspicion.m_parts;
+                           return std::find(parts.begin(),
+                                            parts.end(),
+                                            aPart) != parts.end();
+                         });
+    });
+}
+
+void
+PartBreaker::OnServed(const PromptRequest& aRequest, Time aNow)
+{
+  if (m_serviceServedAt.size() >= kMaxServices) {
+    m_serviceServedAt.clear(); // services have come and gone
+  }
+  m_serviceServedAt[ShortHash(aRequest.m_service.Value())] = aNow;
+  for (const PromptPartId& part : aRequest.m_parts) {
+    m_trials.erase(part);
+    MergeServed({ part, aNow }, true, aNow);
+  }
+}
+
+void
+PartBreaker::OnBroken(const PromptRequest& aRequest,
+                      std::uint32_t aIncarnation,
+                      Time aNow)
+{
+  if (aRequest.m_parts.empty()) {
+    return;
+  }
+  UpstreamCrash crash;
+  crash.m_incarnation = aIncarnation;
+  crash.m_service = ShortHash(aRequest.m_service.Value());
+  crash.m_at = aNow;
+  crash.m_requests.push_back(
+    { static_cast<std::uint32_t>(aRequest.m_promptHash),
+      ShortHash(aRequest.m_customer.Value()),
+      aRequest.m_parts });
+  AddCrash(crash, true, aNow);
+  EndTrials(aRequest, aNow);
+}
+
+// A trial that was broken like the requests before it has failed.
+void
+PartBreaker::EndTrials(const PromptRequest& aRequest, Time aNow)
+{
+  for (const PromptPartId& part : aRequest.m_parts) {
+    const auto block = m_blocked.find(part);
+    if (m_trials.erase(part) == 0 || block == m_blocked.end()) {
+      continue;
+    }
+    ++block->second.m_trials;
+    block->second.m_since = aNow;
+    m_hasNews = true;
+    Report(PartChangeKind::Extended, block->second);
+  }
+}
+
+void
+PartBreaker::OnTrialEnded(const PromptPartId& aPart)
+{
+  m_trials.erase(aPart);
+}
+
+bool
+PartBreaker::AddCrash(const UpstreamCrash& aCrash, bool aOwn, Time aNow)
+{
+  const std::vector<BrokenRequest> added = m_evidence.Add(aCrash, aNow);
+  for (const BrokenRequest& request : added) {
+    if (m_recentCrashes.size() == kMaxRecentCrashes) {
+      m_recentCrashes.pop_front();
+    }
+    UpstreamCrash news = aCrash;
+    news.m_requests = { request };
+    m_recentCrashes.push_back({ std::move(news), aNow, aOwn });
+    ExtendBlocks(request);
+    for (const PromptPartId& part : request.m_parts) {
+      if (const auto served = m_served.LastServed(part)) {
+        MergeServed({ part, *served }, true, aNow); // the others should know
+      }
+    }
+  }
+  m_evidenceChanged = m_evidenceChanged || !added.empty();
+  m_hasNews = m_hasNews || !added.empty();
+  return !added.empty();
+}
+
+void
+PartBreaker::ExtendBlocks(const BrokenRequest& aRequest)
+{
+  for (const PromptPartId& part : aRequest.m_parts) {
+    const auto block = m_blocked.find(part);
+    if (block != m_blocked.end() &&
+        AddCustomer(block->second, aRequest.m_customer)) {
+      m_hasNews = true;
+      Report(PartChangeKind::Extended, block->second);
+    }
+  }
+}
+
+// Returns whether the other daemons should hear of it.
+bool
+PartBreaker::MergeServed(const ServedPart& aServed, bool aOwn, Time aNow)
+{
+  m_served.OnServed(aServed.m_part, aServed.m_at);
+  const auto block = m_blocked.find(aServed.m_part);
+  const bool clears =
+    block != m_blocked.end() &&
+    aServed.m_at >= block->second.m_since - kServedBeforeBlock;
+  if (!clears && block == m_blocked.end() &&
+      !m_evidence.Mentions(aServed.m_part)) {
+    return false;
+  }
+  const auto known = m_recentServed.find(aServed.m_part);
+  if (!clears && known != m_recentServed.end() &&
+      aServed.m_at - known->second.m_item.m_at < kServedNewsInterval) {
+    return false;
+  }
+  TellServed(aServed, aOwn, aNow);
+  m_evidenceChanged = true;
+  if (clears) {
+    const BlockedPart cleared = block->second;
+    m_blocked.erase(block);
+    Report(PartChangeKind::Cleared, cleared);
+  }
+  return true;
+}
+
+void
+PartBreaker::TellServed(const ServedPart& aServed, bool aOwn, Time aNow)
+{
+  m_recentServed[aServed.m_part] = { aServed, aNow, aOwn };
+  m_hasNews = true;
+}
+
+// A repetition of what is known is not new, and neither is a difference in age,
+// which the time on the way causes.
+bool
+PartBreaker::MergeBlocked(const BlockedPart& aBlocked, Time aNow)
+{
+  if (aNow - aBlocked.m_since > kBlockLifetime) {
+    return false;
+  }
+  const std::optional<Time> served = m_served.LastServed(aBlocked.m_part);
+  if (served && *served >= aBlocked.m_since - kServedBeforeBlock) {
+    // The sender has missed that it was served.
+    const bool told = m_recentServed.contains(aBlocked.m_part);
+    if (!told) {
+      TellServed({ aBlocked.m_part, *served }, true, aNow);
+    }
+    return !told;
+  }
+  const auto found = m_blocked.find(aBlocked.m_part);
+  if (found == m_blocked.end()) {
+    if (m_blocked.size() >= kMaxBlockedParts) {
+      return false;
+    }
+    m_blocked[aBlocked.m_part] = aBlocked;
+    m_evidenceChanged = true;
+    m_hasNews = true;
+    Report(PartChangeKind::Learned, aBlocked);
+    return true;
+  }
+  BlockedPart& known = found->second;
+  bool extended = aBlocked.m_trials > known.m_trials;
+  if (extended) {
+    known.m_trials = aBlocked.m_trials;
+    known.m_since = aBlocked.m_since;
+    m_trials.erase(aBlocked.m_part);
+  }
+  for (const std::uint32_t customer : aBlocked.m_customers) {
+    extended = AddCustomer(known, customer) || extended;
+  }
+  if (aBlocked.m_allCustomers && !known.m_allCustomers) {
+    known.m_allCustomers = true;
+    known.m_customers.clear();
+    extended = true;
+  }
+  if (extended) {
+    m_hasNews = true;
+    Report(PartChangeKind::Extended, known);
+  }
+  return extended;
+}
+
+void
+PartBreaker::EvaluateIfDue(Time aNow)
+{
+  const bool waiting = !m_suspicions.empty(); // for other daemons' news
+  if ((m_evidenceChanged || waiting) &&
+      (!m_evaluatedAt || aNow - *m_evaluatedAt >= kEvaluationInterval)) {
+    Evaluate(aNow);
+  }
+}
+
+void
+PartBreaker::Evaluate(Time aNow)
+{
+  m_evaluatedAt = aNow;
+  m_evidenceChanged = false;
+  std::set<PromptPartId> knownCauses;
+  for (const auto& [part, block] : m_blocked) {
+    knownCauses.insert(part);
+  }
+  m_suspicions = m_evidence.FindSuspicions(knownCauses);
+  for (const Suspicion& suspicion : m_suspicions) {
+    if (!IsConclusive(suspicion, aNow)) {
+      continue;
+    }
+    for (const PromptPartId& part : suspicion.m_parts) {
+      Block(part, suspicion, aNow);
+    }
+  }
+}
+
+bool
+PartBreaker::IsConclusive(const Suspicion& aSuspicion, Time aNow) const
+{
+  const auto served = m_serviceServedAt.find(aSuspicion.m_service);
+  const bool outage =
+    served == m_serviceServedAt.end() || served->second < aSuspicion.m_firstAt;
+  const bool doubtful = outage || aSuspicion.m_servedBefore;
+  if (aSuspicion.m_prompts < kMinPrompts ||
+      aSuspicion.m_moments <
+        (doubtful ? kCrashesToBlockInDoubt : kCrashesToBlock)) {
+    return false;
+  }
+  const double minFraction = aSuspicion.m_moments >= kManyCrashes
+                               ? kMinExplainedFractionOfMany
+                               : kMinExplainedFraction;
+  if (static_cast<double>(aSuspicion.m_crashes) <
+      minFraction * static_cast<double>(aSuspicion.m_crashesMeanwhile)) {
+    return false;
+  }
+  return aSuspicion.m_lead >= kClearLead ||
+         aNow - aSuspicion.m_firstAt >= kNewsDelay;
+}
+
+void
+PartBreaker::Block(const PromptPartId& aPart,
+                   const Suspicion& aSuspicion,
+                   Time aNow)
+{
+  if (m_blocked.contains(aPart) || m_blocked.size() >= kMaxBlockedParts) {
+    return;
+  }
+  BlockedPart block;
+  block.m_part = aPart;
+  block.m_since = aNow;
+  for (const std::uint32_t customer : aSuspicion.m_customers) {
+    AddCustomer(block, customer);
+  }
+  m_blocked[aPart] = block;
+  m_evidenceChanged = true;
+  m_hasNews = true;
+  Report(PartChangeKind::Blocked, block, aSuspicion);
+}
+
+void
+PartBreaker::Tick(Time aNow)
+{
+  m_evidence.DropExpired(aNow);
+  EvaluateIfDue(aNow);
+  while (!m_recentCrashes.empty() &&
+         aNow - m_recentCrashes.front().m_at > kNewsLifetime) {
+    m_recentCrashes.pop_front();
+  }
+  std::erase_if(m_recentServed, [&](const auto& aEntry) {
+    return aNow - aEntry.second.m_at > kNewsLifetime;
+  });
+  std::erase_if(m_trials, [&](const auto& aEntry) {
+    return aNow - aEntry.second >= kTrialTimeout;
+  });
+  std::erase_if(m_blocked, [&](const auto& aEntry) {
+    if (aNow - aEntry.second.m_since <= kBlockLifetime) {
+      return false;
+    }
+    Report(PartChangeKind::Forgotten, aEntry.second);
+    return true;
+  });
+}
+
+PartNews
+PartBreaker::News(bool aIsHub, Time aNow) const
+{
+  const auto isDue = [&](const auto& aLearned) {
+    return (aIsHub || aLearned.m_own) && aNow - aLearned.m_at <= kNewsLifetime;
+  };
+  PartNews news;
+  std::size_t requests = 0;
+  for (const Learned<UpstreamCrash>& learned : m_recentCrashes) {
+    UpstreamCrash crash = learned.m_item;
+    std::vector<PromptPartId>& parts = crash.m_requests.front().m_parts;
+    std::erase_if(parts, [&](const PromptPartId& aPart) {
+      return !m_evidence.CountsAgainst(aPart, crash.m_at);
+    });
+    if (!isDue(learned) || parts.empty() || requests >= kMaxRequestsInNews) {
+      continue;
+    }
+    ++requests;
+    const auto same = std::find_if(
+      news.m_crashes.begin(), news.m_crashes.end(), [&](const auto& aOther) {
+        return aOther.m_incarnation == crash.m_incarnation;
+      });
+    if (same == news.m_crashes.end()) {
+      news.m_crashes.push_back(std::move(crash));
+    } else {
+      same->m_requests.push_back(std::move(crash.m_requests.front()));
+    }
+  }
+  for (const auto& [part, learned] : m_recentServed) {
+    if (isDue(learned) && news.m_served.size() < kMaxServedInNews) {
+      news.m_served.push_back(learned.m_item);
+    }
+  }
+  news.m_blocked = BlockedParts();
+  return news;
+}
+
+bool
+PartBreaker::OnNews(const PartNews& aNews, Time aNow)
+{
+  bool isNew = false;
+  for (const ServedPart& served : aNews.m_served) {
+    isNew = MergeServed(served, false, aNow) || isNew;
+  }
+  for (const BlockedPart& blocked : aNews.m_blocked) {
+    isNew = MergeBlocked(blocked, aNow) || isNew;
+  }
+  for (const UpstreamCrash& crash : aNews.m_crashes) {
+    isNew = AddCrash(crash, false, aNow) || isNew;
+  }
+  return isNew;
+}
+
+std::vector<BlockedPart>
+PartBreaker::BlockedParts() const
+{
+  std::vector<BlockedPart> blocked;
+  for (const auto& [part, block] : m_blocked) {
+    blocked.push_back(block);
+  }
+  return blocked;
+}
+
+void
+PartBreaker::Report(PartChangeKind aKind,
+                    const BlockedPart& aBlock,
+                    std::optional<Suspicion> aSuspicion)
+{
+  m_changes.push_back({ aKind, aBlock, std::move(aSuspicion) });
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/part_breaker_test.cc
@@ -0,0 +1,340 @@
+#include "walnutwing/routing/part_breaker.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing {
+namespace {
+
+constexpr Time kStart{ std::chrono::hours(1) };
+constexpr Duration kApart{ 200 };
+const ServiceId kService("s");
+
+class PartBreakerTest : public testing::Test
+{
+protected:
+  PromptRequest Request(const std::string& aLetters,
+                        const std::string& aCustomer = "c1")
+  {
+    PromptRequest request;
+    request.m_promptHash = ++m_prompt;
+    request.m_customer = CustomerId(aCustomer);
+    request.m_service = kService;
+    for (const char letter : aLetters) {
+      request.m_parts.emplace_back(std::string(1, letter));
+    }
+    return request;
+  }
+
+  void Break(PartBreaker& aBreaker,
+             const std::string& aLetters,
+             const std::string& aCustomer = "c1")
+  {
+    aBreaker.OnBroken(Request(aLetters, aCustomer), ++m_incarnation, m_now);
+  }
+
+  // Crashes by x, while other requests are served.
+  void BlockX(PartBreaker& aBreaker, const std::string& aCustomer = "c1")
+  {
+    for (const char* letters : { "ax", "bx", "cx", "dx" }) {
+      Break(aBreaker, letters, aCustomer);
+      m_now += kApart;
+      aBreaker.OnServed(Request("p"), m_now);
+    }
+    aBreaker.Tick(m_now);
+  }
+
+  bool Allows(PartBreaker& aBreaker,
+              const std::string& aLetters,
+              const std::string& aCustomer = "c1")
+  {
+    return aBreaker.Check(Request(aLetters, aCustomer), m_now).m_allowed;
+  }
+
+  // Passes the news of one breaker to another.
+  bool Tell(const PartBreaker& aFrom, PartBreaker& aTo)
+  {
+    return aTo.OnNews(aFrom.News(false, m_now), m_now);
+  }
+
+  static std::string Kinds(PartBreaker& aBreaker)
+  {
+    std::string kinds;
+    for (const PartChange& change : aBreaker.TakeChanges()) {
+      kinds += (kinds.empty() ? "" : " ") + std::string(NameOf(change.m_kind));
+    }
+    return kinds;
+  }
+
+  Time m_now = kStart;
+  std::uint64_t m_prompt = 0;
+  std::uint32_t m_incarnation = 0;
+  PartBreaker m_breaker{ DaemonId("d1") };
+};
+
+TEST_F(PartBreakerTest, BlocksThePartOfFourCrashes)
+{
+  BlockX(m_breaker);
+  EXPECT_FALSE(Allows(m_breaker, "yx"));
+  EXPECT_TRUE(Allows(m_breaker, "a"));
+  EXPECT_TRUE(Allows(m_breaker, "p"));
+  const PartVerdict verdict = m_breaker.Check(Request("yx"), m_now);
+  EXPECT_EQ(PromptPartId("x"), verdict.m_part);
+  EXPECT_EQ(std::chrono::seconds(60), verdict.m_retryAfter);
+  EXPECT_EQ("blocked", Kinds(m_breaker));
+}
+
+TEST_F(PartBreakerTest, DoesNotRepeatAfterTwoCrashes)
+{
+  Break(m_breaker, "ax");
+  m_now += kApart;
+  EXPECT_TRUE(m_breaker.MayRepeat(Request("ax"), m_now));
+  Break(m_breaker, "bx");
+  m_now += kApart;
+  EXPECT_FALSE(m_breaker.MayRepeat(Request("bx"), m_now));
+  EXPECT_TRUE(m_breaker.MayRepeat(Request("b"), m_now));
+  EXPECT_TRUE(Allows(m_breaker, "bx"));
+}
+
+// Guards against a shared part that is blocked because a request with a part of
+// its own that crashes upstreams was repeated.
+TEST_F(PartBreakerTest, OneRequestAloneBlocksNothing)
+{
+  for (int i = 0; i < 10; ++i) {
+    PromptRequest request = Request("ax");
+    request.m_promptHash = 1;
+    m_breaker.OnBroken(request, ++m_incarnation, m_now);
+    m_now += kApart;
+    m_breaker.OnServed(Request("p"), m_now);
+    m_breaker.Tick(m_now);
+  }
+  EXPECT_TRUE(Allows(m_breaker, "ax"));
+}
+
+// Guards against parts that are blocked while all upstreams crash for another
+// reason: no request is served, so nothing tells the part from any other.
+TEST_F(PartBreakerTest, TakesMoreCrashesWhileNothingIsServed)
+{
+  for (int i = 0; i < 5; ++i) {
+    Break(m_breaker, "x");
+    m_now += kApart;
+    m_breaker.Tick(m_now);
+  }
+  EXPECT_TRUE(Allows(m_breaker, "x"));
+  Break(m_breaker, "x");
+  m_now += kApart;
+  m_breaker.Tick(m_now);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+}
+
+// Guards against a part that is blamed for some of many crashes.
+TEST_F(PartBreakerTest, ExplainsMostOfTheCrashes)
+{
+  for (int i = 0; i < 4; ++i) {
+    Break(m_breaker, "x");
+    m_now += kApart;
+    Break(m_breaker, std::string(1, static_cast<char>('a' + i)));
+    m_now += kApart;
+    m_breaker.OnServed(Request("p"), m_now);
+    m_breaker.Tick(m_now);
+  }
+  EXPECT_TRUE(Allows(m_breaker, "x"));
+  // The fifth shows that there is more than one cause.
+  Break(m_breaker, "x");
+  m_now += Duration(1000);
+  m_breaker.Tick(m_now);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+}
+
+// Guards against a part that is blamed although it was sound a while ago.
+TEST_F(PartBreakerTest, TakesMoreCrashesForAPartThatWasServed)
+{
+  m_breaker.OnServed(Request("x"), m_now);
+  m_now += Duration(5000);
+  BlockX(m_breaker);
+  EXPECT_TRUE(Allows(m_breaker, "x"));
+  BlockX(m_breaker);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+}
+
+// Guards against one customer that shuts out another's part.
+TEST_F(PartBreakerTest, BlocksForTheCustomersWhoseRequestsCrashed)
+{
+  BlockX(m_breaker, "c1");
+  EXPECT_FALSE(Allows(m_breaker, "ax", "c1"));
+  EXPECT_TRUE(Allows(m_breaker, "ax", "c2"));
+  // The second customer is refused from its first crash on, and all others.
+  EXPECT_FALSE(m_breaker.MayRepeat(Request("ax", "c2"), m_now));
+  Break(m_breaker, "dx", "c2");
+  EXPECT_FALSE(Allows(m_breaker, "ax", "c2"));
+  EXPECT_FALSE(Allows(m_breaker, "ax", "c3"));
+  EXPECT_EQ("blocked extended", Kinds(m_breaker));
+}
+
+TEST_F(PartBreakerTest, IsClearedOnceServed)
+{
+  BlockX(m_breaker, "c1");
+  m_now += kApart;
+  m_breaker.OnServed(Request("x", "c2"), m_now);
+  EXPECT_TRUE(Allows(m_breaker, "ax", "c1"));
+  m_breaker.Tick(m_now);
+  EXPECT_EQ("blocked cleared", Kinds(m_breaker));
+}
+
+TEST_F(PartBreakerTest, DaemonsLearnAndClearTogether)
+{
+  PartBreaker other{ DaemonId("d2") };
+  BlockX(m_breaker);
+  EXPECT_TRUE(Tell(m_breaker, other));
+  EXPECT_FALSE(Tell(m_breaker, other)); // nothing new
+  EXPECT_FALSE(Allows(other, "yx"));
+  m_now += Duration(30'000);
+  other.OnServed(Request("x"), m_now); // sent before it was blocked
+  EXPECT_TRUE(Tell(other, m_breaker));
+  EXPECT_TRUE(Allows(m_breaker, "yx"));
+  EXPECT_FALSE(Tell(m_breaker, other));
+}
+
+// Guards against a daemon that was out of contact and, when it is back, blocks
+// for all what was cleared meanwhile.
+TEST_F(PartBreakerTest, OldBlockDoesNotComeBack)
+{
+  PartBreaker stale{ DaemonId("d2") };
+  BlockX(m_breaker);
+  Tell(m_breaker, stale);
+  m_now += Duration(1000);
+  m_breaker.OnServed(Request("x"), m_now);
+  for (int i = 0; i < 100; ++i) {
+    m_now += kApart;
+    m_breaker.Tick(m_now);
+    stale.Tick(m_now);
+  }
+  Tell(stale, m_breaker);
+  EXPECT_TRUE(Allows(m_breaker, "yx"));
+  Tell(m_breaker, stale);
+  EXPECT_TRUE(Allows(stale, "yx"));
+}
+
+// Crashes that different daemons have seen, one each.
+TEST_F(PartBreakerTest, CombinesTheCrashesOfAllDaemons)
+{
+  PartBreaker second{ DaemonId("d2") };
+  PartBreaker third{ DaemonId("d3") };
+  for (PartBreaker* breaker : { &second, &third, &second }) {
+    Break(*breaker, "ax");
+    m_now += kApart;
+  }
+  m_breaker.OnServed(Request("p"), m_now);
+  Break(m_breaker, "bx");
+  m_breaker.Tick(m_now);
+  EXPECT_TRUE(Allows(m_breaker, "x"));
+  Tell(second, m_breaker);
+  Tell(third, m_breaker);
+  m_now += Duration(1000);
+  m_breaker.Tick(m_now);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+}
+
+// Guards against a popular part that is blamed with the one that is always in
+// requests beside it, before another daemon has said that it was served.
+TEST_F(PartBreakerTest, WaitsForNewsIfTwoPartsAreAlikeLikely)
+{
+  PartBreaker other{ DaemonId("d2") };
+  other.OnServed(Request("a"), m_now);
+  for (int i = 0; i < 4; ++i) {
+    Break(m_breaker, "ax");
+    m_now += kApart;
+    m_breaker.OnServed(Request("p"), m_now);
+    m_breaker.Tick(m_now);
+  }
+  EXPECT_TRUE(Allows(m_breaker, "ax"));
+  Tell(m_breaker, other);
+  Tell(other, m_breaker);
+  m_now += Duration(1000);
+  m_breaker.Tick(m_now);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+  EXPECT_TRUE(Allows(m_breaker, "a"));
+}
+
+TEST_F(PartBreakerTest, OneDaemonTriesAgainWithOneRequest)
+{
+  PartBreaker other{ DaemonId("d2") };
+  BlockX(m_breaker);
+  Tell(m_breaker, other);
+  for (PartBreaker* breaker : { &m_breaker, &other }) {
+    breaker->SetMembers({ DaemonId("d1"), DaemonId("d2") });
+  }
+  m_now += std::chrono::seconds(59);
+  EXPECT_FALSE(Allows(m_breaker, "x") || Allows(other, "x"));
+  m_now += std::chrono::seconds(1);
+  const bool first = Allows(m_breaker, "ax");
+  const bool second = Allows(other, "bx");
+  EXPECT_NE(first, second);
+  EXPECT_FALSE(Allows(m_breaker, "cx") || Allows(other, "cx"));
+  // It crashes again: the next trial is after twice the time.
+  PartBreaker& tried = first ? m_breaker : other;
+  PartBreaker& informed = first ? other : m_breaker;
+  EXPECT_FALSE(tried.MayRepeat(Request("ax"), m_now));
+  Break(tried, "ax");
+  Tell(tried, informed);
+  m_now += std::chrono::seconds(119);
+  EXPECT_FALSE(Allows(m_breaker, "x") || Allows(other, "x"));
+  m_now += std::chrono::seconds(2);
+  EXPECT_NE(Allows(m_breaker, "x"), Allows(other, "x"));
+}
+
+TEST_F(PartBreakerTest, TrialWithoutResultIsRepeated)
+{
+  BlockX(m_breaker);
+  m_now += std::chrono::seconds(61);
+  const PartVerdict verdict = m_breaker.Check(Request("x"), m_now);
+  EXPECT_TRUE(verdict.m_allowed && verdict.m_isTrial);
+  EXPECT_FALSE(Allows(m_breaker, "x"));
+  m_breaker.OnTrialEnded(verdict.m_part);
+  EXPECT_TRUE(Allows(m_breaker, "x"));
+}
+
+// The rule of the platform allows three more requests after a part has crashed
+// five upstreams, whatever time has passed.
+TEST_F(PartBreakerTest, IsTriedTwiceAndForgottenLater)
+{
+  BlockX(m_breaker);
+  int tried = 0;
+  int seconds = 0;
+  for (; seconds < 4000 && !m_breaker.BlockedParts().empty(); ++seconds) {
+    m_now += std::chrono::seconds(1);
+    if (Allows(m_breaker, "ax")) {
+      ++tried;
+      Break(m_breaker, "ax");
+    }
+    m_breaker.Tick(m_now);
+  }
+  EXPECT_EQ(2, tried);
+  EXPECT_GT(seconds, 1800);
+  EXPECT_LT(seconds, 4000);
+  EXPECT_TRUE(Allows(m_breaker, "ax"));
+}
+
+// Guards against a memory or a message that grows with what callers send.
+TEST_F(PartBreakerTest, StateAndNewsAreBounded)
+{
+  for (int i = 0; i < 20'000; ++i) {
+    PromptRequest request = Request("");
+    for (int part = 0; part < 4; ++part) {
+      request.m_parts.emplace_back(std::to_string(i * 4 + part));
+    }
+    m_breaker.OnBroken(request, static_cast<std::uint32_t>(i / 40), m_now);
+    m_now += Duration(1);
+  }
+  m_breaker.Tick(m_now);
+  const PartNews news = m_breaker.News(true, m_now);
+  std::size_t requests = 0;
+  for (const UpstreamCrash& crash : news.m_crashes) {
+    requests += crash.m_requests.size();
+  }
+  EXPECT_LE(requests, 64U);
+  EXPECT_TRUE(news.m_blocked.empty());
+  EXPECT_TRUE(m_breaker.TakeChanges().empty());
+}
+
+} // namespace
+} // namespace walnutwing
