--- a/router/part_news_codec_test.cc
+++ b/router/part_news_codec_test.cc
@@ -12,7 +12,9 @@
 BlockedPart
 MakeBlockedPart()
 {
-  return { PromptPartId("5c1e07a2"), kThere - Duration(700), 1, { 3, 4 }, false };
+  return {
+    PromptPartId("5c1e07a2"), kThere - Duration(700), 1, { 3, 4 }, false
+  };
 }
 
 TEST(PartNewsCodec, KeepsAllButTheClock)
@@ -22,7 +24,8 @@
     { 7,
       8,
       kThere - Duration(50),
-      { { 9, 10, { PromptPartId("a"), PromptPartId("b") } }, { 11, 12, {} } } });
+      { { 9, 10, { PromptPartId("a"), PromptPartId("b") } },
+        { 11, 12, {} } } });
   news.m_served.push_back({ PromptPartId("c"), kThere - Duration(60) });
   news.m_blocked.push_back(MakeBlockedPart());
   proto::RouterPeerMessage message;
@@ -67,8 +70,8 @@
 TEST(PartNewsCodec, RecordFromTheFutureIsNew)
 {
   const std::string json = EncodeBlockedPart(MakeBlockedPart(), kThere, kWall);
-  const auto decoded = DecodeBlockedPart(
-    "5c1e07a2", json, kHere, kWall - std::chrono::hours(1));
+  const auto decoded =
+    DecodeBlockedPart("5c1e07a2", json, kHere, kWall - std::chrono::hours(1));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(kHere, decoded->m_since);
 }
