--- a/standin/crashing_part_test.cc
+++ b/standin/crashing_part_test.cc
@@ -286,7 +286,9 @@
       ++sound;
       served += sent.Served() ? 1 : 0;
     }
-    return sound == 0 ? 0 : static_cast<double>(served) / sound;
+    return sound == 0
+             ? 0
+             : static_cast<double>(served) / static_cast<double>(sound);
   }
 
   RouterHarness m_harness;
--- a/walnutwing/routing/crash_evidence.cc
+++ b/walnutwing/routing/crash_evidence.cc
@@ -133,6 +133,7 @@
 CrashEvidence::CountMoments(const std::set<std::size_t>& aCrashes) const
 {
   std::vector<Time> times;
+  times.reserve(aCrashes.size());
   for (const std::size_t crash : aCrashes) {
     times.push_back(m_crashes[crash].m_at);
   }
