--- a/router/event_log.h
+++ b/router/event_log.h
@@ -51,6 +51,7 @@
   UpstreamBackoff = 217,
   PromptPartBlocked = 218,
   PromptPartCleared = 219,
+  UpstreamLimited = 220,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -445,6 +445,13 @@
   if (aFacts.m_load) {
     m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
   }
+  const bool limitIsNumber =
+    aFacts.m_requestLimit || aFacts.m_requestLimitText.empty();
+  if (limitIsNumber && m_choice.m_tracker->OnRequestLimit(
+                         aFacts.m_requestLimit, m_sentAt, now)) {
+    m_record.LogUpstreamLimited(
+      m_choice, aFacts.m_requestLimitText, aFacts.m_requestLimit);
+  }
   if (aFacts.m_leaving) {
     m_context.m_onUpstreamLeaving(m_choice.m_upstream, m_choice.m_startWallMs);
   }
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -80,6 +80,17 @@
     .Add("for_ms", ToMilliseconds(aBackoff));
 }
 
+void
+RequestRecord::LogUpstreamLimited(const Choice& aChoice,
+                                  std::string_view aText,
+                                  std::optional<double> aPerSecond)
+{
+  StartLine(Event::UpstreamLimited)
+    .Add("upstream", aChoice.m_upstream.Value())
+    .Add("limit", aText.substr(0, kMaxLoggedFieldBytes))
+    .Add("per_s", aPerSecond.value_or(-1));
+}
+
 void
 RequestRecord::CountDeniedRepeat()
 {
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -56,6 +56,10 @@
   void LogUpstreamBackoff(const Choice& aChoice,
                           std::string_view aRetryAfter,
                           Duration aBackoff);
+  // aText: as the upstream sent it. aPerSecond: nothing if it takes any number.
+  void LogUpstreamLimited(const Choice& aChoice,
+                          std::string_view aText,
+                          std::optional<double> aPerSecond);
   // Counts a repeat that the budget did not allow.
   void CountDeniedRepeat();
   // aFirstByteAt: when the head of the response was received.
