Router: all routers together keep to the request limits that upstreams state

Now a limit that a response states is told to all routers, and the hub of the upstream's zone grants permits for it, one a request. Equal shares were ruled out: 3 requests a second among 195 routers leave each one in a minute. What none takes is refused at once (2013).

--- a/bench/router_bench.cc
+++ b/bench/router_bench.cc
@@ -49,7 +49,8 @@
 ChooseUpstream(benchmark::State& aState)
 {
   LoadExchange exchange(DaemonId("d"), ZoneId("z0"), {});
-  UpstreamSelector selector(ZoneId("z0"), {}, exchange);
+  SendLimiter limiter(DaemonId("d"));
+  UpstreamSelector selector(ZoneId("z0"), {}, exchange, limiter);
   UpstreamDirectory directory(std::chrono::seconds(2));
   PausedClock clock;
   for (int i = 0; i < aState.range(0); ++i) {
--- a/router/context.h
+++ b/router/context.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "router/asio.h"
@@ -19,6 +20,7 @@
 #include "walnutwing/routing/part_breaker.h"
 #include "walnutwing/routing/repeat_budget.h"
 #include "walnutwing/routing/route_table.h"
+#include "walnutwing/routing/send_limiter.h"
 #include "walnutwing/routing/upstream_selector.h"
 
 namespace walnutwing::router {
@@ -31,6 +33,7 @@
   Metrics& m_metrics;
   UpstreamPool& m_pool;
   UpstreamSelector& m_selector;
+  SendLimiter& m_sendLimiter;
   PartBreaker& m_partBreaker;
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes; // null before the first version
@@ -43,6 +46,13 @@
   // its incarnation.
   std::function<void(const UpstreamId& aId, std::int64_t aStartWallMs)>
     m_onUpstreamLeaving{};
+  // Asks for a permit to send a request to the chosen upstream, which states a
+  // request limit. Returns the answer, or nullopt if aOnAnswer will be called
+  // with it later.
+  using OnPermitAnswer = std::function<void(bool aGranted)>;
+  std::function<std::optional<bool>(const Choice& aChoice,
+                                    OnPermitAnswer aOnAnswer)>
+    m_askPermit{};
   // The breaker has news for the other daemons.
   std::function<void()> m_onPartNews{};
 
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -72,6 +72,12 @@
       aContext.m_loop,
       ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
   , m_peers(m_context, m_exchange, m_operatorFeed, m_upstreamFeed, m_memberFeed)
+  , m_permits(
+      m_context,
+      m_exchange,
+      [this](const std::string& aAddress, proto::RouterPeerMessage aMessage) {
+        m_peers.SendTo(aAddress, std::move(aMessage));
+      })
   , m_partBlocks(m_context, m_exchange)
   , m_announceTimer(aContext.m_loop.get_executor())
   , m_memberReadTimer(aContext.m_loop.get_executor())
@@ -96,6 +102,14 @@
                                          std::int64_t aStartWallMs) {
     OnUpstreamLeaving(aId, aStartWallMs, "answer");
   };
+  m_peers.SetPermitsHandler([this](const proto::RouterPeerMessage& aMessage,
+                                   const std::string& aFromAddress) {
+    m_permits.OnMessage(aMessage, aFromAddress);
+  });
+  m_context.m_askPermit = [this](const Choice& aChoice,
+                                 Context::OnPermitAnswer aOnAnswer) {
+    return m_permits.Ask(aChoice, std::move(aOnAnswer));
+  };
   m_context.m_onPartNews = [this] { m_peers.SendSoon(); };
   m_peers.SetLeavingHandler([this](const UpstreamId& aId,
                                    std::int64_t aStartWallMs,
@@ -112,6 +126,7 @@
   for (const UpstreamId& id : m_directory.OnTick(aNow)) {
     OnUpstreamChange(id, UpstreamChange::Removed);
   }
+  m_context.m_sendLimiter.DropExpired(aNow);
   m_partBlocks.Tick(aNow);
   if (m_context.m_partBreaker.TakeHasNews()) {
     m_peers.SendSoon();
@@ -460,6 +475,7 @@
     names.push_back(member.m_name);
   }
   m_context.m_partBreaker.SetMembers(std::move(names));
+  m_context.m_sendLimiter.SetMembers(alive);
   m_exchange.SetMembers(std::move(alive), Now());
   if (daemons == m_context.m_daemons) {
     return;
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -16,6 +16,7 @@
 #include "router/context.h"
 #include "router/part_block_store.h"
 #include "router/peers.h"
+#include "router/send_permits.h"
 #include "router/store_channel.h"
 #include "router/topic_feed.h"
 #include "walnutwing/routing/fleet_roster.h"
@@ -89,6 +90,7 @@
   TopicFeed m_memberFeed;
   std::shared_ptr<StoreChannel> m_announceChannel;
   Peers m_peers;
+  SendPermits m_permits;
   PartBlockStore m_partBlocks;
   Timer m_announceTimer;
   Timer m_memberReadTimer;
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -105,6 +105,7 @@
   if (m_context.m_partBreaker.TakeHasNews() && m_exchange.IsHub()) {
     SendSoon();
   }
+  ReadRequestLimits(aMessage, now);
   UpstreamLoads loads;
   for (const proto::LoadAt& load : aMessage.loads()) {
     loads[load.upstream()] = load.requests();
@@ -117,6 +118,11 @@
       m_exchange.OnZoneSum(
         from, ZoneId(aMessage.zone()), std::move(loads), now);
       return;
+    case proto::RouterPeerMessage::PERMITS:
+      m_onPermits(aMessage,
+                  m_sender.address().to_string() + ":" +
+                    std::to_string(m_sender.port()));
+      return;
     case proto::RouterPeerMessage::DIGEST:
       if (m_exchange.OnDigest(
             from, std::move(loads), m_context.m_selector.OwnLoads(), now)) {
@@ -128,6 +134,35 @@
   }
 }
 
+void
+Peers::ReadRequestLimits(const proto::RouterPeerMessage& aMessage, Time aNow)
+{
+  for (const proto::RequestLimit& limit : aMessage.request_limits()) {
+    LimitStatement statement;
+    statement.m_upstream = limit.upstream();
+    statement.m_statedAt = aNow - Duration(limit.age_ms());
+    if (limit.limited()) {
+      statement.m_perSecond = limit.per_second();
+    }
+    m_context.m_sendLimiter.Limits().OnStatement(statement, aNow);
+  }
+}
+
+void
+Peers::AddRequestLimits(proto::RouterPeerMessage& aMessage) const
+{
+  const Time now = Now();
+  for (const LimitStatement& statement :
+       m_context.m_sendLimiter.Limits().News(now)) {
+    proto::RequestLimit& limit = *aMessage.add_request_limits();
+    limit.set_upstream(statement.m_upstream);
+    limit.set_age_ms(
+      static_cast<std::uint32_t>((now - statement.m_statedAt).count()));
+    limit.set_limited(statement.m_perSecond.has_value());
+    limit.set_per_second(static_cast<float>(statement.m_perSecond.value_or(0)));
+  }
+}
+
 void
 Peers::OnTopicStates(const proto::RouterPeerMessage& aMessage)
 {
@@ -292,13 +327,7 @@
 void
 Peers::Send(const LoadMessage& aLoads)
 {
-  const std::optional<Tcp::endpoint> to = ParseEndpoint(aLoads.m_to);
-  if (!to) {
-    return;
-  }
   proto::RouterPeerMessage message;
-  message.set_from(m_context.m_settings.m_name.Value());
-  message.set_zone(m_context.m_settings.m_zone.Value());
   message.set_kind(KindOf(aLoads.m_kind));
   for (const auto& [upstream, requests] : aLoads.m_loads) {
     if (requests == 0) {
@@ -309,12 +338,25 @@
     load.set_requests(requests);
   }
   AddLeaving(message);
+  AddRequestLimits(message);
   EncodePartNews(m_partNews, Now(), message);
   if (aLoads.m_kind == LoadMessageKind::Digest) {
     message.set_roster(m_exchange.RosterHash());
     AddTopicStates(message);
   }
-  const std::string bytes = message.SerializeAsString();
+  SendTo(aLoads.m_to, std::move(message));
+}
+
+void
+Peers::SendTo(const std::string& aAddress, proto::RouterPeerMessage aMessage)
+{
+  const std::optional<Tcp::endpoint> to = ParseEndpoint(aAddress);
+  if (!to) {
+    return;
+  }
+  aMessage.set_from(m_context.m_settings.m_name.Value());
+  aMessage.set_zone(m_context.m_settings.m_zone.Value());
+  const std::string bytes = aMessage.SerializeAsString();
   error_code error;
   m_socket.send_to(
     asio::buffer(bytes), { to->address(), to->port() }, 0, error);
--- a/router/peers.h
+++ b/router/peers.h
@@ -64,6 +64,17 @@
     m_onLeaving = std::move(aOnLeaving);
   }
 
+  // Called with messages about permits, and the sender's address.
+  using OnPermits = std::function<void(const proto::RouterPeerMessage& aMessage,
+                                       const std::string& aFromAddress)>;
+  void SetPermitsHandler(OnPermits aOnPermits)
+  {
+    m_onPermits = std::move(aOnPermits);
+  }
+
+  // Sends a message of this daemon to the address of another one.
+  void SendTo(const std::string& aAddress, proto::RouterPeerMessage aMessage);
+
   // Called with true when the hub reports that it can read the store.
   using OnStoreHealth = std::function<void(bool aAvailable)>;
   void SetStoreHealthHandler(OnStoreHealth aOnStoreHealth)
@@ -88,6 +99,8 @@
 
   void Receive();
   void OnMessage(const proto::RouterPeerMessage& aMessage);
+  void ReadRequestLimits(const proto::RouterPeerMessage& aMessage, Time aNow);
+  void AddRequestLimits(proto::RouterPeerMessage& aMessage) const;
   void OnTopicStates(const proto::RouterPeerMessage& aMessage);
   void OnUpstreamTopic(const proto::TopicState& aState);
   void SendPeriodically();
@@ -110,6 +123,7 @@
   PartNews m_partNews; // to be sent
   OnStoreHealth m_onStoreHealth;
   OnLeaving m_onLeaving;
+  OnPermits m_onPermits;
   std::deque<Leaving> m_leaving; // of the last kLeavingLifetime
   Udp::endpoint m_sender;
   std::array<char, 64U << 10U> m_input{};
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -20,6 +20,9 @@
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(10);
 // Attempts per request, including those that reach no upstream.
 constexpr std::uint32_t kMaxTries = 5;
+// Permits that a request asks for until it is sent only to upstreams that state
+// no request limit.
+constexpr std::uint32_t kMaxPermitsAsked = 3;
 // Responses up to this size are buffered until they are complete, so that the
 // request can be repeated if the response breaks off.
 constexpr std::size_t kMaxBufferedBodyBytes = 256U << 10U;
@@ -97,6 +100,8 @@
   }
   SetDeadline();
   m_context.RepeatBudgetOf(m_serviceId).OnRequest(m_record.ArrivedAt());
+  m_context.m_selector.OnRequest(
+    m_serviceId, m_facts.m_promptTokens, m_record.ArrivedAt());
   SendNext();
 }
 
@@ -212,9 +217,11 @@
   SelectionRequest selection;
   selection.m_service = m_serviceId;
   selection.m_affinity = m_facts.m_sharedPrefixHash;
+  selection.m_promptTokens = m_facts.m_promptTokens;
   selection.m_daemons = m_context.m_daemons;
   selection.m_avoid = m_avoid;
   selection.m_excludeRefusing = m_refusedByUpstream;
+  selection.m_excludeLimited = m_permitsAsked >= kMaxPermitsAsked;
   if (m_service != nullptr) {
     selection.m_coldPerSecond =
       m_service->m_coldPerSecond * m_context.m_settings.m_coldFactor;
@@ -235,8 +242,8 @@
 void
 RequestFlow::SendNext(Choice aChoice)
 {
-  SelectionRequest selection = MakeSelection();
-  for (; m_tries < kMaxTries; ++m_tries) {
+  std::set<UpstreamId> unsent; // the pool provides no connection to them
+  while (m_tries < kMaxTries) {
     if (aChoice.m_failure != SelectionFailure::None) {
       OnNoUpstream(aChoice);
       return;
@@ -244,12 +251,20 @@
     if (m_tries == 0 && !Admit(aChoice)) {
       return;
     }
-    SendTo(aChoice);
-    if (m_attemptInFlight) {
+    const std::optional<bool> maySend = MaySend(aChoice);
+    if (!maySend) {
+      return; // it waits for a permit
+    }
+    if (*maySend) {
       ++m_tries;
-      return;
+      SendTo(aChoice);
+      if (m_attemptInFlight) {
+        return;
+      }
+      unsent.insert(aChoice.m_upstream);
     }
-    selection.m_avoid.insert(aChoice.m_upstream);
+    SelectionRequest selection = MakeSelection();
+    selection.m_avoid.insert(unsent.begin(), unsent.end());
     aChoice = m_context.m_selector.Choose(selection, Now());
   }
   aChoice.m_failure = SelectionFailure::Unreachable;
@@ -259,8 +274,8 @@
 bool
 RequestFlow::Admit(const Choice& aChoice)
 {
-  if (aChoice.m_loadAge < Duration::zero()) {
-    return true; // the load from other daemons is unknown
+  if (m_admitted || aChoice.m_loadAge < Duration::zero()) {
+    return true; // or the load from other daemons is unknown
   }
   AdmissionRequest request;
   request.m_priority = Priority();
@@ -271,6 +286,7 @@
   const AdmissionDecision decision =
     m_context.AdmissionOf(m_serviceId).Decide(request);
   if (decision.m_admitted) {
+    m_admitted = true;
     return true;
   }
   m_admissionRefusal = decision;
@@ -278,6 +294,41 @@
   return false;
 }
 
+std::optional<bool>
+RequestFlow::MaySend(const Choice& aChoice)
+{
+  if (!aChoice.m_requestLimit || std::exchange(m_permitGranted, false) ||
+      !m_context.m_askPermit) {
+    return true;
+  }
+  ++m_permitsAsked;
+  m_permitChoice = aChoice;
+  const std::optional<bool> answer =
+    m_context.m_askPermit(aChoice, [weak = weak_from_this()](bool aGranted) {
+      const auto self = weak.lock();
+      if (self != nullptr && !self->m_ended) {
+        self->OnPermitAnswer(aGranted);
+      }
+    });
+  if (answer) {
+    m_permitChoice.reset();
+  }
+  return answer;
+}
+
+void
+RequestFlow::OnPermitAnswer(bool aGranted)
+{
+  const auto self = shared_from_this();
+  const Choice choice = *std::exchange(m_permitChoice, std::nullopt);
+  if (!aGranted || TimeLeft() < kMinAttemptTime) {
+    SendNext();
+    return;
+  }
+  m_permitGranted = true;
+  SendNext(choice);
+}
+
 // Leaves m_attemptInFlight false if the pool provides no connection.
 void
 RequestFlow::SendTo(const Choice& aChoice)
@@ -348,6 +399,11 @@
              std::max(kRetryAfter, aChoice.m_backoffUntil - Now()),
              aChoice);
       return;
+    case SelectionFailure::Limited:
+      Refuse(ResultCode::RequestLimitsReached,
+             std::max(kRetryAfter, aChoice.m_backoffUntil - Now()),
+             aChoice);
+      return;
     default:
       Refuse(ResultCode::NoUpstream, kRetryAfter, aChoice);
   }
@@ -447,8 +503,9 @@
   }
   const bool limitIsNumber =
     aFacts.m_requestLimit || aFacts.m_requestLimitText.empty();
-  if (limitIsNumber && m_choice.m_tracker->OnRequestLimit(
-                         aFacts.m_requestLimit, m_sentAt, now)) {
+  if (limitIsNumber &&
+      m_context.m_sendLimiter.Limits().OnResponse(
+        LoadKey(m_choice.m_upstream), aFacts.m_requestLimit, m_sentAt, now)) {
     m_record.LogUpstreamLimited(
       m_choice, aFacts.m_requestLimitText, aFacts.m_requestLimit);
   }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -82,6 +82,10 @@
   void SendNext(Choice aChoice); // tries aChoice first
   // Returns false if the request would wait too long and was therefore refused.
   bool Admit(const Choice& aChoice);
+  // Whether the request may be sent to the chosen upstream; nullopt if that is
+  // not known yet and OnPermitAnswer follows.
+  std::optional<bool> MaySend(const Choice& aChoice);
+  void OnPermitAnswer(bool aGranted);
   void SendTo(const Choice& aChoice);
   void OnNoUpstream(const Choice& aChoice);
   void StartProgressTimer(Duration aTimeout);
@@ -161,6 +165,10 @@
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
   std::uint32_t m_runs = 0;         // ended attempts that may have run
   std::uint32_t m_tries = 0; // including attempts that reached no upstream
+  bool m_admitted = false;
+  std::uint32_t m_permitsAsked = 0;
+  std::optional<Choice> m_permitChoice; // waits for a permit
+  bool m_permitGranted = false;         // for the choice that is sent next
 
   std::string m_cause; // why the last attempt failed
   std::optional<AdmissionDecision> m_admissionRefusal; // if not admitted
--- a/router/router.cc
+++ b/router/router.cc
@@ -54,7 +54,11 @@
     , m_log(STDOUT_FILENO, aSettings.m_name.Value(), LogOptions(aSettings))
     , m_pool(m_loop)
     , m_exchange(aSettings.m_name, aSettings.m_zone, {})
-    , m_selector(aSettings.m_zone, SelectorOptionsOf(aSettings), m_exchange)
+    , m_sendLimiter(aSettings.m_name)
+    , m_selector(aSettings.m_zone,
+                 SelectorOptionsOf(aSettings),
+                 m_exchange,
+                 m_sendLimiter)
     , m_partBreaker(aSettings.m_name)
     , m_context{ m_loop,
                  aSettings,
@@ -62,6 +66,7 @@
                  m_metrics,
                  m_pool,
                  m_selector,
+                 m_sendLimiter,
                  m_partBreaker,
                  std::mt19937_64(std::random_device{}()),
                  {},
@@ -341,6 +346,7 @@
   EventLog m_log;
   UpstreamPool m_pool;
   LoadExchange m_exchange;
+  SendLimiter m_sendLimiter;
   UpstreamSelector m_selector;
   PartBreaker m_partBreaker;
   Context m_context;
--- a/walnutwing/base/result_code.cc
+++ b/walnutwing/base/result_code.cc
@@ -63,6 +63,8 @@
     "the order was withdrawn before it was sent" },
   { PromptPartBlocked, "prompt_part_blocked", 503, Ran::NotRun, Repeat::AfterDelay,
     "upstreams have crashed whenever they began to answer a part of this prompt" },
+  { RequestLimitsReached, "request_limits_reached", 503, Ran::NotRun, Repeat::AfterDelay,
+    "the service's upstreams take no more requests a second" },
   { OrderRunning, "order_running", 409, Ran::Unknown, Repeat::SameKey,
     "the order is already running" },
   { OrderOutcomeUnknown, "order_outcome_unknown", 409, Ran::Unknown, Repeat::SameKey,
--- a/walnutwing/base/result_code.h
+++ b/walnutwing/base/result_code.h
@@ -41,6 +41,7 @@
   PermitTimeout = 2010,
   OrderVoided = 2011,
   PromptPartBlocked = 2012,
+  RequestLimitsReached = 2013,
 
   OrderRunning = 3001,
   OrderOutcomeUnknown = 3002,
--- a/walnutwing/routing/load_exchange.cc
+++ b/walnutwing/routing/load_exchange.cc
@@ -263,6 +263,15 @@
   return aNow - *m_otherLoadsAt;
 }
 
+std::optional<double>
+LoadExchange::ReportedByOthers(std::uint32_t aKey, Time aNow) const
+{
+  if (!m_otherLoadsAt || !IsFresh(*m_otherLoadsAt, aNow)) {
+    return std::nullopt;
+  }
+  return FindLoad(m_otherLoads, aKey);
+}
+
 std::optional<double>
 LoadExchange::OtherDaemonsLoad(std::uint32_t aUpstream,
                                std::uint32_t aOwn,
--- a/walnutwing/routing/load_exchange.h
+++ b/walnutwing/routing/load_exchange.h
@@ -29,7 +29,8 @@
 
 namespace walnutwing {
 
-// Requests in progress by upstream; the key is the upstream's LoadKey.
+// Requests in progress by upstream; the key is the upstream's LoadKey. Also
+// counts that belong to a service (service_demand.h).
 using UpstreamLoads = std::unordered_map<std::uint32_t, std::uint32_t>;
 
 // A 32-bit hash of the upstream's id, the same at every daemon.
@@ -102,6 +103,10 @@
                                          std::uint32_t aOwn,
                                          Time aNow) const;
 
+  // The sum of what all other daemons reported under a key; nullopt if it is
+  // not known or older than m_lifetime.
+  std::optional<double> ReportedByOthers(std::uint32_t aKey, Time aNow) const;
+
   // The age of the data on the other daemons' requests; nullopt if they are not
   // known or older than m_lifetime.
   std::optional<Duration> OtherLoadsAge(Time aNow) const;
--- a/walnutwing/routing/part_breaker_fleet_test.cc
+++ b/walnutwing/routing/part_breaker_fleet_test.cc
@@ -114,6 +114,16 @@
     m_daemons[aDaemon]->m_breaker.SetMembers({ name });
   }
 
+  // Whether a daemon's messages are lost, in both directions.
+  void SetCut(std::uint32_t aDaemon, bool aCut)
+  {
+    if (aCut) {
+      m_cut.insert(aDaemon);
+    } else {
+      m_cut.erase(aDaemon);
+    }
+  }
+
   std::size_t Daemons() const { return m_daemons.size(); }
   std::size_t Engines() const { return m_engines.size(); }
   std::size_t BadCrashes() const { return m_badCrashes; }
@@ -346,6 +356,9 @@
     if (news.Empty()) {
       return;
     }
+    if (m_cut.contains(aDaemon)) {
+      return;
+    }
     if (!IsHub(aDaemon)) {
       Deliver(aDaemon % m_options.m_zones, news);
       return;
@@ -360,7 +373,7 @@
 
   void Deliver(std::uint32_t aTo, const PartNews& aNews)
   {
-    if (Uniform(1000) < 1000 * m_options.m_messageLoss) {
+    if (m_cut.contains(aTo) || Uniform(1000) < 1000 * m_options.m_messageLoss) {
       return;
     }
     At(Duration(1 + Uniform(5)), [this, aTo, aNews] {
@@ -379,6 +392,7 @@
   std::priority_queue<Event> m_events;
   std::uint64_t m_eventNumber = 0;
   std::vector<std::unique_ptr<Daemon>> m_daemons;
+  std::set<std::uint32_t> m_cut;
   std::vector<Engine> m_engines;
   std::uint32_t m_incarnations = 0;
   std::uint64_t m_prompts = 0;
@@ -426,6 +440,27 @@
   EXPECT_EQ(crashes, fleet.BadCrashes());
 }
 
+// Guards against daemons that were cut off from the others while the part was
+// found, and a hub among them, and send the bad part again when they are back.
+TEST_P(PartBreakerFleet, DaemonsThatWereCutOffHearOfIt)
+{
+  FakeFleet fleet(GetParam());
+  fleet.RunFor(std::chrono::seconds(5));
+  for (std::uint32_t i = 0; i < fleet.Daemons(); i += 3) {
+    fleet.SetCut(i, true);
+  }
+  fleet.StartBadRequests();
+  fleet.RunFor(std::chrono::seconds(10));
+  for (std::uint32_t i = 0; i < fleet.Daemons(); i += 3) {
+    fleet.SetCut(i, false);
+  }
+  fleet.RunFor(kContact); // until they are in contact again
+  const std::size_t crashes = fleet.BadCrashes();
+  fleet.RunFor(std::chrono::seconds(30));
+  EXPECT_EQ(crashes, fleet.BadCrashes());
+  EXPECT_EQ(0U, fleet.SoundRefused());
+}
+
 // Guards against sound parts that are blamed for crashes that have another
 // cause: single engines, a third of them at once, and all of them.
 TEST_P(PartBreakerFleet, BlamesNoPartForOtherCrashes)
--- a/walnutwing/routing/selector_fixture.h
+++ b/walnutwing/routing/selector_fixture.h
@@ -23,7 +23,8 @@
     : m_name("d" + std::to_string(aIndex))
     , m_zone("z" + std::to_string(aIndex % kTestZones))
     , m_exchange(m_name, m_zone, {})
-    , m_selector(m_zone, aOptions, m_exchange)
+    , m_limiter(m_name)
+    , m_selector(m_zone, aOptions, m_exchange, m_limiter)
   {
   }
 
@@ -31,6 +32,7 @@
   ZoneId m_zone;
   UpstreamDirectory m_directory{ std::chrono::milliseconds(2300) };
   LoadExchange m_exchange;
+  SendLimiter m_limiter;
   UpstreamSelector m_selector;
 };
 
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "walnutwing/routing/limit_shares.h"
+
 namespace walnutwing {
 namespace {
 
@@ -15,6 +17,11 @@
 // Added to the load of upstreams in other zones, in requests, when a request
 // without a prompt is ranked.
 constexpr double kOtherZonePenaltyRequests = 0.5;
+// Limited engines, the first of the order, to which the requests with a part
+// may go: each of them reads the part once.
+constexpr std::size_t kMaxLimitedSpill = 3;
+// Requests are planned for a limited engine if their weight there is not less.
+constexpr double kMinPlannedWeight = 0.1;
 
 double
 MeanLoad(const std::vector<double>& aLoads)
@@ -42,6 +49,8 @@
       return "cold";
     case SelectionFailure::BackingOff:
       return "backing_off";
+    case SelectionFailure::Limited:
+      return "limited";
   }
   return "unknown";
 }
@@ -60,10 +69,13 @@
 
 UpstreamSelector::UpstreamSelector(ZoneId aZone,
                                    SelectorOptions aOptions,
-                                   const LoadExchange& aExchange)
+                                   const LoadExchange& aExchange,
+                                   const SendLimiter& aLimiter)
   : m_zone(std::move(aZone))
   , m_options(aOptions)
   , m_exchange(aExchange)
+  , m_limiter(aLimiter)
+  , m_demand(aExchange)
 {
 }
 
@@ -130,6 +142,25 @@
   return partitioned.size() < counts.size() ? partitioned : std::set<ZoneId>();
 }
 
+// Whether its class of requests is not planned for the upstream, so that it
+// gets only what the others leave.
+bool
+UpstreamSelector::NeedsSparePermit(const Upstream& aUpstream,
+                                   const SelectionRequest& aRequest)
+{
+  return aRequest.m_affinity != 0 &&
+         aUpstream.m_node.m_weight < kMinPlannedWeight;
+}
+
+// Until when it is known that no permit can be had for a limited upstream.
+Time
+UpstreamSelector::ExhaustedUntil(const Upstream& aUpstream,
+                                 const SelectionRequest& aRequest) const
+{
+  return m_limiter.ExhaustedUntil(aUpstream.m_loadKey,
+                                  NeedsSparePermit(aUpstream, aRequest));
+}
+
 UpstreamSelector::CandidateSet
 UpstreamSelector::FindCandidates(const SelectionRequest& aRequest, Time aNow)
 {
@@ -151,7 +182,9 @@
     }
     if (const Time backoffUntil = upstream.m_tracker->BackoffUntil();
         aNow < backoffUntil) {
-      candidateSet.m_failure = SelectionFailure::BackingOff;
+      if (candidateSet.m_failure != SelectionFailure::Limited) {
+        candidateSet.m_failure = SelectionFailure::BackingOff;
+      }
       candidateSet.m_backoffUntil =
         std::min(candidateSet.m_backoffUntil, backoffUntil);
       continue;
@@ -165,25 +198,58 @@
     }
     Candidate candidate;
     candidate.m_upstream = &upstream;
+    candidate.m_limited =
+      m_limiter.Limits().LimitOf(upstream.m_loadKey, aNow).has_value();
+    const Time exhaustedUntil = ExhaustedUntil(upstream, aRequest);
+    candidate.m_exhausted = candidate.m_limited && (aRequest.m_excludeLimited ||
+                                                    aNow < exhaustedUntil);
+    if (candidate.m_exhausted) {
+      candidateSet.m_failure = SelectionFailure::Limited;
+      candidateSet.m_backoffUntil =
+        std::min(candidateSet.m_backoffUntil, exhaustedUntil);
+    }
     candidateSet.m_candidates.push_back(candidate);
   }
   return candidateSet;
 }
 
-// Returns the load bound: a request goes to the first candidate in its order
-// whose load is below it.
-double
-UpstreamSelector::LoadBound(const CandidateSet& aCandidateSet,
-                            double aMeanLoad) const
+// Sets the mean load and the load bound: a request goes to the first candidate
+// in its order whose load is below it. Upstreams with a request limit do not
+// count unless all have one, as the others have to take what they do not.
+void
+UpstreamSelector::ComputeBound(CandidateSet& aCandidateSet) const
 {
-  const double sum =
-    aMeanLoad * static_cast<double>(aCandidateSet.m_candidates.size());
-  const double meanListed = sum / static_cast<double>(aCandidateSet.m_listed);
+  const auto limited = static_cast<std::size_t>(
+    std::count_if(aCandidateSet.m_candidates.begin(),
+                  aCandidateSet.m_candidates.end(),
+                  [](const auto& aCandidate) { return aCandidate.m_limited; }));
+  const bool allLimited = limited == aCandidateSet.m_candidates.size();
+  double sum = 0;
+  double sumOfAll = 0;
+  std::size_t counted = 0;
+  for (const Candidate& candidate : aCandidateSet.m_candidates) {
+    sumOfAll += candidate.m_load;
+    if (candidate.m_limited && !allLimited) {
+      continue;
+    }
+    sum += candidate.m_load;
+    ++counted;
+  }
+  const std::size_t listed =
+    aCandidateSet.m_listed - (allLimited ? 0 : limited);
+  const double mean = sum / static_cast<double>(counted);
   const double maxLoad =
-    m_options.m_loadFactor * meanListed + m_options.m_loadFactorSlack;
-  return std::min(m_options.m_affinityLoadFactor * aMeanLoad +
-                    m_options.m_affinityLoadSlack,
-                  m_options.m_usedLoadFraction * maxLoad);
+    m_options.m_loadFactor * sum / static_cast<double>(listed) +
+    m_options.m_loadFactorSlack;
+  aCandidateSet.m_meanLoad = mean;
+  aCandidateSet.m_bound = std::min(m_options.m_affinityLoadFactor * mean +
+                                     m_options.m_affinityLoadSlack,
+                                   m_options.m_usedLoadFraction * maxLoad);
+  const double meanOfAll =
+    sumOfAll / static_cast<double>(aCandidateSet.m_candidates.size());
+  aCandidateSet.m_bound = std::min(aCandidateSet.m_bound,
+                                   m_options.m_unlimitedLoadFactor * meanOfAll +
+                                     m_options.m_affinityLoadSlack);
 }
 
 // Sets the loads of the candidates and the distances by which they are sorted.
@@ -276,10 +342,58 @@
   return static_cast<double>(aUpstream.m_coldSends.Count(aNow)) < share;
 }
 
+void
+UpstreamSelector::UpdateWeights(const SelectionRequest& aRequest, Time aNow)
+{
+  std::vector<RendezvousNode*> nodes;
+  std::vector<std::optional<double>> limits;
+  bool limited = false;
+  for (auto& [id, upstream] : m_upstreams) {
+    if (upstream.m_entry.m_service != aRequest.m_service ||
+        upstream.m_entry.m_draining) {
+      continue;
+    }
+    nodes.push_back(&upstream.m_node);
+    limits.push_back(m_limiter.Limits().LimitOf(upstream.m_loadKey, aNow));
+    limited = limited || limits.back();
+  }
+  std::vector<double> demands; // of larger prompts and of this class
+  if (limited) {
+    const auto perSecond =
+      m_demand.PerSecond(aRequest.m_service, aRequest.m_daemons, aNow);
+    demands.assign(perSecond.rbegin(),
+                   perSecond.rend() - PromptClassOf(aRequest.m_promptTokens));
+  }
+  const std::vector<double> weights = LimitWeights(limits, demands);
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    nodes[i]->m_weight = weights[i];
+  }
+}
+
+// The engine for a part whose first engine in the order has no permits, if no
+// engine without a limit is within the bound: one of the next in the order.
+const UpstreamSelector::Candidate*
+UpstreamSelector::FindSpill(const std::vector<Candidate>& aCandidates,
+                            double aBound)
+{
+  const std::size_t end = std::min(kMaxLimitedSpill, aCandidates.size());
+  for (std::size_t i = 0; i < end; ++i) {
+    const Candidate& candidate = aCandidates[i];
+    if (candidate.m_limited && !candidate.m_exhausted &&
+        candidate.m_load < aBound) {
+      return &candidate;
+    }
+  }
+  return nullptr;
+}
+
 Choice
 UpstreamSelector::Choose(const SelectionRequest& aRequest, Time aNow)
 {
   Choice choice;
+  if (aRequest.m_affinity != 0) {
+    UpdateWeights(aRequest, aNow);
+  }
   CandidateSet candidateSet = FindCandidates(aRequest, aNow);
   std::vector<Candidate>& candidates = candidateSet.m_candidates;
   choice.m_failure = candidateSet.m_failure;
@@ -299,18 +413,17 @@
       return std::pair(aLeft.m_distance, aLeft.m_upstream->m_node.m_hash) <
              std::pair(aRight.m_distance, aRight.m_upstream->m_node.m_hash);
     });
-  std::vector<double> loads;
-  loads.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    loads.push_back(candidate.m_load);
-  }
-  choice.m_meanLoad = MeanLoad(loads);
-  const double bound = LoadBound(candidateSet, choice.m_meanLoad);
+  ComputeBound(candidateSet);
+  choice.m_meanLoad = candidateSet.m_meanLoad;
+  const double bound = candidateSet.m_bound;
 
   const Candidate* chosen = nullptr;
   const Candidate* leastLoaded = nullptr;
   const Candidate* cold = nullptr;
   for (const Candidate& candidate : candidates) {
+    if (candidate.m_exhausted) {
+      continue;
+    }
     if (aNow < candidate.m_upstream->m_coldUntil) {
       const bool first = cold == nullptr || candidate.m_load < cold->m_load;
       if (first && MaySendCold(*candidate.m_upstream, aRequest, aNow)) {
@@ -318,6 +431,11 @@
       }
       continue;
     }
+    const bool spilled = candidate.m_limited && aRequest.m_affinity != 0 &&
+                         &candidate != candidates.data();
+    if (spilled) {
+      continue;
+    }
     if (chosen == nullptr && candidate.m_load < bound) {
       chosen = &candidate;
     }
@@ -325,12 +443,17 @@
       leastLoaded = &candidate;
     }
   }
+  if (chosen == nullptr && aRequest.m_affinity != 0) {
+    chosen = FindSpill(candidates, bound);
+  }
   chosen = chosen != nullptr ? chosen : leastLoaded;
   if (chosen == nullptr || (cold != nullptr && chosen->m_load >= bound)) {
     chosen = cold;
   }
   if (chosen == nullptr) {
-    choice.m_failure = SelectionFailure::Cold;
+    if (choice.m_failure != SelectionFailure::Limited) {
+      choice.m_failure = SelectionFailure::Cold;
+    }
     return choice;
   }
   const Upstream& upstream = *chosen->m_upstream;
@@ -344,6 +467,8 @@
   choice.m_minLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
   choice.m_slots = std::max(1U, upstream.m_entry.m_slots);
   choice.m_loadAge = m_exchange.OtherLoadsAge(aNow).value_or(Duration(-1));
+  choice.m_requestLimit = m_limiter.Limits().LimitOf(upstream.m_loadKey, aNow);
+  choice.m_needsSparePermit = NeedsSparePermit(upstream, aRequest);
   choice.m_cold = aNow < upstream.m_coldUntil;
   choice.m_rank = static_cast<std::size_t>(chosen - candidates.data());
   return choice;
@@ -386,6 +511,7 @@
       loads[upstream.m_loadKey] = count;
     }
   }
+  m_demand.AddTo(loads);
   return loads;
 }
 
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -12,6 +12,12 @@
 // more often than their service or are in a zone that operators have taken out
 // are skipped. Cold upstreams are used only if no warm one is within the load
 // bound, and only up to this daemon's share of their request rate.
+//
+// An upstream that states a request limit is skipped while it is known that
+// there are no permits for it (send_limiter.h). As an engine it is the first in
+// the order for fewer parts (limit_shares.h), and a part whose first engine has
+// no permits goes to one without a limit if possible, so that each part is read
+// by few engines.
 
 #include <cstdint>
 #include <map>
@@ -24,6 +30,8 @@
 
 #include "walnutwing/placement/rendezvous.h"
 #include "walnutwing/routing/load_exchange.h"
+#include "walnutwing/routing/send_limiter.h"
+#include "walnutwing/routing/service_demand.h"
 #include "walnutwing/routing/sliding_window_counter.h"
 #include "walnutwing/routing/upstream_directory.h"
 #include "walnutwing/routing/upstream_tracker.h"
@@ -36,6 +44,9 @@
   // load of the candidates plus a slack in requests, because means are small.
   double m_affinityLoadFactor = 1.8;
   double m_affinityLoadSlack = 3.0;
+  // The same where the load bound depends on a part of the upstreams only, as
+  // the others state request limits: this multiple of the mean of all.
+  double m_unlimitedLoadFactor = 4.0;
   // Limit on the load of an upstream: this multiple of the mean over all listed
   // upstreams of the service, including those that are skipped, plus a slack in
   // requests. Only m_usedLoadFraction of the limit is used, because loads are
@@ -57,12 +68,15 @@
   ServiceId m_service;
   // Hash of the longest shared part of its prompt; 0: no prompt.
   std::uint64_t m_affinity = 0;
+  std::uint32_t m_promptTokens = 0;
   double m_coldPerSecond = 0;   // requests that a cold upstream takes; 0: any
   std::uint32_t m_daemons = 1;  // in the fleet
   std::set<UpstreamId> m_avoid; // upstreams that have been tried already
   // Also skip upstreams that refused a request recently, because one has
   // already refused this one.
   bool m_excludeRefusing = false;
+  // Also skip all upstreams that state a request limit.
+  bool m_excludeLimited = false;
 };
 
 // Why no upstream was chosen.
@@ -73,6 +87,7 @@
   Unreachable, // some may, but they cannot be reached
   Cold,        // all are cold, and this daemon's share of their rate is used
   BackingOff,  // all others asked to get no requests for a while
+  Limited,     // some of these state a request limit, which is used up
 };
 
 std::string_view
@@ -98,8 +113,14 @@
   ZoneId m_zone;
   std::string m_address;
   std::int64_t m_startWallMs = 0; // identifies its incarnation
-  // If it failed with BackingOff: until the first may get requests again.
+  // If it failed with BackingOff or Limited: until the first may get requests
+  // again.
   Time m_backoffUntil;
+  // The request limit that it states; a permit is needed to send to it.
+  std::optional<double> m_requestLimit;
+  // The limit is meant for larger prompts, so that this request gets a permit
+  // only if there are permits to spare.
+  bool m_needsSparePermit = false;
   // Not shared with the upstream's state after a restart.
   std::shared_ptr<UpstreamTracker> m_tracker;
   double m_load = 0;         // its load before this request
@@ -117,10 +138,12 @@
 {
 public:
   // aExchange provides the requests of other daemons; the upstreams' own load
-  // reports are used while it has none. It must outlive this object.
+  // reports are used while it has none. aLimiter knows the upstreams' request
+  // limits. Both must outlive this object.
   UpstreamSelector(ZoneId aZone,
                    SelectorOptions aOptions,
-                   const LoadExchange& aExchange);
+                   const LoadExchange& aExchange,
+                   const SendLimiter& aLimiter);
 
   void SetOptions(SelectorOptions aOptions) { m_options = aOptions; }
 
@@ -135,6 +158,14 @@
                    Duration aColdTime,
                    Time aNow);
 
+  // A request of a caller has arrived.
+  void OnRequest(const ServiceId& aService,
+                 std::uint32_t aPromptTokens,
+                 Time aNow)
+  {
+    m_demand.OnRequest(aService, aPromptTokens, aNow);
+  }
+
   // Selects an upstream; m_failure of the result tells why there is none.
   Choice Choose(const SelectionRequest& aRequest, Time aNow);
 
@@ -145,7 +176,8 @@
   // Upstreams that are silent or unreachable for this daemon.
   std::map<UpstreamId, LostCause> LostUpstreams(Time aNow) const;
 
-  // This daemon's own requests in flight.
+  // This daemon's own requests in flight, and its counts of requests by
+  // service.
   UpstreamLoads OwnLoads() const;
 
 private:
@@ -165,6 +197,8 @@
     Upstream* m_upstream = nullptr;
     double m_load = 0;
     double m_distance = 0;
+    bool m_limited = false;   // states a request limit
+    bool m_exhausted = false; // and there is no permit now
   };
   using Upstreams = std::map<UpstreamId, Upstream>;
 
@@ -178,20 +212,31 @@
     std::vector<Candidate> m_candidates;
     std::size_t m_listed = 0; // upstreams of the service, candidates or not
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
-    Time m_backoffUntil = Time::max(); // the earliest end of a backoff
+    // The earliest end of a backoff, or of a time without permits.
+    Time m_backoffUntil = Time::max();
+    double m_meanLoad = 0; // see ComputeBound
+    double m_bound = 0;
   };
 
+  static bool NeedsSparePermit(const Upstream& aUpstream,
+                               const SelectionRequest& aRequest);
+  Time ExhaustedUntil(const Upstream& aUpstream,
+                      const SelectionRequest& aRequest) const;
   CandidateSet FindCandidates(const SelectionRequest& aRequest, Time aNow);
   // Zones that are probably partitioned: of their upstreams that have requests
   // in flight or are not reachable, most are not reachable. Empty if that
   // applies to all zones, as the cause is then not in a zone.
   std::set<ZoneId> PartitionedZones(Time aNow) const;
-  double LoadBound(const CandidateSet& aCandidateSet, double aMeanLoad) const;
+  void ComputeBound(CandidateSet& aCandidateSet) const;
   static void DropSuspect(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
   void ComputeLoads(std::vector<Candidate>& aCandidates,
                     const SelectionRequest& aRequest,
                     Time aNow) const;
+  // Sets the nodes' weights by the request limits of the service's upstreams.
+  void UpdateWeights(const SelectionRequest& aRequest, Time aNow);
+  static const Candidate* FindSpill(const std::vector<Candidate>& aCandidates,
+                                    double aBound);
   bool MaySendCold(Upstream& aUpstream,
                    const SelectionRequest& aRequest,
                    Time aNow) const;
@@ -199,6 +244,8 @@
   ZoneId m_zone;
   SelectorOptions m_options;
   const LoadExchange& m_exchange;
+  const SendLimiter& m_limiter;
+  ServiceDemand m_demand;
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
 };
--- a/walnutwing/routing/upstream_selector_test.cc
+++ b/walnutwing/routing/upstream_selector_test.cc
@@ -426,5 +426,168 @@
   EXPECT_EQ(SelectionFailure::Unreachable, why(MakeSelection(0)));
 }
 
+// Upstreams with request limits. Sends requests of one size by the parts of
+// their prompts, one after the other, with permits from the daemon itself.
+class LimitedUpstreams : public testing::Test
+{
+protected:
+  static constexpr std::uint32_t kLargeTokens = 12'000;
+  static constexpr std::uint32_t kSmallTokens = 900;
+
+  LimitedUpstreams()
+  {
+    m_fleet.Daemon(0).m_limiter.SetMembers(m_fleet.Members());
+  }
+
+  void SetLimit(int aUpstreams, double aPerSecond)
+  {
+    for (int i = 0; i < aUpstreams; ++i) {
+      m_fleet.Daemon(0).m_limiter.Limits().OnResponse(
+        LoadKey(UpstreamId("e" + std::to_string(i))), aPerSecond, Now(), Now());
+    }
+  }
+
+  Time Now() const { return m_fleet.m_clock.Now(); }
+
+  SelectionRequest Request(std::uint64_t aPart, std::uint32_t aTokens) const
+  {
+    SelectionRequest request = MakeSelection(StableHash(std::to_string(aPart)));
+    request.m_promptTokens = aTokens;
+    return request;
+  }
+
+  // Sends aPerSecond requests for aSeconds, with parts of 1 to 40 in turn.
+  // Counts the upstreams of each part, and the requests of each upstream.
+  void Send(std::uint32_t aTokens, int aPerSecond, int aSeconds)
+  {
+    UpstreamSelector& selector = m_fleet.Daemon(0).m_selector;
+    SendLimiter& limiter = m_fleet.Daemon(0).m_limiter;
+    for (int i = 0; i < aPerSecond * aSeconds; ++i) {
+      m_fleet.m_clock.Advance(milliseconds(1000 / aPerSecond));
+      const std::uint64_t part = i % 40 + 1;
+      selector.OnRequest(ServiceId("s"), aTokens, Now());
+      for (int asked = 0; asked < 5; ++asked) {
+        const Choice choice = selector.Choose(Request(part, aTokens), Now());
+        if (choice.m_failure != SelectionFailure::None) {
+          ++m_failures[choice.m_failure];
+          break;
+        }
+        const bool granted = !choice.m_requestLimit ||
+                             limiter
+                                 .Ask(LoadKey(choice.m_upstream),
+                                      choice.m_zone,
+                                      *choice.m_requestLimit,
+                                      choice.m_needsSparePermit,
+                                      true,
+                                      Now())
+                                 .m_outcome == SendPermitOutcome::Granted;
+        if (granted) {
+          m_upstreamsOf[part].insert(choice.m_upstream);
+          ++m_requests[choice.m_upstream.Value()];
+          break;
+        }
+      }
+    }
+  }
+
+  // The mean number of upstreams that had to read a part.
+  double MeanReaders() const
+  {
+    std::size_t readers = 0;
+    for (const auto& [part, upstreams] : m_upstreamsOf) {
+      readers += upstreams.size();
+    }
+    return static_cast<double>(readers) /
+           static_cast<double>(m_upstreamsOf.size());
+  }
+
+  TestFleet m_fleet{ 1, 12 };
+  std::map<std::uint64_t, std::set<UpstreamId>> m_upstreamsOf; // by part
+  std::map<std::string, int> m_requests;                       // by upstream
+  std::map<SelectionFailure, int> m_failures;
+};
+
+// Pattern: most engines are in need. Guards against prompts that are read by
+// all engines, because each request went where a permit could be had.
+TEST_F(LimitedUpstreams, PartsMoveToFewOtherUpstreams)
+{
+  SetLimit(8, 2);
+  Send(kSmallTokens, 100, 6); // the demand becomes known
+  SetLimit(8, 2);
+  m_upstreamsOf.clear();
+  m_requests.clear();
+  Send(kSmallTokens, 100, 9);
+  EXPECT_TRUE(m_failures.empty());
+  EXPECT_LT(MeanReaders(), 3);
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_LE(m_requests["e" + std::to_string(i)], 2 * 9 + 3) << i;
+  }
+}
+
+// Pattern: long and short prompts. Guards against long prompts that are read
+// anew elsewhere while limited engines are asked to run short ones.
+TEST_F(LimitedUpstreams, LongPromptsStayWhereTheyAreCached)
+{
+  std::map<std::uint64_t, UpstreamId> home;
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    home[part] = m_fleet.Daemon(0)
+                   .m_selector.Choose(Request(part, kLargeTokens), Now())
+                   .m_upstream;
+  }
+  SetLimit(8, 4);
+  UpstreamSelector& selector = m_fleet.Daemon(0).m_selector;
+  for (int i = 0; i < 500; ++i) { // 20 and 80 requests a second
+    m_fleet.m_clock.Advance(milliseconds(10));
+    selector.OnRequest(
+      ServiceId("s"), i % 5 == 0 ? kLargeTokens : kSmallTokens, Now());
+  }
+  int moved = 0;
+  int limited = 0;
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    const Choice large = selector.Choose(Request(part, kLargeTokens), Now());
+    moved += large.m_upstream != home[part] ? 1 : 0;
+    const Choice small = selector.Choose(Request(part, kSmallTokens), Now());
+    limited += small.m_requestLimit ? 1 : 0;
+  }
+  EXPECT_EQ(0, moved);
+  EXPECT_LT(limited, 20);
+}
+
+// Guards against upstreams without a limit that count as overloaded because the
+// others are nearly idle.
+TEST_F(LimitedUpstreams, OthersMayCarryMoreThanTheMean)
+{
+  SetLimit(8, 2);
+  UpstreamSelector& selector = m_fleet.Daemon(0).m_selector;
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 80; ++i) {
+    SelectionRequest request = Request(1, kSmallTokens);
+    request.m_excludeLimited = true;
+    const Choice choice = selector.Choose(request, Now());
+    ASSERT_EQ(SelectionFailure::None, choice.m_failure);
+    EXPECT_FALSE(choice.m_requestLimit);
+    selector.OnSent(choice, Now());
+    ++chosen[choice.m_upstream.Value()];
+  }
+  // The load bound over the four upstreams without a limit, of 20 on average.
+  const SelectorOptions options;
+  const double bound =
+    options.m_affinityLoadFactor * 20 + options.m_affinityLoadSlack;
+  for (const auto& [upstream, requests] : chosen) {
+    EXPECT_LE(requests, bound) << upstream;
+  }
+}
+
+TEST_F(LimitedUpstreams, AllExhaustedIsAFailureWithATime)
+{
+  SetLimit(12, 1);
+  Send(kSmallTokens, 100, 2);
+  const Choice choice =
+    m_fleet.Daemon(0).m_selector.Choose(Request(1, kSmallTokens), Now());
+  EXPECT_EQ(SelectionFailure::Limited, choice.m_failure);
+  EXPECT_GT(choice.m_backoffUntil, Now());
+  EXPECT_LE(choice.m_backoffUntil, Now() + milliseconds(2000));
+}
+
 } // namespace
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace walnutwing {
 namespace {
@@ -98,20 +97,6 @@
   m_backoffUntil = std::max(m_backoffUntil, aNow + aTime);
 }
 
-bool
-UpstreamTracker::OnRequestLimit(std::optional<double> aPerSecond,
-                                Time aSentAt,
-                                Time aNow)
-{
-  if (!aPerSecond && (!m_requestLimit || aSentAt <= m_requestLimitAt)) {
-    return false;
-  }
-  if (aPerSecond) {
-    m_requestLimitAt = aNow;
-  }
-  return std::exchange(m_requestLimit, aPerSecond) != aPerSecond;
-}
-
 void
 UpstreamTracker::OnLoadReport(const LoadReport& aReport, Time aNow)
 {
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -47,17 +47,6 @@
   // The upstream asked to get no requests from this daemon for aTime.
   void OnBackoffRequested(Duration aTime, Time aNow);
 
-  // The upstream has stated in a response how many requests a second it takes
-  // from all daemons, or no limit. aSentAt: when the request was sent; an older
-  // request's response without a limit does not end one. Returns whether the
-  // limit has changed.
-  bool OnRequestLimit(std::optional<double> aPerSecond,
-                      Time aSentAt,
-                      Time aNow);
-
-  // Requests a second that it takes from all daemons; nullopt: any number.
-  std::optional<double> RequestLimit() const { return m_requestLimit; }
-
   std::uint32_t InFlight() const { return m_inFlight; }
 
   // Requests of other daemons at the upstream, from its last load report;
@@ -101,8 +90,6 @@
   Time m_unreachableUntil;
   Time m_refusedUntil;
   Time m_backoffUntil;
-  std::optional<double> m_requestLimit;
-  Time m_requestLimitAt; // when a response last stated one
 };
 
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_tracker_test.cc
+++ b/walnutwing/routing/upstream_tracker_test.cc
@@ -121,20 +121,5 @@
   EXPECT_FALSE(m_tracker.RecentlyRefused(Now()));
 }
 
-TEST_F(UpstreamTrackerTest, RequestLimitHoldsAsLongAsResponsesStateIt)
-{
-  EXPECT_FALSE(m_tracker.OnRequestLimit(std::nullopt, Now(), Now()));
-  const Time before = Now();
-  AdvanceMs(10);
-  EXPECT_TRUE(m_tracker.OnRequestLimit(2.5, before, Now()));
-  EXPECT_FALSE(m_tracker.OnRequestLimit(2.5, before, Now()));
-  // The response to a request that was sent before says nothing newer.
-  EXPECT_FALSE(m_tracker.OnRequestLimit(std::nullopt, before, Now()));
-  EXPECT_EQ(2.5, m_tracker.RequestLimit());
-  AdvanceMs(10);
-  EXPECT_TRUE(m_tracker.OnRequestLimit(std::nullopt, Now(), Now()));
-  EXPECT_EQ(std::nullopt, m_tracker.RequestLimit());
-}
-
 } // namespace
 } // namespace walnutwing
