--- a/walnutwing/routing/send_limiter.cc
+++ b/walnutwing/routing/send_limiter.cc
@@ -12,8 +12,10 @@
 constexpr Duration kNextHubDuration = std::chrono::seconds(1);
 // The part of the limit that daemons share equally while no hub answers.
 constexpr double kShareWithoutHub = 0.4;
-// Tokens that a bucket holds: those of this time, and at least one.
+// Tokens that a bucket holds: those of this time, and a few more, as requests
+// come unevenly.
 constexpr double kBucketSeconds = 1;
+constexpr double kMinBucketTokens = 2;
 // A bucket with more than this fraction of its tokens has permits to spare.
 constexpr double kSpareFraction = 0.75;
 // An upstream that states a lower limit, or takes nothing at all, gets a
@@ -87,7 +89,7 @@
                        Time aNow)
 {
   const double perMs = aPerSecond / kMsPerSecond;
-  const double capacity = std::max(1.0, kBucketSeconds * aPerSecond);
+  const double capacity = kMinBucketTokens + kBucketSeconds * aPerSecond;
   const double needed =
     aSpareOnly ? std::max(1.0, kSpareFraction * capacity) : 1.0;
   const auto [found, added] = aBuckets.try_emplace(aUpstream);
--- a/walnutwing/routing/send_limiter_test.cc
+++ b/walnutwing/routing/send_limiter_test.cc
@@ -63,6 +63,23 @@
   EXPECT_TRUE(Grants(hub, 2, false, kStart + Duration(500)));
 }
 
+// Guards against a low limit that is used by half, because requests come
+// unevenly and a bucket of one second's permits overflows.
+TEST(SendLimiter, LowLimitTakesRequestsThatComeUnevenly)
+{
+  SendLimiter hub(DaemonId("d0"));
+  hub.SetMembers(MakeMembers(1, 1));
+  std::mt19937 random(1);
+  std::exponential_distribution<double> gap(0.9); // a second
+  Time now = kStart;
+  int granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now += Duration(static_cast<int>(gap(random) * 1000));
+    granted += Grants(hub, 1, false, now) ? 1 : 0;
+  }
+  EXPECT_GE(granted, 800);
+}
+
 // Requests for which the limit is not meant get only what is left over.
 TEST(SendLimiter, SparePermitsLeaveSomeForOthers)
 {
