--- a/router/peers.cc
+++ b/router/peers.cc
@@ -159,7 +159,7 @@
     limit.set_age_ms(
       static_cast<std::uint32_t>((now - statement.m_statedAt).count()));
     limit.set_limited(statement.m_perSecond.has_value());
-    limit.set_per_second(static_cast<float>(statement.m_perSecond.value_or(0)));
+    limit.set_per_second(statement.m_perSecond.value_or(0));
   }
 }
 
--- a/router/send_permits.cc
+++ b/router/send_permits.cc
@@ -80,7 +80,7 @@
   proto::SendPermitRequest& request = *message.add_permit_requests();
   request.set_upstream(answer.m_request->m_upstream);
   request.set_number(number);
-  request.set_per_second(static_cast<float>(answer.m_request->m_perSecond));
+  request.set_per_second(answer.m_request->m_perSecond);
   request.set_spare_only(answer.m_request->m_spareOnly);
   m_sendMessage(answer.m_to, std::move(message));
   ++m_context.m_metrics.Counter("permit_requests_total");
--- a/standin/request_limit_test.cc
+++ b/standin/request_limit_test.cc
@@ -205,6 +205,24 @@
   EXPECT_EQ(m_callers.size() - first, CountAnswers(first, "HTTP/1.1 200"));
 }
 
+// Guards against a line for each message, because a limit that another router
+// had passed on differed in its last digits from the one in a response.
+TEST_F(RequestLimit, IsLoggedOnceAtEachRouter)
+{
+  SetLimit(kUpstreams, 4.3);
+  Play(kContact);
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    const std::string log = m_harness.LogText(i);
+    std::size_t lines = 0;
+    for (std::size_t at = log.find("upstream_limited");
+         at != std::string::npos;
+         at = log.find("upstream_limited", at + 1)) {
+      ++lines;
+    }
+    EXPECT_LE(lines, kUpstreams);
+  }
+}
+
 // Guards against routers that send what they like while the one that counts for
 // their zone does not answer.
 TEST_F(RequestLimit, HoldsWhileARouterIsFrozen)
