--- a/walnutwing/routing/request_limits.h
+++ b/walnutwing/routing/request_limits.h
@@ -43,6 +43,9 @@
   // Requests a second that the upstream takes; nullopt: any number.
   std::optional<double> LimitOf(std::uint32_t aUpstream, Time aNow) const;
 
+  // Whether no statement is known, so that no upstream has a limit.
+  bool Empty() const { return m_entries.empty(); }
+
   // What other daemons should be told in a message that is sent now: changes,
   // several times against losses, and from time to time what still holds.
   std::vector<LimitStatement> News(Time aNow) const;
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -345,6 +345,9 @@
 void
 UpstreamSelector::UpdateWeights(const SelectionRequest& aRequest, Time aNow)
 {
+  if (m_limiter.Limits().Empty() && !m_weighted) {
+    return;
+  }
   std::vector<RendezvousNode*> nodes;
   std::vector<std::optional<double>> limits;
   bool limited = false;
@@ -368,23 +371,61 @@
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     nodes[i]->m_weight = weights[i];
   }
+  m_weighted = !m_limiter.Limits().Empty();
 }
 
-// The engine for a part whose first engine in the order has no permits, if no
-// engine without a limit is within the bound: one of the next in the order.
-const UpstreamSelector::Candidate*
-UpstreamSelector::FindSpill(const std::vector<Candidate>& aCandidates,
-                            double aBound)
+// Picks among the candidates in their order. A limited engine other than the
+// first one is the last resort for a request with a prompt: it would have to
+// read the part as well.
+UpstreamSelector::Pick
+UpstreamSelector::PickCandidate(const CandidateSet& aCandidateSet,
+                                const SelectionRequest& aRequest,
+                                Time aNow) const
 {
-  const std::size_t end = std::min(kMaxLimitedSpill, aCandidates.size());
-  for (std::size_t i = 0; i < end; ++i) {
-    const Candidate& candidate = aCandidates[i];
-    if (candidate.m_limited && !candidate.m_exhausted &&
-        candidate.m_load < aBound) {
-      return &candidate;
+  const std::vector<Candidate>& candidates = aCandidateSet.m_candidates;
+  const double bound = aCandidateSet.m_bound;
+  const Candidate* withinBound = nullptr;
+  const Candidate* leastLoaded = nullptr;
+  const Candidate* cold = nullptr;
+  const Candidate* spill = nullptr; // limited, one of the first in the order
+  const Candidate* lastResort = nullptr; // limited, any
+  for (const Candidate& candidate : candidates) {
+    if (candidate.m_exhausted) {
+      continue;
+    }
+    if (aNow < candidate.m_upstream->m_coldUntil) {
+      const bool first = cold == nullptr || candidate.m_load < cold->m_load;
+      if (first && MaySendCold(*candidate.m_upstream, aRequest, aNow)) {
+        cold = &candidate;
+      }
+      continue;
+    }
+    const auto rank = static_cast<std::size_t>(&candidate - candidates.data());
+    if (candidate.m_limited && aRequest.m_affinity != 0 && rank != 0) {
+      lastResort = lastResort != nullptr ? lastResort : &candidate;
+      if (spill == nullptr && rank < kMaxLimitedSpill &&
+          candidate.m_load < bound) {
+        spill = &candidate;
+      }
+      continue;
+    }
+    if (withinBound == nullptr && candidate.m_load < bound) {
+      withinBound = &candidate;
+    }
+    if (leastLoaded == nullptr || candidate.m_load < leastLoaded->m_load) {
+      leastLoaded = &candidate;
+    }
+  }
+  Pick pick;
+  pick.m_leastLoaded = leastLoaded;
+  for (const Candidate* choice :
+       { withinBound, spill, cold, leastLoaded, lastResort }) {
+    if (choice != nullptr) {
+      pick.m_chosen = choice;
+      break;
     }
   }
-  return nullptr;
+  return pick;
 }
 
 Choice
@@ -415,41 +456,9 @@
     });
   ComputeBound(candidateSet);
   choice.m_meanLoad = candidateSet.m_meanLoad;
-  const double bound = candidateSet.m_bound;
 
-  const Candidate* chosen = nullptr;
-  const Candidate* leastLoaded = nullptr;
-  const Candidate* cold = nullptr;
-  for (const Candidate& candidate : candidates) {
-    if (candidate.m_exhausted) {
-      continue;
-    }
-    if (aNow < candidate.m_upstream->m_coldUntil) {
-      const bool first = cold == nullptr || candidate.m_load < cold->m_load;
-      if (first && MaySendCold(*candidate.m_upstream, aRequest, aNow)) {
-        cold = &candidate;
-      }
-      continue;
-    }
-    const bool spilled = candidate.m_limited && aRequest.m_affinity != 0 &&
-                         &candidate != candidates.data();
-    if (spilled) {
-      continue;
-    }
-    if (chosen == nullptr && candidate.m_load < bound) {
-      chosen = &candidate;
-    }
-    if (leastLoaded == nullptr || candidate.m_load < leastLoaded->m_load) {
-      leastLoaded = &candidate;
-    }
-  }
-  if (chosen == nullptr && aRequest.m_affinity != 0) {
-    chosen = FindSpill(candidates, bound);
-  }
-  chosen = chosen != nullptr ? chosen : leastLoaded;
-  if (chosen == nullptr || (cold != nullptr && chosen->m_load >= bound)) {
-    chosen = cold;
-  }
+  const auto [chosen, leastLoaded] =
+    PickCandidate(candidateSet, aRequest, aNow);
   if (chosen == nullptr) {
     if (choice.m_failure != SelectionFailure::Limited) {
       choice.m_failure = SelectionFailure::Cold;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -235,8 +235,14 @@
                     Time aNow) const;
   // Sets the nodes' weights by the request limits of the service's upstreams.
   void UpdateWeights(const SelectionRequest& aRequest, Time aNow);
-  static const Candidate* FindSpill(const std::vector<Candidate>& aCandidates,
-                                    double aBound);
+  struct Pick
+  {
+    const Candidate* m_chosen = nullptr;
+    const Candidate* m_leastLoaded = nullptr; // of the warm ones
+  };
+  Pick PickCandidate(const CandidateSet& aCandidateSet,
+                     const SelectionRequest& aRequest,
+                     Time aNow) const;
   bool MaySendCold(Upstream& aUpstream,
                    const SelectionRequest& aRequest,
                    Time aNow) const;
@@ -246,6 +252,7 @@
   const LoadExchange& m_exchange;
   const SendLimiter& m_limiter;
   ServiceDemand m_demand;
+  bool m_weighted = false; // nodes may have other weights than 1
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
 };
