--- /dev/null
+++ b/router/part_probe.h
@@ -0,0 +1,64 @@
+#ifndef WALNUTWING_ROUTER_PART_PROBE_H_
+#define WALNUTWING_ROUTER_PART_PROBE_H_
+
+// Connects one request with the breaker for prompt parts that crash upstreams:
+// asks it whether the request may be sent, and reports what each attempt shows
+// of the prompt's parts (see part_breaker.h). Does nothing for requests without
+// shared parts.
+
+#include <cstdint>
+#include <optional>
+
+#include "router/context.h"
+
+namespace walnutwing::router {
+
+class PartProbe
+{
+public:
+  explicit PartProbe(Context& aContext)
+    : m_context(aContext)
+  {
+  }
+  PartProbe(const PartProbe&) = delete;
+  PartProbe& operator=(const PartProbe&) = delete;
+
+  // What is known of the request once its route and customer are. Must be
+  // called first.
+  void SetRequest(PromptRequest aRequest) { m_request = std::move(aRequest); }
+
+  // Whether the request may be sent now. If it tries a blocked part again, it
+  // must not be repeated.
+  PartVerdict Check();
+
+  // Whether the request may be sent to another upstream after a failure.
+  bool MayRepeat();
+
+  void OnAttemptStarted();
+  // A whole event of a stream, or a part of another response, was received.
+  void OnEvent(Time aNow);
+  // The response is complete and successful.
+  void OnComplete() { OnProven(); }
+  // The upstream has ended the connection in the middle of the attempt.
+  void OnBroken(const Choice& aChoice);
+
+  // Whether the attempt has received an event.
+  bool HasBegun() const { return m_firstEventAt.has_value(); }
+
+  // The request has ended.
+  void End();
+
+private:
+  void OnProven();
+  void TellNews();
+
+  Context& m_context;
+  PromptRequest m_request;
+  std::optional<Time> m_firstEventAt; // of the attempt
+  bool m_proven = false;              // its upstream can answer the request
+  PromptPartId m_triedPart;           // empty if none is tried
+};
+
+} // namespace walnutwing::router
+
+#endif // WALNUTWING_ROUTER_PART_PROBE_H_
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -47,10 +47,6 @@
 // seconds.
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
-// An upstream that goes on sending events for this long after the first one has
-// not crashed by beginning to answer.
-constexpr Duration kProofTime = std::chrono::milliseconds(200);
-
 constexpr int kFirstServerErrorStatus = 500;
 
 bool
@@ -76,6 +72,7 @@
   , m_caller(&aWriter)
   , m_facts(platform::DecodeCaller(m_request))
   , m_record(aContext, m_facts.m_attemptId)
+  , m_partProbe(aContext)
   , m_deadlineTimer(aContext.m_loop.get_executor())
   , m_progressTimer(aContext.m_loop.get_executor())
 {
@@ -95,7 +92,12 @@
     Refuse(ResultCode::NoConfiguration, kRetryAfter);
     return;
   }
-  if (!FindRoute() || !CheckApiKey() || !CheckPromptParts()) {
+  if (!FindRoute() || !CheckApiKey()) {
+    return;
+  }
+  m_partProbe.SetRequest(
+    { m_facts.m_promptHash, m_facts.m_sharedParts, Customer(), m_serviceId });
+  if (!CheckPromptParts()) {
     return;
   }
   SetDeadline();
@@ -144,10 +146,8 @@
 bool
 RequestFlow::CheckPromptParts()
 {
-  const PartVerdict verdict =
-    m_context.m_partBreaker.Check(MakePromptRequest(), Now());
+  const PartVerdict verdict = m_partProbe.Check();
   if (verdict.m_allowed) {
-    m_triedPart = verdict.m_part;
     return true;
   }
   m_record.SetBlockedPart(verdict.m_part);
@@ -155,14 +155,6 @@
   return false;
 }
 
-PromptRequest
-RequestFlow::MakePromptRequest() const
-{
-  return {
-    m_facts.m_promptHash, m_facts.m_sharedParts, Customer(), m_serviceId
-  };
-}
-
 void
 RequestFlow::SetDeadline()
 {
@@ -369,9 +361,7 @@
   m_choice = aChoice;
   m_attemptInFlight = true;
   m_attemptHeadReceived = false;
-  m_attemptDelivered = false;
-  m_firstEventAt.reset();
-  m_attemptProven = false;
+  m_partProbe.OnAttemptStarted();
   m_notExecuted = false;
   m_unconfirmedRefusal = false;
   m_discardResponse = false;
@@ -557,8 +547,7 @@
   }
   if (!aPiece.empty()) {
     m_progressAt = now;
-    m_attemptDelivered = true;
-    OnEventDelivered(now);
+    m_partProbe.OnEvent(now);
   }
   if (m_forwarding) {
     ForwardBody(aPiece);
@@ -571,58 +560,6 @@
   }
 }
 
-void
-RequestFlow::OnEventDelivered(Time aNow)
-{
-  if (!m_firstEventAt) {
-    m_firstEventAt = aNow;
-  }
-  if (aNow - *m_firstEventAt >= kProofTime) {
-    OnAttemptProven();
-  }
-}
-
-void
-RequestFlow::OnAttemptProven()
-{
-  if (std::exchange(m_attemptProven, true) || m_facts.m_sharedParts.empty()) {
-    return;
-  }
-  m_context.m_partBreaker.OnServed(MakePromptRequest(), Now());
-  TellPartNews();
-}
-
-// The upstream has ended the connection in the middle of the attempt. If it has
-// crashed, any of the requests that it had just begun may be the cause.
-void
-RequestFlow::OnAttemptBroken()
-{
-  if (m_attemptProven || m_facts.m_sharedParts.empty()) {
-    return;
-  }
-  const std::uint64_t incarnation = StableHash(
-    m_choice.m_upstream.Value() + "/" + std::to_string(m_choice.m_startWallMs));
-  m_context.m_partBreaker.OnBroken(
-    MakePromptRequest(), static_cast<std::uint32_t>(incarnation), Now());
-  TellPartNews();
-}
-
-void
-RequestFlow::EndPartTrial()
-{
-  if (!m_triedPart.Empty()) {
-    m_context.m_partBreaker.OnTrialEnded(m_triedPart);
-  }
-}
-
-void
-RequestFlow::TellPartNews()
-{
-  if (m_context.m_partBreaker.TakeHasNews() && m_context.m_onPartNews) {
-    m_context.m_onPartNews();
-  }
-}
-
 // Replaces aPiece by the events that it completes. Returns false if the attempt
 // has ended, because an event is too large.
 bool
@@ -694,7 +631,7 @@
     error = NameOf(end);
   }
   ++m_runs;
-  OnAttemptBroken();
+  m_partProbe.OnBroken(m_choice);
   EndAttempt(SendOutcome::Failed);
   OnAttemptFailed(error);
 }
@@ -713,7 +650,7 @@
     static_cast<int>(m_head->result_int()) >= kFirstServerErrorStatus;
   EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
   if (!failure && IsSuccess(m_head->result_int())) {
-    OnAttemptProven();
+    m_partProbe.OnComplete();
   }
   if (m_discardResponse) {
     OnAttemptFailed("response reports a failure");
@@ -792,8 +729,7 @@
   if (m_tries >= kMaxTries || TimeLeft() < kMinAttemptTime) {
     return RepeatResult::NoTime;
   }
-  if (!m_triedPart.Empty() ||
-      !m_context.m_partBreaker.MayRepeat(MakePromptRequest(), Now())) {
+  if (!m_partProbe.MayRepeat()) {
     return RepeatResult::Blocked;
   }
   // Choose first, so that no repeat is taken from the budget without an
@@ -808,7 +744,8 @@
     return RepeatResult::NoBudget;
   }
   m_record.LogRepeated(
-    m_choice, { m_forwarding, aWhy, m_events.LastId(), m_attemptDelivered });
+    m_choice,
+    { m_forwarding, aWhy, m_events.LastId(), m_partProbe.HasBegun() });
   SendNext(choice);
   return RepeatResult::Sent;
 }
@@ -917,7 +854,7 @@
                        m_tries,
                        m_runs,
                        m_forwarding,
-                       m_attemptDelivered,
+                       m_partProbe.HasBegun(),
                        m_bodyEnd,
                        TimeLeftIfKnown() });
   ResponseWriter* caller = m_caller;
@@ -937,7 +874,7 @@
 RequestFlow::Finish()
 {
   m_ended = true;
-  EndPartTrial();
+  m_partProbe.End();
   m_deadlineTimer.cancel();
   m_progressTimer.cancel();
 }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -21,6 +21,7 @@
 
 #include "platform/request_codec.h"
 #include "router/context.h"
+#include "router/part_probe.h"
 #include "router/request_record.h"
 #include "router/response_writer.h"
 #include "router/upstream_connection.h"
@@ -105,12 +106,6 @@
   void OnAttemptFailed(const std::string& aWhy);
   bool MayRunAgain() const;
   RepeatResult TryRepeat(const char* aWhy);
-  // What the attempt shows of the prompt's parts.
-  void OnEventDelivered(Time aNow);
-  void OnAttemptProven();
-  void OnAttemptBroken();
-  void EndPartTrial();
-  void TellPartNews();
   void EndAttempt(SendOutcome aOutcome);
   void CancelAttempt(SendOutcome aOutcome);
 
@@ -122,7 +117,6 @@
   void Finish();
   Duration TimeLeft() const;
   std::uint32_t Priority() const;
-  PromptRequest MakePromptRequest() const;
   CustomerId Customer() const;                     // empty if unknown
   std::optional<Duration> TimeLeftIfKnown() const; // nullopt before SetDeadline
   bool IsRepeatable() const;
@@ -133,6 +127,7 @@
   ResponseWriter* m_caller; // null after a disconnect
   platform::CallerFacts m_facts;
   RequestRecord m_record;
+  PartProbe m_partProbe;
   const Route* m_route = nullptr;
   const RoutingCustomer* m_customer = nullptr;
   const ServiceConfig* m_service = nullptr;
@@ -148,12 +143,6 @@
   bool m_reusedConnection = false;
   bool m_attemptInFlight = false;
   bool m_attemptHeadReceived = false; // its response head was received
-  // A whole event of its response was received, or a byte if it is no stream.
-  bool m_attemptDelivered = false;
-  std::optional<Time> m_firstEventAt; // of its response
-  bool m_attemptProven = false;       // its upstream can answer the request
-  // The request tries this blocked part again; empty if it does not.
-  PromptPartId m_triedPart;
   bool m_notExecuted = false; // the upstream reported that it did not run it
   // The status means "not run", but the upstream did not report that.
   bool m_unconfirmedRefusal = false;
