--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -250,7 +250,7 @@
     if (*maySend) {
       ++m_tries;
       SendTo(aChoice);
-      if (m_attemptInFlight) {
+      if (m_attempt.m_inFlight) {
         return;
       }
       unsent.insert(aChoice.m_upstream);
@@ -321,7 +321,7 @@
   SendNext(choice);
 }
 
-// Leaves m_attemptInFlight false if the pool provides no connection.
+// Leaves m_attempt.m_inFlight false if the pool provides no connection.
 void
 RequestFlow::SendTo(const Choice& aChoice)
 {
@@ -346,31 +346,27 @@
     maxConnections = std::max<std::uint32_t>(
       1, m_service->m_maxConnections / m_context.m_daemons);
   }
-  m_connection = m_context.m_pool.Send(aChoice.m_address,
-                                       std::move(request),
-                                       !IsRepeatable(),
-                                       maxConnections,
-                                       *this);
-  if (m_connection == nullptr) {
+  auto connection = m_context.m_pool.Send(aChoice.m_address,
+                                          std::move(request),
+                                          !IsRepeatable(),
+                                          maxConnections,
+                                          *this);
+  if (connection == nullptr) {
     return;
   }
-  m_reusedConnection = m_connection->IsReused();
-  m_sentAt = Now();
-  m_context.m_selector.OnSent(aChoice, m_sentAt);
+  const Time now = Now();
+  m_context.m_selector.OnSent(aChoice, now);
   m_context.AdmissionOf(m_serviceId).OnSent(Customer());
-  m_choice = aChoice;
-  m_attemptInFlight = true;
-  m_attemptHeadReceived = false;
+  m_attempt = {};
+  m_attempt.m_choice = aChoice;
+  m_attempt.m_sentAt = now;
+  m_attempt.m_progressAt = now;
+  m_attempt.m_reusedConnection = connection->IsReused();
+  m_attempt.m_inFlight = true;
+  m_attempt.m_connection = std::move(connection);
   m_partProbe.OnAttemptStarted();
-  m_notExecuted = false;
-  m_unconfirmedRefusal = false;
-  m_discardResponse = false;
-  m_discardedBytes = 0;
-  m_isEventStream = false;
-  m_bodyEnd = {};
   m_body.clear();
   m_self = shared_from_this();
-  m_progressAt = Now();
   if (IsRepeatable() && m_runs + 1 < m_route->m_maxAttempts) {
     StartProgressTimer(ProgressTimeout());
   }
@@ -403,7 +399,7 @@
 RequestFlow::ProgressTimeout() const
 {
   const Duration target =
-    m_attemptHeadReceived && m_route->m_targetGap > Duration::zero()
+    m_attempt.m_headReceived && m_route->m_targetGap > Duration::zero()
       ? m_route->m_targetGap
       : m_route->m_targetLatency;
   return std::clamp(
@@ -418,10 +414,10 @@
     [weak = weak_from_this()](const error_code& aError) {
       const auto self = weak.lock();
       if (aError || self == nullptr || self->m_ended ||
-          !self->m_attemptInFlight) {
+          !self->m_attempt.m_inFlight) {
         return;
       }
-      const Duration silentFor = Now() - self->m_progressAt;
+      const Duration silentFor = Now() - self->m_attempt.m_progressAt;
       const Duration timeout = self->ProgressTimeout();
       if (silentFor < timeout) {
         self->StartProgressTimer(timeout - silentFor);
@@ -446,8 +442,8 @@
 RequestFlow::OnDeadline()
 {
   const auto self = shared_from_this();
-  const bool sent = m_attemptInFlight || m_runs != 0;
-  if (m_attemptInFlight) {
+  const bool sent = m_attempt.m_inFlight || m_runs != 0;
+  if (m_attempt.m_inFlight) {
     CancelAttempt(SendOutcome::Abandoned);
   }
   if (sent || m_forwarding) {
@@ -462,18 +458,20 @@
                     const platform::ResponseFacts& aFacts)
 {
   const Time now = Now();
-  m_attemptHeadReceived = true;
-  m_progressAt = now;
-  m_notExecuted = aFacts.m_notExecuted;
-  m_unconfirmedRefusal = aFacts.m_unconfirmedRefusal;
-  m_choice.m_tracker->OnBytesReceived(now);
+  m_attempt.m_headReceived = true;
+  m_attempt.m_progressAt = now;
+  m_attempt.m_notExecuted = aFacts.m_notExecuted;
+  m_attempt.m_unconfirmedRefusal = aFacts.m_unconfirmedRefusal;
+  m_attempt.m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamState(aFacts);
   const bool success = IsSuccess(aHead.result_int());
-  m_isEventStream = IsEventStream(aFacts, success);
-  const bool continues = success && m_isEventStream == m_forwardsEvents;
-  m_discardResponse =
-    m_notExecuted || m_unconfirmedRefusal || (m_forwarding && !continues);
-  if (m_discardResponse || m_forwarding) {
+  m_attempt.m_isEventStream = IsEventStream(aFacts, success);
+  const bool continues =
+    success && m_attempt.m_isEventStream == m_forwardsEvents;
+  m_attempt.m_discardResponse = m_attempt.m_notExecuted ||
+                                m_attempt.m_unconfirmedRefusal ||
+                                (m_forwarding && !continues);
+  if (m_attempt.m_discardResponse || m_forwarding) {
     return;
   }
   m_firstByteAt = now;
@@ -489,23 +487,27 @@
 {
   const Time now = Now();
   if (aFacts.m_load) {
-    m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
+    m_attempt.m_choice.m_tracker->OnLoadReport(*aFacts.m_load, now);
   }
   const bool limitIsNumber =
     aFacts.m_requestLimit || aFacts.m_requestLimitText.empty();
-  if (limitIsNumber &&
-      m_context.m_sendLimiter.Limits().OnResponse(
-        LoadKey(m_choice.m_upstream), aFacts.m_requestLimit, m_sentAt, now)) {
+  if (limitIsNumber && m_context.m_sendLimiter.Limits().OnResponse(
+                         LoadKey(m_attempt.m_choice.m_upstream),
+                         aFacts.m_requestLimit,
+                         m_attempt.m_sentAt,
+                         now)) {
     m_record.LogUpstreamLimited(
-      m_choice, aFacts.m_requestLimitText, aFacts.m_requestLimit);
+      m_attempt.m_choice, aFacts.m_requestLimitText, aFacts.m_requestLimit);
   }
   if (aFacts.m_leaving) {
-    m_context.m_onUpstreamLeaving(m_choice.m_upstream, m_choice.m_startWallMs);
+    m_context.m_onUpstreamLeaving(m_attempt.m_choice.m_upstream,
+                                  m_attempt.m_choice.m_startWallMs);
   }
   if (!aFacts.m_retryAfterText.empty()) {
     const Duration backoff = aFacts.m_retryAfter.value_or(Duration::zero());
-    m_choice.m_tracker->OnBackoffRequested(backoff, now);
-    m_record.LogUpstreamBackoff(m_choice, aFacts.m_retryAfterText, backoff);
+    m_attempt.m_choice.m_tracker->OnBackoffRequested(backoff, now);
+    m_record.LogUpstreamBackoff(
+      m_attempt.m_choice, aFacts.m_retryAfterText, backoff);
   }
 }
 
@@ -524,7 +526,7 @@
 RequestFlow::BeginForwarding()
 {
   m_forwarding = true;
-  m_forwardsEvents = m_isEventStream;
+  m_forwardsEvents = m_attempt.m_isEventStream;
   m_caller->Begin(platform::EncodeCallerHead(*m_head), std::nullopt);
 }
 
@@ -534,19 +536,19 @@
 RequestFlow::OnBody(std::string_view aPiece)
 {
   const Time now = Now();
-  m_choice.m_tracker->OnBytesReceived(now);
-  if (m_discardResponse) {
+  m_attempt.m_choice.m_tracker->OnBytesReceived(now);
+  if (m_attempt.m_discardResponse) {
     DiscardBody(aPiece.size());
     return;
   }
   if (m_caller == nullptr) {
     return; // an order that runs to its end
   }
-  if (m_isEventStream && !SplitEvents(aPiece)) {
+  if (m_attempt.m_isEventStream && !SplitEvents(aPiece)) {
     return;
   }
   if (!aPiece.empty()) {
-    m_progressAt = now;
+    m_attempt.m_progressAt = now;
     m_partProbe.OnEvent(now);
   }
   if (m_forwarding) {
@@ -580,8 +582,8 @@
 void
 RequestFlow::DiscardBody(std::size_t aBytes)
 {
-  m_discardedBytes += aBytes;
-  if (m_discardedBytes <= kMaxDiscardedBytes) {
+  m_attempt.m_discardedBytes += aBytes;
+  if (m_attempt.m_discardedBytes <= kMaxDiscardedBytes) {
     return;
   }
   const auto self = shared_from_this();
@@ -593,16 +595,17 @@
 RequestFlow::ForwardBody(std::string_view aPiece)
 {
   m_caller->Write(aPiece);
-  if (m_caller->PendingBytes() > kMaxPendingBytes && m_connection != nullptr) {
-    m_connection->Pause();
+  if (m_caller->PendingBytes() > kMaxPendingBytes &&
+      m_attempt.m_connection != nullptr) {
+    m_attempt.m_connection->Pause();
   }
 }
 
 void
 RequestFlow::OnDrained()
 {
-  if (m_attemptInFlight) {
-    m_connection->Resume();
+  if (m_attempt.m_inFlight) {
+    m_attempt.m_connection->Resume();
   }
 }
 
@@ -610,20 +613,21 @@
 RequestFlow::OnEnd(const UpstreamResult& aResult)
 {
   const auto self = shared_from_this();
-  m_bodyEnd = { aResult.m_framing,
-                aResult.m_bodyBytes,
-                m_events.PartialEvent().size() };
+  m_attempt.m_bodyEnd = { aResult.m_framing,
+                          aResult.m_bodyBytes,
+                          m_events.PartialEvent().size() };
   if (aResult.m_stage == SendStage::NotConnected) {
     EndAttempt(SendOutcome::Unreachable);
-    m_avoid.insert(m_choice.m_upstream);
+    m_avoid.insert(m_attempt.m_choice.m_upstream);
     SendNext();
     return;
   }
   std::string error = aResult.m_error;
   if (aResult.m_stage == SendStage::Complete) {
-    const bool judged = m_isEventStream && !m_discardResponse;
+    const bool judged =
+      m_attempt.m_isEventStream && !m_attempt.m_discardResponse;
     const StreamEnd end =
-      judged ? ClassifyStreamEnd(m_bodyEnd) : StreamEnd::Complete;
+      judged ? ClassifyStreamEnd(m_attempt.m_bodyEnd) : StreamEnd::Complete;
     if (end == StreamEnd::Complete) {
       OnResponseComplete();
       return;
@@ -631,7 +635,7 @@
     error = NameOf(end);
   }
   ++m_runs;
-  m_partProbe.OnBroken(m_choice);
+  m_partProbe.OnBroken(m_attempt.m_choice);
   EndAttempt(SendOutcome::Failed);
   OnAttemptFailed(error);
 }
@@ -639,20 +643,20 @@
 void
 RequestFlow::OnResponseComplete()
 {
-  if (m_notExecuted) {
+  if (m_attempt.m_notExecuted) {
     EndAttempt(SendOutcome::Refused);
     OnNotExecuted();
     return;
   }
   ++m_runs;
   const bool failure =
-    m_discardResponse ||
+    m_attempt.m_discardResponse ||
     static_cast<int>(m_head->result_int()) >= kFirstServerErrorStatus;
   EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
   if (!failure && IsSuccess(m_head->result_int())) {
     m_partProbe.OnComplete();
   }
-  if (m_discardResponse) {
+  if (m_attempt.m_discardResponse) {
     OnAttemptFailed("response reports a failure");
     return;
   }
@@ -668,8 +672,11 @@
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
     m_caller->Write(m_body);
   }
-  m_record.LogAnswered(
-    m_choice, m_head->result_int(), m_tries, *m_firstByteAt, m_bodyEnd);
+  m_record.LogAnswered(m_attempt.m_choice,
+                       m_head->result_int(),
+                       m_tries,
+                       *m_firstByteAt,
+                       m_attempt.m_bodyEnd);
   ResponseWriter* caller = m_caller;
   Finish();
   caller->End();
@@ -680,7 +687,7 @@
 void
 RequestFlow::OnNotExecuted()
 {
-  m_avoid.insert(m_choice.m_upstream);
+  m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_refusedByUpstream = true;
   if (m_caller == nullptr) {
     Finish();
@@ -701,7 +708,7 @@
 RequestFlow::OnAttemptFailed(const std::string& aWhy)
 {
   m_cause = aWhy;
-  m_avoid.insert(m_choice.m_upstream);
+  m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_events.DropPartialEvent();
   if (m_caller == nullptr) {
     Finish();
@@ -717,7 +724,7 @@
 bool
 RequestFlow::MayRunAgain() const
 {
-  const std::uint32_t runs = m_runs + (m_attemptInFlight ? 1 : 0);
+  const std::uint32_t runs = m_runs + (m_attempt.m_inFlight ? 1 : 0);
   const bool intact =
     !m_forwarding || (m_route->m_resumable && m_forwardsEvents);
   return IsRepeatable() && intact && runs < m_route->m_maxAttempts;
@@ -744,7 +751,7 @@
     return RepeatResult::NoBudget;
   }
   m_record.LogRepeated(
-    m_choice,
+    m_attempt.m_choice,
     { m_forwarding, aWhy, m_events.LastId(), m_partProbe.HasBegun() });
   SendNext(choice);
   return RepeatResult::Sent;
@@ -753,18 +760,18 @@
 void
 RequestFlow::EndAttempt(SendOutcome aOutcome)
 {
-  m_attemptInFlight = false;
-  m_connection.reset();
+  m_attempt.m_inFlight = false;
+  m_attempt.m_connection.reset();
   m_progressTimer.cancel();
   const Time now = Now();
-  m_choice.m_tracker->OnEnded(aOutcome, now);
+  m_attempt.m_choice.m_tracker->OnEnded(aOutcome, now);
   AdmissionControl& admission = m_context.AdmissionOf(m_serviceId);
   admission.OnEnded(Customer());
   if (aOutcome == SendOutcome::Answered) {
-    admission.OnServed(m_firstByteAt.value_or(now) - m_sentAt,
-                       now - m_sentAt,
-                       m_choice.m_load,
-                       m_choice.m_slots);
+    admission.OnServed(m_firstByteAt.value_or(now) - m_attempt.m_sentAt,
+                       now - m_attempt.m_sentAt,
+                       m_attempt.m_choice.m_load,
+                       m_attempt.m_choice.m_slots);
   }
   m_self.reset();
 }
@@ -775,11 +782,11 @@
 RequestFlow::CancelAttempt(SendOutcome aOutcome)
 {
   ++m_runs;
-  m_connection->Cancel();
-  if (m_choice.m_tracker->Silent(Now())) {
+  m_attempt.m_connection->Cancel();
+  if (m_attempt.m_choice.m_tracker->Silent(Now())) {
     // Its idle connections may be dead too. A new one shows at once whether the
     // upstream can be reached.
-    m_context.m_pool.CloseIdleConnections(m_choice.m_address);
+    m_context.m_pool.CloseIdleConnections(m_attempt.m_choice.m_address);
   }
   EndAttempt(aOutcome);
 }
@@ -792,11 +799,11 @@
   if (m_ended) {
     return;
   }
-  m_record.LogCallerGone(m_attemptInFlight);
-  if (m_attemptInFlight && m_route->m_kind == RouteKind::Order) {
+  m_record.LogCallerGone(m_attempt.m_inFlight);
+  if (m_attempt.m_inFlight && m_route->m_kind == RouteKind::Order) {
     return; // an order runs to its end; its response is discarded
   }
-  if (m_attemptInFlight) {
+  if (m_attempt.m_inFlight) {
     CancelAttempt(SendOutcome::Abandoned);
   }
   Finish();
@@ -809,7 +816,7 @@
   if (m_ended) {
     return;
   }
-  if (m_attemptInFlight) {
+  if (m_attempt.m_inFlight) {
     CancelAttempt(SendOutcome::Abandoned);
   }
   Fail(ResultCode::StopCutRequests);
@@ -847,15 +854,15 @@
 void
 RequestFlow::Fail(ResultCode aCode)
 {
-  m_record.LogFailed(m_choice,
+  m_record.LogFailed(m_attempt.m_choice,
                      { aCode,
                        m_cause,
-                       m_reusedConnection,
+                       m_attempt.m_reusedConnection,
                        m_tries,
                        m_runs,
                        m_forwarding,
                        m_partProbe.HasBegun(),
-                       m_bodyEnd,
+                       m_attempt.m_bodyEnd,
                        TimeLeftIfKnown() });
   ResponseWriter* caller = m_caller;
   const bool forwarding = m_forwarding;
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -73,6 +73,26 @@
   void OnEnd(const UpstreamResult& aResult) override;
 
 private:
+  // One attempt: a request at one upstream, and what has been received of its
+  // response.
+  struct Attempt
+  {
+    std::shared_ptr<UpstreamConnection> m_connection;
+    Choice m_choice;
+    Time m_sentAt;
+    Time m_progressAt; // for the progress timeout
+    bool m_reusedConnection = false;
+    bool m_inFlight = false;
+    bool m_headReceived = false;
+    bool m_notExecuted = false; // the upstream reported that it did not run it
+    // The status means "not run", but the upstream did not report that.
+    bool m_unconfirmedRefusal = false;
+    bool m_discardResponse = false; // do not forward its response
+    std::uint64_t m_discardedBytes = 0;
+    bool m_isEventStream = false; // its response is a stream of events
+    BodyEnd m_bodyEnd;
+  };
+
   // These return false if they have ended the request with a refusal.
   bool FindRoute();
   bool CheckApiKey();
@@ -136,19 +156,7 @@
   Timer m_deadlineTimer;
   Timer m_progressTimer;
 
-  // The attempt in progress.
-  std::shared_ptr<UpstreamConnection> m_connection;
-  Choice m_choice;
-  Time m_sentAt;
-  bool m_reusedConnection = false;
-  bool m_attemptInFlight = false;
-  bool m_attemptHeadReceived = false; // its response head was received
-  bool m_notExecuted = false; // the upstream reported that it did not run it
-  // The status means "not run", but the upstream did not report that.
-  bool m_unconfirmedRefusal = false;
-  bool m_discardResponse = false; // do not forward its response
-  std::uint64_t m_discardedBytes = 0;
-  bool m_isEventStream = false; // its response is a stream of events
+  Attempt m_attempt; // in progress, or the last one
 
   std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
@@ -169,9 +177,7 @@
   bool m_forwardsEvents = false; // and is a stream of events
   bool m_ended = false;
   EventSplitter m_events; // of a response that is a stream of events
-  BodyEnd m_bodyEnd;      // of the last attempt
   std::optional<Time> m_firstByteAt;
-  Time m_progressAt; // of the attempt, for the progress timeout
   std::shared_ptr<RequestFlow> m_self; // keeps this alive during an attempt
 };
 
