--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -471,6 +471,7 @@
   const auto daemons =
     std::max<std::uint32_t>(1, static_cast<std::uint32_t>(alive.size()));
   std::vector<DaemonId> names;
+  names.reserve(alive.size());
   for (const RosterMember& member : alive) {
     names.push_back(member.m_name);
   }
--- a/standin/request_limit_test.cc
+++ b/standin/request_limit_test.cc
@@ -214,8 +214,7 @@
   for (std::size_t i = 0; i < kRouters; ++i) {
     const std::string log = m_harness.LogText(i);
     std::size_t lines = 0;
-    for (std::size_t at = log.find("upstream_limited");
-         at != std::string::npos;
+    for (std::size_t at = log.find("upstream_limited"); at != std::string::npos;
          at = log.find("upstream_limited", at + 1)) {
       ++lines;
     }
--- a/walnutwing/routing/limit_shares_test.cc
+++ b/walnutwing/routing/limit_shares_test.cc
@@ -16,6 +16,7 @@
     sum += weight;
   }
   std::vector<double> shares;
+  shares.reserve(aWeights.size());
   for (const double weight : aWeights) {
     shares.push_back(aDemand * weight / sum);
   }
--- a/walnutwing/routing/send_limiter.cc
+++ b/walnutwing/routing/send_limiter.cc
@@ -33,7 +33,7 @@
 } // namespace
 
 void
-SendLimiter::SetMembers(std::vector<RosterMember> aMembers)
+SendLimiter::SetMembers(const std::vector<RosterMember>& aMembers)
 {
   m_members = std::max<std::size_t>(1, aMembers.size());
   std::map<ZoneId, ZoneHubs> hubs;
--- a/walnutwing/routing/send_limiter.h
+++ b/walnutwing/routing/send_limiter.h
@@ -71,7 +71,7 @@
   SendLimiter& operator=(const SendLimiter&) = delete;
 
   // The daemons of the fleet.
-  void SetMembers(std::vector<RosterMember> aMembers);
+  void SetMembers(const std::vector<RosterMember>& aMembers);
 
   RequestLimits& Limits() { return m_limits; }
   const RequestLimits& Limits() const { return m_limits; }
