Send limiter: a peer's limit that is no number is refused

Found by reading, not seen at callers: a datagram with a limit of NaN filled the bucket of permits, so that an upstream in need could get more than it states, and the wait computed from it was undefined.

Cause: only limits in responses were checked, not those that peers tell.

Now the statement or permit request throws, and input_guard drops the datagram and logs input_failed with source peer. Both tests failed before.

--- a/walnutwing/routing/request_limits.cc
+++ b/walnutwing/routing/request_limits.cc
@@ -1,5 +1,9 @@
 #include "walnutwing/routing/request_limits.h"
 
+#include <cmath>
+#include <stdexcept>
+#include <string>
+
 namespace walnutwing {
 namespace {
 
@@ -13,6 +17,15 @@
 
 } // namespace
 
+void
+CheckRequestLimit(double aPerSecond)
+{
+  if (!std::isfinite(aPerSecond) || aPerSecond < 0) {
+    throw std::invalid_argument("not a request limit: " +
+                                std::to_string(aPerSecond));
+  }
+}
+
 bool
 RequestLimits::IsExpired(const Entry& aEntry, Time aNow)
 {
@@ -40,6 +53,9 @@
 bool
 RequestLimits::OnStatement(const LimitStatement& aStatement, Time aNow)
 {
+  if (aStatement.m_perSecond) {
+    CheckRequestLimit(*aStatement.m_perSecond);
+  }
   const auto entry = m_entries.find(aStatement.m_upstream);
   if (entry == m_entries.end()
         ? aNow - aStatement.m_statedAt > kLimitLifetime
--- a/walnutwing/routing/request_limits.h
+++ b/walnutwing/routing/request_limits.h
@@ -18,6 +18,11 @@
 
 namespace walnutwing {
 
+// Throws std::invalid_argument unless aPerSecond can be a limit: a finite
+// number from 0 on.
+void
+CheckRequestLimit(double aPerSecond);
+
 // An upstream is identified by its LoadKey.
 struct LimitStatement
 {
@@ -37,7 +42,8 @@
                   Time aSentAt,
                   Time aNow);
 
-  // Another daemon's statement. Returns whether the limit has changed.
+  // Another daemon's statement. Returns whether the limit has changed. Throws
+  // std::invalid_argument if it is no limit.
   bool OnStatement(const LimitStatement& aStatement, Time aNow);
 
   // Requests a second that the upstream takes; nullopt: any number.
--- a/walnutwing/routing/request_limits_test.cc
+++ b/walnutwing/routing/request_limits_test.cc
@@ -1,5 +1,8 @@
 #include "walnutwing/routing/request_limits.h"
 
+#include <limits>
+#include <stdexcept>
+
 #include <gtest/gtest.h>
 
 namespace walnutwing {
@@ -57,6 +60,19 @@
   EXPECT_EQ(std::nullopt, m_limits.LimitOf(kUpstream, m_now));
 }
 
+// Guards against a datagram whose limit is no number: all that is computed with
+// it would be none either.
+TEST_F(RequestLimitsTest, RefusesStatementsThatAreNoLimit)
+{
+  for (const double limit : { std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity(),
+                              -1.0 }) {
+    EXPECT_THROW(m_limits.OnStatement({ kUpstream, limit, m_now }, m_now),
+                 std::invalid_argument);
+  }
+  EXPECT_TRUE(m_limits.Empty());
+}
+
 // Guards against messages that repeat all limits all the time, and against
 // daemons that miss one.
 TEST_F(RequestLimitsTest, TellsChangesAtOnceAndWhatHoldsNowAndThen)
--- a/walnutwing/routing/send_limiter.cc
+++ b/walnutwing/routing/send_limiter.cc
@@ -212,6 +212,7 @@
 SendPermitReply
 SendLimiter::Reply(const SendPermitRequest& aRequest, bool aIsHub, Time aNow)
 {
+  CheckRequestLimit(aRequest.m_perSecond);
   if (!aIsHub) {
     return { aRequest.m_number, SendPermitOutcome::NotOwner, {} };
   }
--- a/walnutwing/routing/send_limiter.h
+++ b/walnutwing/routing/send_limiter.h
@@ -93,7 +93,8 @@
   // There was no reply in time.
   void OnNoReply(std::uint32_t aNumber, Time aNow);
 
-  // Another daemon's request.
+  // Another daemon's request. Throws std::invalid_argument if the limit in it
+  // is none.
   SendPermitReply Reply(const SendPermitRequest& aRequest,
                         bool aIsHub,
                         Time aNow);
--- a/walnutwing/routing/send_limiter_test.cc
+++ b/walnutwing/routing/send_limiter_test.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <queue>
 #include <random>
+#include <stdexcept>
 
 #include <gtest/gtest.h>
 
@@ -112,6 +114,18 @@
   EXPECT_LE(granted, 5);
 }
 
+// Guards against a datagram whose limit is no number: it would fill the bucket.
+TEST(SendLimiter, RefusesRequestsWithoutALimit)
+{
+  SendLimiter hub(DaemonId("d0"));
+  hub.SetMembers(MakeMembers(1, 1));
+  EXPECT_TRUE(Grants(hub, 2, false, kStart));
+  const double none = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_THROW(hub.Reply({ kUpstream, 1, none, false }, true, kStart),
+               std::invalid_argument);
+  EXPECT_FALSE(Grants(hub, 2, false, kStart));
+}
+
 TEST(SendLimiter, NextCandidateIsAskedWhileTheHubIsSilent)
 {
   SendLimiter limiter(DaemonId("d3"));
