--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -10,9 +10,13 @@
 
 #include "platform/answer_codec.h"
 #include "platform/config_codec.h"
+#include "platform/http_names.h"
+#include "platform/request_codec.h"
 #include "platform/store_codec.h"
 #include "router/member_record.h"
+#include "router/part_news_codec.h"
 #include "walnutwing/relay/event_splitter.h"
+#include "walnutwing/routing/part_breaker.h"
 
 namespace {
 
@@ -49,6 +53,47 @@
   static_cast<void>(walnutwing::platform::EncodeCallerHead(head));
 }
 
+// The names of a prompt's parts, as logs and the store get them, are plain.
+void
+DecodeParts(std::string_view aText)
+{
+  walnutwing::platform::HttpFields fields;
+  fields.insert(std::string(walnutwing::platform::kPromptParts),
+                boost::beast::string_view(aText.data(), aText.size()));
+  const auto facts = walnutwing::platform::DecodeCaller(fields);
+  if (facts.m_sharedParts.size() > walnutwing::platform::kMaxSharedParts) {
+    std::abort();
+  }
+  for (const walnutwing::PromptPartId& part : facts.m_sharedParts) {
+    const std::string& name = part.Value();
+    if (name.empty() || name.size() > walnutwing::platform::kMaxPartNameBytes ||
+        name.find_first_of("/,\" \n") != std::string::npos) {
+      std::abort();
+    }
+  }
+}
+
+// A breaker that hears any news goes on and has something to tell.
+void
+HearNews(std::string_view aText)
+{
+  walnutwing::proto::RouterPeerMessage message;
+  if (!message.ParseFromArray(aText.data(), static_cast<int>(aText.size()))) {
+    return;
+  }
+  walnutwing::Time now{ std::chrono::hours(1) };
+  walnutwing::PartBreaker breaker(walnutwing::DaemonId("d"));
+  breaker.SetMembers({ walnutwing::DaemonId("d") });
+  for (int i = 0; i < 3; ++i) {
+    breaker.OnNews(walnutwing::router::DecodePartNews(message, now), now);
+    breaker.Tick(now);
+    walnutwing::proto::RouterPeerMessage told;
+    walnutwing::router::EncodePartNews(breaker.News(true, now), now, told);
+    static_cast<void>(breaker.TakeChanges());
+    now += std::chrono::seconds(40);
+  }
+}
+
 } // namespace
 
 extern "C" int
@@ -61,7 +106,7 @@
   const std::string_view text(reinterpret_cast<const char*>(aData) + 1,
                               aSize - 1);
   platform::DecodeError error;
-  switch (aData[0] % 8) {
+  switch (aData[0] % 11) {
     case 0:
       static_cast<void>(platform::DecodeConfig(text, error));
       break;
@@ -83,6 +128,16 @@
     case 6:
       static_cast<void>(platform::DecodeEra(text));
       break;
+    case 7:
+      DecodeParts(text);
+      break;
+    case 8:
+      HearNews(text);
+      break;
+    case 9:
+      static_cast<void>(router::DecodeBlockedPart(
+        "p", text, Time(std::chrono::hours(1)), WallTime()));
+      break;
     default:
       CheckSplitter(text);
       break;
