--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -43,6 +43,7 @@
   head.result(503);
   for (const char* name : { "Retry-After",
                             "Server-Leaving",
+                            "Server-Limit",
                             "X-Instance-Load",
                             "Keep-Alive",
                             "Content-Type",
