Part breaker: an answer that ends with its connection does not clear a part

Cause: an answer with neither a length nor chunks is complete when its connection ends in an orderly way. If an engine crashes after a whole event of such an answer, that looked like success, so the part counted as served, and crashes within two seconds of that did not count against it. Every other crash in this form was enough.

Such an end now proves nothing; events over 200 ms still do, as for all streams.

Not solved: an engine all of whose crashes take this form cannot be told from one that answers in short streams.

--- a/router/part_probe.h
+++ b/router/part_probe.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "router/context.h"
+#include "walnutwing/relay/body_end.h"
 
 namespace walnutwing::router {
 
@@ -37,8 +38,14 @@
   void OnAttemptStarted();
   // A whole event of a stream, or a part of another response, was received.
   void OnEvent(Time aNow);
-  // The response is complete and successful.
-  void OnComplete() { OnProven(); }
+  // The response is complete and successful. One that ends with its connection
+  // proves nothing by that, as it may have been ended by a crash.
+  void OnComplete(BodyFraming aFraming)
+  {
+    if (aFraming != BodyFraming::UntilClose) {
+      OnProven();
+    }
+  }
   // The upstream has ended the connection in the middle of the attempt.
   void OnBroken(const Choice& aChoice);
 
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -654,7 +654,7 @@
     static_cast<int>(m_head->result_int()) >= kFirstServerErrorStatus;
   EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
   if (!failure && IsSuccess(m_head->result_int())) {
-    m_partProbe.OnComplete();
+    m_partProbe.OnComplete(m_attempt.m_bodyEnd.m_framing);
   }
   if (m_attempt.m_discardResponse) {
     OnAttemptFailed("response reports a failure");
--- a/standin/crashing_part_test.cc
+++ b/standin/crashing_part_test.cc
@@ -83,6 +83,10 @@
     std::erase_if(m_runs, [](const Run& aRun) { return aRun.m_ended; });
   }
 
+  // Every other crash on a request ends an answer that has begun and has no
+  // stated end, so that it looks complete.
+  void SetHidesEveryOtherCrash() { m_hidesEveryOtherCrash = true; }
+
   void Crash(std::size_t aEngine)
   {
     if (m_downUntil[aEngine]) {
@@ -135,8 +139,14 @@
       return;
     }
     if (aRun.m_events == 0) {
-      aRun.m_exchange->Write(MakeStreamHead(aRun.m_exchange->Request()));
-      if (m_crashes(aRun.m_exchange->Request())) {
+      const auto& request = aRun.m_exchange->Request();
+      const bool crashes = m_crashes(request);
+      const bool hidden =
+        crashes && m_hidesEveryOtherCrash && m_crashTimes.size() % 2 == 1;
+      aRun.m_exchange->Write(hidden ? MakeUnframedStreamHead(request) +
+                                        "id: 1\ndata: 1\n\n"
+                                    : MakeStreamHead(request));
+      if (crashes) {
         m_crashTimes.push_back(Now());
         Crash(aRun.m_engine);
         return;
@@ -156,6 +166,7 @@
   std::vector<Run> m_runs;
   std::vector<Time> m_arrivals;
   std::vector<Time> m_crashTimes;
+  bool m_hidesEveryOtherCrash = false;
   int m_starts = 0;
 };
 
@@ -311,6 +322,19 @@
   EXPECT_TRUE(AllRoutersLog("prompt_part_blocked"));
 }
 
+// Guards against a part that counts as served because an engine crashed in the
+// middle of an answer without a stated end, which looks complete then.
+TEST_F(CrashingPart, IsFoundAlthoughSomeOfItsAnswersLookComplete)
+{
+  m_engines.SetHidesEveryOtherCrash();
+  ASSERT_TRUE(
+    Play([&] { return m_engines.Crashes().size() >= kCrashesUntilBound; }));
+  const Time bound = Now() + kContact;
+  PlayFor(2 * kContact);
+  EXPECT_LE(m_engines.ArrivalsSince(bound), kMaxLateArrivals);
+  EXPECT_TRUE(AllRoutersLog("prompt_part_blocked"));
+}
+
 // Guards against sound requests that are refused because they share the
 // customer, the first part or the other parts with those that crash engines.
 TEST_F(CrashingPart, SoundRequestsAreServedMeanwhile)
