SSE parser: no null pointer to memchr

Found by make sanitize: an empty std::string_view has a null pointer, which memchr must not get (undefined, harmless with this C library). sse_parser_test and answer_stream_test ended with UBSan's error before; both pass with the fix under the sanitizers.

--- a/walnutwing/relay/sse_parser.cc
+++ b/walnutwing/relay/sse_parser.cc
@@ -6,24 +6,11 @@
 
 #include "walnutwing/relay/sse_parser.h"
 
-#include <cstring>
-
 namespace walnutwing {
 namespace {
 
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-std::size_t
-FindByte(std::string_view aText, char aByte)
-{
-  const void* found = std::memchr(aText.data(), aByte, aText.size());
-  if (found == nullptr) {
-    return std::string_view::npos;
-  }
-  return static_cast<std::size_t>(static_cast<const char*>(found) -
-                                  aText.data());
-}
-
 } // namespace
 
 std::string_view
@@ -128,8 +115,8 @@
     }
   }
   const std::string_view rest = buffer.substr(m_scanned);
-  std::size_t end = FindByte(rest, '\n');
-  const std::size_t carriageReturn = FindByte(rest.substr(0, end), '\r');
+  std::size_t end = rest.find('\n');
+  const std::size_t carriageReturn = rest.substr(0, end).find('\r');
   if (carriageReturn != std::string_view::npos) {
     end = carriageReturn;
   }
@@ -158,7 +145,7 @@
 void
 SseParser::ParseField(std::string_view aLine)
 {
-  const std::size_t colon = FindByte(aLine, ':');
+  const std::size_t colon = aLine.find(':');
   const std::string_view name = aLine.substr(0, colon);
   std::string_view value;
   if (colon != std::string_view::npos) {
@@ -168,7 +155,7 @@
   if (name == "data") {
     AddDataLine(value);
   } else if (name == "id") {
-    if (FindByte(value, '\0') == std::string_view::npos) {
+    if (value.find('\0') == std::string_view::npos) {
       m_id = value;
       m_hasOwnId = true;
     }
