Part breaker: a part whose requests come seldom is found as well

Cause: crashes were forgotten after 60 s, before the fourth.

They are remembered for 15 minutes. That a part was served is remembered as long as crashes mention it, because the memory of served parts is by their number and may forget it sooner; otherwise an old crash would count against a part that was cleared.

CrashesAreBoundedAndExpire has the new lifetime.

--- a/walnutwing/routing/crash_evidence.cc
+++ b/walnutwing/routing/crash_evidence.cc
@@ -10,7 +10,9 @@
 namespace {
 
 // How long crashes are remembered.
-constexpr Duration kCrashLifetime = std::chrono::seconds(60);
+constexpr Duration kCrashLifetime = std::chrono::minutes(15);
+// How long it is told that a part is served, for daemons that missed it.
+constexpr Duration kMentionLifetime = std::chrono::seconds(60);
 // Limits on what is remembered.
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxRequestsPerCrash = 32;
@@ -27,6 +29,7 @@
 struct CrashEvidence::Tally
 {
   std::set<std::size_t> m_crashes; // indexes
+  std::size_t m_moments = 0;       // of these crashes
   std::optional<Time> m_servedAt;
 };
 
@@ -58,7 +61,11 @@
     crash->m_requests.push_back(request);
     added.push_back(request);
     for (const PromptPartId& part : request.m_parts) {
-      ++m_mentions[part];
+      Mention& mention = m_mentions[part];
+      ++mention.m_requests;
+      mention.m_lastCrashAt = std::max(mention.m_lastCrashAt, crash->m_at);
+      mention.m_servedAt =
+        std::max(mention.m_servedAt, m_served.LastServed(part));
     }
   }
   return added;
@@ -80,7 +87,7 @@
   for (const BrokenRequest& request : m_crashes.front().m_requests) {
     for (const PromptPartId& part : request.m_parts) {
       const auto found = m_mentions.find(part);
-      if (--found->second == 0) {
+      if (--found->second.m_requests == 0) {
         m_mentions.erase(found);
       }
     }
@@ -96,10 +103,40 @@
   }
 }
 
+void
+CrashEvidence::OnServed(const PromptPartId& aPart, Time aTime)
+{
+  const auto found = m_mentions.find(aPart);
+  if (found != m_mentions.end()) {
+    Mention& mention = found->second;
+    mention.m_servedAt = std::max(mention.m_servedAt.value_or(aTime), aTime);
+  }
+}
+
 bool
-CrashEvidence::CountsAgainst(const PromptPartId& aPart, Time aCrashAt) const
+CrashEvidence::Mentions(const PromptPartId& aPart, Time aNow) const
+{
+  const auto found = m_mentions.find(aPart);
+  if (found == m_mentions.end()) {
+    return false;
+  }
+  const Time crashAt = found->second.m_lastCrashAt;
+  return aNow - crashAt <= kMentionLifetime || CountsAgainst(aPart, crashAt);
+}
+
+std::optional<Time>
+CrashEvidence::LastServed(const PromptPartId& aPart) const
 {
   const std::optional<Time> served = m_served.LastServed(aPart);
+  const auto found = m_mentions.find(aPart);
+  return found == m_mentions.end() ? served
+                                   : std::max(served, found->second.m_servedAt);
+}
+
+bool
+CrashEvidence::CountsAgainst(const PromptPartId& aPart, Time aCrashAt) const
+{
+  const std::optional<Time> served = LastServed(aPart);
   return !served || *served < aCrashAt - kServedValidity;
 }
 
@@ -123,9 +160,12 @@
       }
       Tally& tally = tallies[part];
       tally.m_crashes.insert(i);
-      tally.m_servedAt = m_served.LastServed(part);
+      tally.m_servedAt = LastServed(part);
     }
   }
+  for (auto& [part, tally] : tallies) {
+    tally.m_moments = CountMoments(tally.m_crashes);
+  }
   return tallies;
 }
 
@@ -158,7 +198,7 @@
   Suspicion suspicion;
   suspicion.m_parts = { aPart };
   suspicion.m_crashes = tally.m_crashes.size();
-  suspicion.m_moments = CountMoments(tally.m_crashes);
+  suspicion.m_moments = tally.m_moments;
   suspicion.m_servedBefore = tally.m_servedAt.has_value();
   std::size_t next = 0;
   for (const auto& [part, other] : aTallies) {
@@ -169,6 +209,9 @@
     if (alike && !other.m_servedAt && !tally.m_servedAt) {
       suspicion.m_parts.push_back(part);
     }
+    if (other.m_moments <= next) {
+      continue; // it has no more in common with this part
+    }
     std::set<std::size_t> common;
     std::set_intersection(tally.m_crashes.begin(),
                           tally.m_crashes.end(),
@@ -241,12 +284,12 @@
       [&](const auto& aLeft, const auto& aRight) {
         const auto rank = [&](const Tally& aTally) {
           return std::pair(
-            CountMoments(aTally.m_crashes),
+            aTally.m_moments,
             -aTally.m_servedAt.value_or(Time()).time_since_epoch());
         };
         return rank(aLeft.second) < rank(aRight.second);
       });
-    if (CountMoments(likeliest->second.m_crashes) < kMinMoments) {
+    if (likeliest->second.m_moments < kMinMoments) {
       break;
     }
     Suspicion suspicion = MakeSuspicion(likeliest->first, tallies);
@@ -254,9 +297,13 @@
     suspicions.push_back(std::move(suspicion));
     const std::set<std::size_t> explained = likeliest->second.m_crashes;
     for (auto& [part, tally] : tallies) {
+      const std::size_t before = tally.m_crashes.size();
       for (const std::size_t crash : explained) {
         tally.m_crashes.erase(crash);
       }
+      if (tally.m_crashes.size() != before) {
+        tally.m_moments = CountMoments(tally.m_crashes);
+      }
     }
     std::erase_if(tallies, [](const auto& aEntry) {
       return aEntry.second.m_crashes.empty();
--- a/walnutwing/routing/crash_evidence.h
+++ b/walnutwing/routing/crash_evidence.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -85,11 +86,13 @@
   std::vector<Suspicion> FindSuspicions(
     const std::set<PromptPartId>& aKnownCauses) const;
 
-  // Whether a request with this part was broken by a recent crash.
-  bool Mentions(const PromptPartId& aPart) const
-  {
-    return m_mentions.contains(aPart);
-  }
+  // The part was served at aTime. Is remembered for parts that are mentioned,
+  // also when aServed has forgotten it.
+  void OnServed(const PromptPartId& aPart, Time aTime);
+
+  // Whether it matters to other daemons that the part is served: it is in a
+  // request that was broken in the last minute, or a crash counts against it.
+  bool Mentions(const PromptPartId& aPart, Time aNow) const;
 
   // Forgets crashes that are too old. Must be called regularly.
   void DropExpired(Time aNow);
@@ -101,10 +104,17 @@
 
 private:
   struct Tally; // what speaks against one part
+  struct Mention
+  {
+    std::size_t m_requests = 0;
+    Time m_lastCrashAt;
+    std::optional<Time> m_servedAt; // the last time
+  };
   using Tallies = std::map<PromptPartId, Tally>;
 
   UpstreamCrash* Find(std::uint32_t aIncarnation);
   void DropOldest();
+  std::optional<Time> LastServed(const PromptPartId& aPart) const;
   Tallies CountParts(const std::set<PromptPartId>& aKnownCauses) const;
   std::size_t CountMoments(const std::set<std::size_t>& aCrashes) const;
   Suspicion MakeSuspicion(const PromptPartId& aPart,
@@ -116,7 +126,7 @@
 
   const ServedParts& m_served;
   std::deque<UpstreamCrash> m_crashes;
-  std::map<PromptPartId, std::size_t> m_mentions; // requests, by part
+  std::map<PromptPartId, Mention> m_mentions; // by part
 };
 
 } // namespace walnutwing
--- a/walnutwing/routing/crash_evidence_test.cc
+++ b/walnutwing/routing/crash_evidence_test.cc
@@ -127,6 +127,37 @@
   EXPECT_EQ(1U, m_evidence.Crashes());
 }
 
+// Guards against a part that is blamed for crashes from before it was served,
+// because so many others were served since that this was forgotten.
+TEST_F(CrashEvidenceTest, PartThatWasServedStaysCleared)
+{
+  for (int i = 0; i < 4; ++i) {
+    AddCrash({ "a" }, i * kApart);
+  }
+  EXPECT_EQ("a", Suspected());
+  m_served.OnServed(PromptPartId("a"), kStart + 5 * kApart);
+  m_evidence.OnServed(PromptPartId("a"), kStart + 5 * kApart);
+  for (int i = 0; i < 2'000; ++i) {
+    m_served.OnServed(PromptPartId("other" + std::to_string(i)),
+                      kStart + 6 * kApart);
+  }
+  EXPECT_EQ(std::nullopt, m_served.LastServed(PromptPartId("a")));
+  EXPECT_EQ("", Suspected());
+}
+
+// Guards against news of popular parts all the time after a crash.
+TEST_F(CrashEvidenceTest, PartThatWasServedIsNotMentionedForLong)
+{
+  AddCrash({ "ab" }, Duration(0));
+  m_evidence.OnServed(PromptPartId("a"), kStart + kApart);
+  const Time soon = kStart + std::chrono::seconds(30);
+  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a"), soon));
+  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("b"), soon));
+  const Time later = kStart + std::chrono::minutes(5);
+  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a"), later));
+  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("b"), later));
+}
+
 // Guards against a memory that grows with the crashes.
 TEST_F(CrashEvidenceTest, CrashesAreBoundedAndExpire)
 {
@@ -134,10 +165,11 @@
     AddCrash({ "a", "b", "c" }, Duration(i));
   }
   EXPECT_EQ(64U, m_evidence.Crashes());
-  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a")));
-  m_evidence.DropExpired(kStart + std::chrono::seconds(62));
+  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a"), kStart));
+  const Time later = kStart + std::chrono::minutes(16);
+  m_evidence.DropExpired(later);
   EXPECT_EQ(0U, m_evidence.Crashes());
-  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a")));
+  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a"), later));
 }
 
 } // namespace
--- a/walnutwing/routing/part_breaker.cc
+++ b/walnutwing/routing/part_breaker.cc
@@ -50,8 +50,10 @@
 // A part that was served at most this long before it was blocked was blocked
 // wrongly, for want of that news.
 constexpr Duration kServedBeforeBlock = std::chrono::seconds(2);
-// Evidence is evaluated this often at most.
+// Evidence is evaluated this often at most, and less often the more crashes
+// there are, as it takes the longer.
 constexpr Duration kEvaluationInterval = std::chrono::milliseconds(20);
+constexpr std::size_t kCrashesPerInterval = 8;
 
 // Limits on what is remembered and sent.
 constexpr std::size_t kMaxBlockedParts = 64;
@@ -294,13 +296,14 @@
 bool
 PartBreaker::MergeServed(const ServedPart& aServed, bool aOwn, Time aNow)
 {
+  const bool mentioned = m_evidence.Mentions(aServed.m_part, aNow);
   m_served.OnServed(aServed.m_part, aServed.m_at);
+  m_evidence.OnServed(aServed.m_part, aServed.m_at);
   const auto block = m_blocked.find(aServed.m_part);
   const bool clears =
     block != m_blocked.end() &&
     aServed.m_at >= block->second.m_since - kServedBeforeBlock;
-  if (!clears && block == m_blocked.end() &&
-      !m_evidence.Mentions(aServed.m_part)) {
+  if (!clears && block == m_blocked.end() && !mentioned) {
     return false;
   }
   const auto known = m_recentServed.find(aServed.m_part);
@@ -378,9 +381,15 @@
 void
 PartBreaker::EvaluateIfDue(Time aNow)
 {
-  const bool waiting = !m_suspicions.empty(); // for other daemons' news
+  const bool waiting = // for other daemons' news
+    std::any_of(
+      m_suspicions.begin(), m_suspicions.end(), [&](const auto& aSuspicion) {
+        return aNow - aSuspicion.m_lastAt <= 2 * kNewsDelay;
+      });
+  const Duration interval =
+    kEvaluationInterval * (1 + m_evidence.Crashes() / kCrashesPerInterval);
   if ((m_evidenceChanged || waiting) &&
-      (!m_evaluatedAt || aNow - *m_evaluatedAt >= kEvaluationInterval)) {
+      (!m_evaluatedAt || aNow - *m_evaluatedAt >= interval)) {
     Evaluate(aNow);
   }
 }
@@ -451,7 +460,9 @@
 void
 PartBreaker::Tick(Time aNow)
 {
+  const std::size_t crashes = m_evidence.Crashes();
   m_evidence.DropExpired(aNow);
+  m_evidenceChanged = m_evidenceChanged || m_evidence.Crashes() != crashes;
   EvaluateIfDue(aNow);
   while (!m_recentCrashes.empty() &&
          aNow - m_recentCrashes.front().m_at > kNewsLifetime) {
--- a/walnutwing/routing/part_breaker_fleet_test.cc
+++ b/walnutwing/routing/part_breaker_fleet_test.cc
@@ -38,6 +38,7 @@
   double m_badPerSecond = 4;
   double m_messageLoss = 0.05;
   std::uint32_t m_customers = 10;
+  std::uint32_t m_maxTries = 2; // of a request
   Duration m_downtime = std::chrono::seconds(4);
   std::uint32_t m_seed = 1;
   std::uint32_t m_seeds = 10; // how many, from 1
@@ -315,7 +316,8 @@
     PartBreaker& breaker = m_daemons[aAttempt.m_daemon]->m_breaker;
     breaker.OnBroken(aAttempt.m_request, aIncarnation, m_now);
     SendSoonIfNews(aAttempt.m_daemon);
-    if (aAttempt.m_tries < 2 && breaker.MayRepeat(aAttempt.m_request, m_now)) {
+    if (aAttempt.m_tries < m_options.m_maxTries &&
+        breaker.MayRepeat(aAttempt.m_request, m_now)) {
       SendTo(aAttempt);
     }
   }
@@ -424,6 +426,25 @@
   }
 }
 
+// Guards against a bad part that is never blocked because its requests come so
+// seldom that each crash is forgotten before the fourth.
+TEST(SeldomPart, IsBlockedAsWell)
+{
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    FakeFleet fleet({ .m_soundPerSecond = 20,
+                      .m_badPerSecond = 1.0 / 40,
+                      .m_maxTries = 1,
+                      .m_seed = seed });
+    fleet.RunFor(std::chrono::seconds(5));
+    fleet.StartBadRequests();
+    fleet.RunFor(std::chrono::minutes(20));
+    EXPECT_GE(fleet.BadCrashes(), 4U) << "seed " << seed;
+    EXPECT_LE(fleet.LateArrivals(), kMaxLateArrivals) << "seed " << seed;
+    EXPECT_EQ(std::set{ kBadPart }, fleet.Blocked()) << "seed " << seed;
+    EXPECT_EQ(0U, fleet.SoundRefused()) << "seed " << seed;
+  }
+}
+
 // Guards against daemons that send the bad part again after a restart.
 TEST_P(PartBreakerFleet, RestartedDaemonsHearOfIt)
 {
