--- a/walnutwing/routing/part_breaker_fleet_test.cc
+++ b/walnutwing/routing/part_breaker_fleet_test.cc
@@ -508,6 +508,22 @@
   }
 }
 
+// Guards against sound parts that are blamed for crashes that come one by one
+// for a long time, as when engines are replaced.
+TEST(SeldomCrashes, BlameNoPart)
+{
+  for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+    FakeFleet fleet({ .m_soundPerSecond = 20, .m_seed = seed });
+    std::mt19937 random(seed);
+    for (int i = 0; i < 120; ++i) {
+      fleet.RunFor(std::chrono::seconds(10));
+      fleet.Crash(random() % fleet.Engines());
+    }
+    EXPECT_TRUE(fleet.Blocked().empty()) << "seed " << seed;
+    EXPECT_EQ(0U, fleet.SoundRefused()) << "seed " << seed;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Sizes,
   PartBreakerFleet,
--- a/walnutwing/routing/send_limiter.h
+++ b/walnutwing/routing/send_limiter.h
@@ -78,8 +78,8 @@
 
   // Asks for a permit to send a request to an upstream with a limit.
   // aSpareOnly: only if there are permits to spare. aIsHub: whether this daemon
-  // is the hub of its zone. If another daemon has to be
-  // asked, its reply or its silence must be reported.
+  // is the hub of its zone. If another daemon has to be asked, its reply or its
+  // silence must be reported.
   SendPermitAnswer Ask(std::uint32_t aUpstream,
                        const ZoneId& aZone,
                        double aPerSecond,
