Part breaker: a block is judged by all that is known of when the part was served

Found by reading, not seen at callers: a router that had missed that a part was served blocked it, and routers that had known of it took the block over, if so many other parts were served since that their memory of served parts had lost it. Then sound requests would be refused at all routers.

Cause: since crashes are remembered for 15 minutes, the evidence remembers for the parts in them when they were served, but blocks of other routers and what is told of new crashes still went by the smaller memory.

Both now ask the evidence. The test failed before.

--- a/walnutwing/routing/crash_evidence.h
+++ b/walnutwing/routing/crash_evidence.h
@@ -90,6 +90,9 @@
   // also when aServed has forgotten it.
   void OnServed(const PromptPartId& aPart, Time aTime);
 
+  // When the part was last served, as far as this or aServed remembers.
+  std::optional<Time> LastServed(const PromptPartId& aPart) const;
+
   // Whether it matters to other daemons that the part is served: it is in a
   // request that was broken in the last minute, or a crash counts against it.
   bool Mentions(const PromptPartId& aPart, Time aNow) const;
@@ -114,7 +117,6 @@
 
   UpstreamCrash* Find(std::uint32_t aIncarnation);
   void DropOldest();
-  std::optional<Time> LastServed(const PromptPartId& aPart) const;
   Tallies CountParts(const std::set<PromptPartId>& aKnownCauses) const;
   std::size_t CountMoments(const std::set<std::size_t>& aCrashes) const;
   Suspicion MakeSuspicion(const PromptPartId& aPart,
--- a/walnutwing/routing/part_breaker.cc
+++ b/walnutwing/routing/part_breaker.cc
@@ -269,7 +269,7 @@
     m_recentCrashes.push_back({ std::move(news), aNow, aOwn });
     ExtendBlocks(request);
     for (const PromptPartId& part : request.m_parts) {
-      if (const auto served = m_served.LastServed(part)) {
+      if (const auto served = m_evidence.LastServed(part)) {
         MergeServed({ part, *served }, true, aNow); // the others should know
       }
     }
@@ -336,7 +336,7 @@
   if (aNow - aBlocked.m_since > kBlockLifetime) {
     return false;
   }
-  const std::optional<Time> served = m_served.LastServed(aBlocked.m_part);
+  const std::optional<Time> served = m_evidence.LastServed(aBlocked.m_part);
   if (served && *served >= aBlocked.m_since - kServedBeforeBlock) {
     // The sender has missed that it was served.
     const bool told = m_recentServed.contains(aBlocked.m_part);
--- a/walnutwing/routing/part_breaker_test.cc
+++ b/walnutwing/routing/part_breaker_test.cc
@@ -336,5 +336,27 @@
   EXPECT_TRUE(m_breaker.TakeChanges().empty());
 }
 
+// Guards against a block by a daemon that has missed that the part was served,
+// taken over by one that has forgotten it because so many others were served.
+TEST_F(PartBreakerTest, BlockOfAPartThatWasServedIsNotTakenOver)
+{
+  PartBreaker other(DaemonId("d2"));
+  BlockX(other);
+  Break(m_breaker, "ax");
+  m_breaker.OnServed(Request("x"), m_now);
+  for (int i = 0; i < 2'000; ++i) {
+    PromptRequest request = Request("");
+    request.m_parts.emplace_back("other" + std::to_string(i));
+    m_breaker.OnServed(request, m_now);
+  }
+  Tell(other, m_breaker);
+  EXPECT_TRUE(m_breaker.BlockedParts().empty());
+  m_now += std::chrono::seconds(3); // its news of that is no longer told
+  m_breaker.Tick(m_now);
+  Tell(other, m_breaker);
+  EXPECT_TRUE(Tell(m_breaker, other));
+  EXPECT_TRUE(other.BlockedParts().empty());
+}
+
 } // namespace
 } // namespace walnutwing
