Crash evidence: shorter functions, plainer names and comments

The tests on rare requests and single crashes have the field's word in their names, and the time after which crashes are forgotten is checked at two seconds more than it is, as before, instead of a minute.

--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -54,7 +54,8 @@
   static_cast<void>(walnutwing::platform::EncodeCallerHead(head));
 }
 
-// The names of a prompt's parts, as logs and the store get them, are plain.
+// The names of a prompt's parts fit into a log line and a key of the store,
+// whatever the caller sent.
 void
 DecodeParts(std::string_view aText)
 {
@@ -74,9 +75,9 @@
   }
 }
 
-// A breaker that hears any news goes on and has something to tell.
+// Passes any news to a breaker, and encodes what it would tell others then.
 void
-HearNews(std::string_view aText)
+DecodeNews(std::string_view aText)
 {
   walnutwing::proto::RouterPeerMessage message;
   if (!message.ParseFromArray(aText.data(), static_cast<int>(aText.size()))) {
@@ -133,7 +134,7 @@
       DecodeParts(text);
       break;
     case 8:
-      HearNews(text);
+      DecodeNews(text);
       break;
     case 9:
       static_cast<void>(router::DecodeBlockedPart(
--- a/standin/crashing_part_test.cc
+++ b/standin/crashing_part_test.cc
@@ -85,7 +85,7 @@
 
   // Every other crash on a request ends an answer that has begun and has no
   // stated end, so that it looks complete.
-  void SetHidesEveryOtherCrash() { m_hidesEveryOtherCrash = true; }
+  void HideEveryOtherCrash() { m_hidesEveryOtherCrash = true; }
 
   void Crash(std::size_t aEngine)
   {
@@ -326,7 +326,7 @@
 // middle of an answer without a stated end, which looks complete then.
 TEST_F(CrashingPart, IsFoundAlthoughSomeOfItsAnswersLookComplete)
 {
-  m_engines.SetHidesEveryOtherCrash();
+  m_engines.HideEveryOtherCrash();
   ASSERT_TRUE(
     Play([&] { return m_engines.Crashes().size() >= kCrashesUntilBound; }));
   const Time bound = Now() + kContact;
--- a/walnutwing/routing/crash_evidence.cc
+++ b/walnutwing/routing/crash_evidence.cc
@@ -11,8 +11,9 @@
 
 // How long crashes are remembered.
 constexpr Duration kCrashLifetime = std::chrono::minutes(15);
-// How long it is told that a part is served, for daemons that missed it.
-constexpr Duration kMentionLifetime = std::chrono::seconds(60);
+// How long after a crash other daemons are told that a part in it is served, in
+// case they missed that.
+constexpr Duration kRelevantTime = std::chrono::seconds(60);
 // Limits on what is remembered.
 constexpr std::size_t kMaxCrashes = 64;
 constexpr std::size_t kMaxRequestsPerCrash = 32;
@@ -114,14 +115,14 @@
 }
 
 bool
-CrashEvidence::Mentions(const PromptPartId& aPart, Time aNow) const
+CrashEvidence::IsRelevant(const PromptPartId& aPart, Time aNow) const
 {
   const auto found = m_mentions.find(aPart);
   if (found == m_mentions.end()) {
     return false;
   }
   const Time crashAt = found->second.m_lastCrashAt;
-  return aNow - crashAt <= kMentionLifetime || CountsAgainst(aPart, crashAt);
+  return aNow - crashAt <= kRelevantTime || CountsAgainst(aPart, crashAt);
 }
 
 std::optional<Time>
@@ -200,17 +201,29 @@
   suspicion.m_crashes = tally.m_crashes.size();
   suspicion.m_moments = tally.m_moments;
   suspicion.m_servedBefore = tally.m_servedAt.has_value();
+  CompareWithOthers(suspicion, aTallies);
+  DescribeCrashes(suspicion, tally);
+  return suspicion;
+}
+
+// Sets the lead, and adds the parts that are as likely as the first one.
+void
+CrashEvidence::CompareWithOthers(Suspicion& aSuspicion,
+                                 const Tallies& aTallies) const
+{
+  const PromptPartId first = aSuspicion.m_parts.front();
+  const Tally& tally = aTallies.at(first);
   std::size_t next = 0;
   for (const auto& [part, other] : aTallies) {
-    if (part == aPart) {
+    if (part == first) {
       continue;
     }
     const bool alike = other.m_crashes == tally.m_crashes;
     if (alike && !other.m_servedAt && !tally.m_servedAt) {
-      suspicion.m_parts.push_back(part);
+      aSuspicion.m_parts.push_back(part);
     }
     if (other.m_moments <= next) {
-      continue; // it has no more in common with this part
+      continue; // nor are there more moments that it shares with the first
     }
     std::set<std::size_t> common;
     std::set_intersection(tally.m_crashes.begin(),
@@ -220,25 +233,32 @@
                           std::inserter(common, common.end()));
     next = std::max(next, CountMoments(common));
   }
-  suspicion.m_lead = suspicion.m_moments - next;
+  aSuspicion.m_lead = aSuspicion.m_moments - next;
+}
+
+// Sets when the crashes happened and whose requests were broken.
+void
+CrashEvidence::DescribeCrashes(Suspicion& aSuspicion, const Tally& aTally) const
+{
+  const PromptPartId& part = aSuspicion.m_parts.front();
   std::set<std::uint32_t> prompts;
-  for (const std::size_t index : tally.m_crashes) {
+  for (const std::size_t index : aTally.m_crashes) {
     const UpstreamCrash& crash = m_crashes[index];
-    suspicion.m_firstAt = suspicion.m_firstAt == Time()
-                            ? crash.m_at
-                            : std::min(suspicion.m_firstAt, crash.m_at);
-    suspicion.m_lastAt = std::max(suspicion.m_lastAt, crash.m_at);
-    suspicion.m_service = crash.m_service;
+    aSuspicion.m_firstAt = aSuspicion.m_firstAt == Time()
+                             ? crash.m_at
+                             : std::min(aSuspicion.m_firstAt, crash.m_at);
+    aSuspicion.m_lastAt = std::max(aSuspicion.m_lastAt, crash.m_at);
+    aSuspicion.m_service = crash.m_service;
     for (const BrokenRequest& request : crash.m_requests) {
-      if (std::find(request.m_parts.begin(), request.m_parts.end(), aPart) !=
-          request.m_parts.end()) {
-        prompts.insert(request.m_prompt);
-        suspicion.m_customers.insert(request.m_customer);
+      const auto& parts = request.m_parts;
+      if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
+        continue;
       }
+      prompts.insert(request.m_prompt);
+      aSuspicion.m_customers.insert(request.m_customer);
     }
   }
-  suspicion.m_prompts = prompts.size();
-  return suspicion;
+  aSuspicion.m_prompts = prompts.size();
 }
 
 // Whether a request with one of the parts was broken by the crash.
@@ -270,25 +290,48 @@
     }));
 }
 
+// The part with the most moments; of those, the one that was served the longest
+// time ago, or never.
+CrashEvidence::Tallies::const_iterator
+CrashEvidence::FindLikeliest(const Tallies& aTallies)
+{
+  const auto rank = [](const Tally& aTally) {
+    return std::pair(aTally.m_moments,
+                     -aTally.m_servedAt.value_or(Time()).time_since_epoch());
+  };
+  return std::max_element(aTallies.begin(),
+                          aTallies.end(),
+                          [&](const auto& aLeft, const auto& aRight) {
+                            return rank(aLeft.second) < rank(aRight.second);
+                          });
+}
+
+// Takes explained crashes out of all tallies.
+void
+CrashEvidence::DropCrashes(Tallies& aTallies,
+                           const std::set<std::size_t>& aCrashes) const
+{
+  for (auto& [part, tally] : aTallies) {
+    const std::size_t dropped =
+      std::erase_if(tally.m_crashes, [&](std::size_t aCrash) {
+        return aCrashes.contains(aCrash);
+      });
+    if (dropped != 0) {
+      tally.m_moments = CountMoments(tally.m_crashes);
+    }
+  }
+  std::erase_if(aTallies, [](const auto& aEntry) {
+    return aEntry.second.m_crashes.empty();
+  });
+}
+
 std::vector<Suspicion>
 CrashEvidence::FindSuspicions(const std::set<PromptPartId>& aKnownCauses) const
 {
   std::vector<Suspicion> suspicions;
   Tallies tallies = CountParts(aKnownCauses);
   while (!tallies.empty()) {
-    // The part with the most moments; of those, the one that was served the
-    // longest time ago, or never.
-    const auto likeliest = std::max_element(
-      tallies.begin(),
-      tallies.end(),
-      [&](const auto& aLeft, const auto& aRight) {
-        const auto rank = [&](const Tally& aTally) {
-          return std::pair(
-            aTally.m_moments,
-            -aTally.m_servedAt.value_or(Time()).time_since_epoch());
-        };
-        return rank(aLeft.second) < rank(aRight.second);
-      });
+    const auto likeliest = FindLikeliest(tallies);
     if (likeliest->second.m_moments < kMinMoments) {
       break;
     }
@@ -296,18 +339,7 @@
     suspicion.m_crashesMeanwhile = CountMeanwhile(suspicion, aKnownCauses);
     suspicions.push_back(std::move(suspicion));
     const std::set<std::size_t> explained = likeliest->second.m_crashes;
-    for (auto& [part, tally] : tallies) {
-      const std::size_t before = tally.m_crashes.size();
-      for (const std::size_t crash : explained) {
-        tally.m_crashes.erase(crash);
-      }
-      if (tally.m_crashes.size() != before) {
-        tally.m_moments = CountMoments(tally.m_crashes);
-      }
-    }
-    std::erase_if(tallies, [](const auto& aEntry) {
-      return aEntry.second.m_crashes.empty();
-    });
+    DropCrashes(tallies, explained);
   }
   return suspicions;
 }
--- a/walnutwing/routing/crash_evidence.h
+++ b/walnutwing/routing/crash_evidence.h
@@ -86,16 +86,16 @@
   std::vector<Suspicion> FindSuspicions(
     const std::set<PromptPartId>& aKnownCauses) const;
 
-  // The part was served at aTime. Is remembered for parts that are mentioned,
-  // also when aServed has forgotten it.
+  // The part was served at aTime. Of parts in known crashes this is remembered
+  // even when aServed has forgotten it.
   void OnServed(const PromptPartId& aPart, Time aTime);
 
-  // When the part was last served, as far as this or aServed remembers.
+  // When the part was last served, as far as this object or aServed remembers.
   std::optional<Time> LastServed(const PromptPartId& aPart) const;
 
-  // Whether it matters to other daemons that the part is served: it is in a
+  // Whether other daemons should hear that the part is served: it is in a
   // request that was broken in the last minute, or a crash counts against it.
-  bool Mentions(const PromptPartId& aPart, Time aNow) const;
+  bool IsRelevant(const PromptPartId& aPart, Time aNow) const;
 
   // Forgets crashes that are too old. Must be called regularly.
   void DropExpired(Time aNow);
@@ -107,9 +107,10 @@
 
 private:
   struct Tally; // what speaks against one part
+  // A part that is in known crashes.
   struct Mention
   {
-    std::size_t m_requests = 0;
+    std::size_t m_requests = 0; // with the part, in all crashes
     Time m_lastCrashAt;
     std::optional<Time> m_servedAt; // the last time
   };
@@ -121,6 +122,11 @@
   std::size_t CountMoments(const std::set<std::size_t>& aCrashes) const;
   Suspicion MakeSuspicion(const PromptPartId& aPart,
                           const Tallies& aTallies) const;
+  void CompareWithOthers(Suspicion& aSuspicion, const Tallies& aTallies) const;
+  void DescribeCrashes(Suspicion& aSuspicion, const Tally& aTally) const;
+  static Tallies::const_iterator FindLikeliest(const Tallies& aTallies);
+  void DropCrashes(Tallies& aTallies,
+                   const std::set<std::size_t>& aCrashes) const;
   static bool IsExplained(const UpstreamCrash& aCrash,
                           const std::set<PromptPartId>& aParts);
   std::size_t CountMeanwhile(const Suspicion& aSuspicion,
--- a/walnutwing/routing/crash_evidence_test.cc
+++ b/walnutwing/routing/crash_evidence_test.cc
@@ -145,17 +145,18 @@
   EXPECT_EQ("", Suspected());
 }
 
-// Guards against news of popular parts all the time after a crash.
-TEST_F(CrashEvidenceTest, PartThatWasServedIsNotMentionedForLong)
+// Guards against daemons that go on telling each other for minutes after a
+// crash that popular parts are served.
+TEST_F(CrashEvidenceTest, PartThatWasServedIsNotRelevantForLong)
 {
   AddCrash({ "ab" }, Duration(0));
   m_evidence.OnServed(PromptPartId("a"), kStart + kApart);
   const Time soon = kStart + std::chrono::seconds(30);
-  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a"), soon));
-  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("b"), soon));
+  EXPECT_TRUE(m_evidence.IsRelevant(PromptPartId("a"), soon));
+  EXPECT_TRUE(m_evidence.IsRelevant(PromptPartId("b"), soon));
   const Time later = kStart + std::chrono::minutes(5);
-  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a"), later));
-  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("b"), later));
+  EXPECT_FALSE(m_evidence.IsRelevant(PromptPartId("a"), later));
+  EXPECT_TRUE(m_evidence.IsRelevant(PromptPartId("b"), later));
 }
 
 // Guards against a memory that grows with the crashes.
@@ -165,11 +166,12 @@
     AddCrash({ "a", "b", "c" }, Duration(i));
   }
   EXPECT_EQ(64U, m_evidence.Crashes());
-  EXPECT_TRUE(m_evidence.Mentions(PromptPartId("a"), kStart));
-  const Time later = kStart + std::chrono::minutes(16);
+  EXPECT_TRUE(m_evidence.IsRelevant(PromptPartId("a"), kStart));
+  const Time later =
+    kStart + std::chrono::minutes(15) + std::chrono::seconds(2);
   m_evidence.DropExpired(later);
   EXPECT_EQ(0U, m_evidence.Crashes());
-  EXPECT_FALSE(m_evidence.Mentions(PromptPartId("a"), later));
+  EXPECT_FALSE(m_evidence.IsRelevant(PromptPartId("a"), later));
 }
 
 } // namespace
--- a/walnutwing/routing/part_breaker.cc
+++ b/walnutwing/routing/part_breaker.cc
@@ -50,10 +50,13 @@
 // A part that was served at most this long before it was blocked was blocked
 // wrongly, for want of that news.
 constexpr Duration kServedBeforeBlock = std::chrono::seconds(2);
-// Evidence is evaluated this often at most, and less often the more crashes
-// there are, as it takes the longer.
+// Evidence is evaluated at most once in this time, and in as much more for each
+// kCrashesPerInterval crashes, as evaluating more of them takes longer.
 constexpr Duration kEvaluationInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kCrashesPerInterval = 8;
+// For so long after its last crash a suspicion is evaluated again without new
+// evidence, because a decision may have to wait for kNewsDelay.
+constexpr Duration kReevaluationTime = 2 * kNewsDelay;
 
 // Limits on what is remembered and sent.
 constexpr std::size_t kMaxBlockedParts = 64;
@@ -296,14 +299,14 @@
 bool
 PartBreaker::MergeServed(const ServedPart& aServed, bool aOwn, Time aNow)
 {
-  const bool mentioned = m_evidence.Mentions(aServed.m_part, aNow);
+  const bool relevant = m_evidence.IsRelevant(aServed.m_part, aNow);
   m_served.OnServed(aServed.m_part, aServed.m_at);
   m_evidence.OnServed(aServed.m_part, aServed.m_at);
   const auto block = m_blocked.find(aServed.m_part);
   const bool clears =
     block != m_blocked.end() &&
     aServed.m_at >= block->second.m_since - kServedBeforeBlock;
-  if (!clears && block == m_blocked.end() && !mentioned) {
+  if (!clears && block == m_blocked.end() && !relevant) {
     return false;
   }
   const auto known = m_recentServed.find(aServed.m_part);
@@ -381,15 +384,16 @@
 void
 PartBreaker::EvaluateIfDue(Time aNow)
 {
-  const bool waiting = // for other daemons' news
-    std::any_of(
-      m_suspicions.begin(), m_suspicions.end(), [&](const auto& aSuspicion) {
-        return aNow - aSuspicion.m_lastAt <= 2 * kNewsDelay;
-      });
+  const bool waiting = std::any_of(
+    m_suspicions.begin(), m_suspicions.end(), [&](const auto& aSuspicion) {
+      return aNow - aSuspicion.m_lastAt <= kReevaluationTime;
+    });
+  if (!m_evidenceChanged && !waiting) {
+    return;
+  }
   const Duration interval =
     kEvaluationInterval * (1 + m_evidence.Crashes() / kCrashesPerInterval);
-  if ((m_evidenceChanged || waiting) &&
-      (!m_evaluatedAt || aNow - *m_evaluatedAt >= interval)) {
+  if (!m_evaluatedAt || aNow - *m_evaluatedAt >= interval) {
     Evaluate(aNow);
   }
 }
--- a/walnutwing/routing/part_breaker_fleet_test.cc
+++ b/walnutwing/routing/part_breaker_fleet_test.cc
@@ -426,9 +426,9 @@
   }
 }
 
-// Guards against a bad part that is never blocked because its requests come so
-// seldom that each crash is forgotten before the fourth.
-TEST(SeldomPart, IsBlockedAsWell)
+// Guards against a bad part that is never blocked because its requests are so
+// rare that each crash is forgotten before the fourth.
+TEST(RareBadRequests, AreBlocked)
 {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
     FakeFleet fleet({ .m_soundPerSecond = 20,
@@ -510,7 +510,7 @@
 
 // Guards against sound parts that are blamed for crashes that come one by one
 // for a long time, as when engines are replaced.
-TEST(SeldomCrashes, BlameNoPart)
+TEST(SingleCrashes, BlameNoPart)
 {
   for (std::uint32_t seed = 1; seed <= 5; ++seed) {
     FakeFleet fleet({ .m_soundPerSecond = 20, .m_seed = seed });
