--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,8 @@
 # standard library and the system's sockets.
 set -eu
 cd "$(dirname "$0")"
-mkdir -p bin
+rm -rf bin
+mkdir bin
 flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
 for source in standin/net.cc standin/fleet.cc; do
   g++ "${flags[@]}" -c "$source" -o "bin/$(basename "$source" .cc).o" &
--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -9,6 +10,7 @@
 #include <utility>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,6 +26,48 @@
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::size_t kMaxRecordBytes = 262'144;
 
+constexpr std::chrono::seconds kTimeLimit{ 110 };
+
+// The routers that run, for ExitNow. 0: free.
+std::array<std::atomic<pid_t>, 64> sRunning{};
+
+void
+NoteRunning(pid_t aProcess)
+{
+  for (std::atomic<pid_t>& entry : sRunning) {
+    pid_t unused = 0;
+    if (entry.compare_exchange_strong(unused, aProcess)) {
+      return;
+    }
+  }
+}
+
+void
+NoteEnded(pid_t aProcess)
+{
+  for (std::atomic<pid_t>& entry : sRunning) {
+    pid_t noted = aProcess;
+    entry.compare_exchange_strong(noted, 0);
+  }
+}
+
+void
+KillRunning()
+{
+  for (const std::atomic<pid_t>& entry : sRunning) {
+    if (const pid_t process = entry; process != 0) {
+      kill(process, SIGKILL);
+    }
+  }
+}
+
+void
+OnEndSignal(int /*aSignal*/)
+{
+  KillRunning();
+  _exit(kCouldNotRun);
+}
+
 std::string
 BigEndian(std::uint64_t aNumber, std::size_t aBytes)
 {
@@ -113,6 +157,7 @@
 void
 ExitNow(int aStatus)
 {
+  KillRunning();
   std::fflush(nullptr);
   _exit(aStatus);
 }
@@ -352,10 +397,15 @@
                                                  role.c_str(),
                                                  nullptr };
   const std::array<const char*, 2> environment = { variable.c_str(), nullptr };
+  const rlimit noCore{ 0, 0 }; // a router may crash
   m_process = fork();
+  if (m_process > 0) {
+    NoteRunning(m_process);
+  }
   if (m_process != 0) {
     return;
   }
+  setrlimit(RLIMIT_CORE, &noCore);
   const int output =
     open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(output, STDOUT_FILENO);
@@ -384,7 +434,7 @@
   if (waitpid(m_process, &status, WNOHANG) != m_process) {
     return std::nullopt;
   }
-  m_process = -1;
+  NoteEnded(std::exchange(m_process, -1));
   return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                              : "exit " + std::to_string(WEXITSTATUS(status));
 }
@@ -397,7 +447,7 @@
   }
   kill(m_process, SIGKILL);
   waitpid(m_process, nullptr, 0);
-  m_process = -1;
+  NoteEnded(std::exchange(m_process, -1));
 }
 
 std::string
@@ -432,6 +482,12 @@
     std::fprintf(stderr, "usage: case ROUTER FOLDER RECORD\n");
     ExitNow(kCouldNotRun);
   }
+  std::signal(SIGTERM, OnEndSignal);
+  std::signal(SIGINT, OnEndSignal);
+  std::thread([] {
+    std::this_thread::sleep_for(kTimeLimit);
+    ExitNow(kCouldNotRun);
+  }).detach();
   const char* trouble = std::getenv("TROUBLE");
   return { aArguments[1],
            aArguments[2],
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -43,7 +43,8 @@
 std::string
 Join(std::initializer_list<std::string_view> aParts);
 
-// Ends the process with an exit status without waiting for its threads.
+// Ends all routers that were started, and the process with an exit status,
+// without waiting for its threads.
 [[noreturn]] void
 ExitNow(int aStatus);
 
@@ -195,6 +196,8 @@
   bool m_trouble = true;
 };
 
+// Also sets a limit of time, and ends the routers when this process is told to
+// end.
 Options
 ReadOptions(int aCount, char** aArguments);
 
