--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -186,7 +186,8 @@
   m_headRequest = request.method() == http::verb::head;
   m_responseEnded = false;
   m_aborted = false;
-  m_flow = std::make_shared<RequestFlow>(m_context, std::move(request), *this);
+  m_flow = std::make_shared<RequestFlow>(
+    m_context, std::move(request), ++m_requests, *this);
   m_flow->Start();
 }
 
@@ -246,7 +247,7 @@
 void
 CallerConnection::Begin(std::string aHead, std::optional<std::uint64_t> aLength)
 {
-  m_keepAlive = m_keepAlive && !m_context.m_stopping;
+  m_keepAlive = m_keepAlive && !m_context.m_stop.IsStopping();
   m_bodyless = m_headRequest || IsBodylessStatus(aHead);
   m_chunked = !aLength && !m_isHttp10 && !m_bodyless;
   m_pending += aHead;
@@ -430,6 +431,11 @@
   if (flow != nullptr) {
     flow->Terminate();
   }
+  if (m_state != State::Closed && PendingBytes() != 0) {
+    EventLog::Line(m_context.m_log, Event::AnswerUnsent, Now())
+      .Add("id", flow == nullptr ? "" : flow->AttemptId())
+      .Add("bytes", static_cast<std::int64_t>(PendingBytes()));
+  }
   Close();
 }
 
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -90,6 +90,7 @@
   std::optional<Parser> m_parser;
   bool m_reading = false;
   bool m_hadRequest = false;
+  std::uint32_t m_requests = 0; // complete ones on this connection
   bool m_headParsed = false;
   bool m_keepAlive = true; // keep the connection open after this response
   bool m_isHttp10 = false; // without chunked encoding
--- a/router/context.h
+++ b/router/context.h
@@ -17,6 +17,7 @@
 #include "router/upstream_pool.h"
 #include "walnutwing/base/metrics.h"
 #include "walnutwing/routing/admission.h"
+#include "walnutwing/routing/planned_stop.h"
 #include "walnutwing/routing/repeat_budget.h"
 #include "walnutwing/routing/route_table.h"
 #include "walnutwing/routing/send_limiter.h"
@@ -43,7 +44,7 @@
   std::map<ServiceId, AdmissionControl> m_admissions{};
   std::uint32_t m_daemons = 1; // in the fleet; they share its budgets
   std::size_t m_requestsInProgress = 0;
-  bool m_stopping = false;
+  PlannedStop m_stop{};
   // An upstream says in an answer that it is leaving. aStartWallMs identifies
   // its incarnation.
   std::function<void(const UpstreamId& aId, std::int64_t aStartWallMs)>
--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -56,6 +56,7 @@
   { RequestResumed, "request_resumed", DropPolicy::DropLast, "a broken stream goes on at another upstream" },
   { CallerGone, "caller_gone", DropPolicy::DropLast, "the caller closed the connection before its answer ended" },
   { CallerRejected, "caller_rejected", DropPolicy::DropLast, "the caller's request is invalid, too large or did not arrive in time" },
+  { AnswerUnsent, "answer_unsent", DropPolicy::DropLast, "the process ends with bytes of an answer that the caller has not taken" },
 });
 // clang-format on
 
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -63,6 +63,7 @@
   RequestResumed = 306,
   CallerGone = 307,
   CallerRejected = 308,
+  AnswerUnsent = 309,
 };
 
 // Which lines are dropped when there are too many.
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -489,7 +489,7 @@
   const bool again = std::exchange(m_announceAgain, false);
   m_announceTimer.expires_after(again ? Duration::zero() : kMemberInterval);
   m_announceTimer.async_wait([this](const error_code& aError) {
-    if (!aError && !m_context.m_stopping) {
+    if (!aError && !m_context.m_stop.IsStopping()) {
       Announce();
     }
   });
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -70,13 +70,14 @@
 
 RequestFlow::RequestFlow(Context& aContext,
                          CallerRequest aRequest,
+                         std::uint32_t aNumber,
                          ResponseWriter& aWriter)
   : m_context(aContext)
   , m_routes(aContext.m_routes)
   , m_request(std::move(aRequest))
   , m_caller(&aWriter)
   , m_facts(platform::DecodeCaller(m_request))
-  , m_record(aContext, m_facts.m_attemptId)
+  , m_record(aContext, m_facts.m_attemptId, aNumber)
   , m_traitProbe(aContext)
   , m_resumption(aContext, m_facts)
   , m_deadlineTimer(aContext.m_loop.get_executor())
@@ -778,6 +779,14 @@
 
 RepeatResult
 RequestFlow::TryRepeat(const char* aWhy)
+{
+  const RepeatResult result = RepeatNow(aWhy);
+  m_record.SetRepeatResult(result);
+  return result;
+}
+
+RepeatResult
+RequestFlow::RepeatNow(const char* aWhy)
 {
   if (m_tries >= kMaxTries || TimeLeft() < kMinAttemptTime) {
     return RepeatResult::NoTime;
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -35,23 +35,15 @@
 using CallerRequest =
   boost::beast::http::request<boost::beast::http::string_body>;
 
-// Outcome of the attempt to send a request again.
-enum class RepeatResult
-{
-  Sent,       // sent, or ended with a final response: nothing left to do
-  NoTime,     // deadline too close, or too many attempts
-  NoUpstream, // no upstream can take it
-  NoBudget,   // the repeat budget is exhausted
-  Blocked,    // a part of its prompt is likely to crash the next upstream too
-};
-
 class RequestFlow
   : public ResponseReceiver
   , public std::enable_shared_from_this<RequestFlow>
 {
 public:
+  // aNumber: of the request on its connection; 1 for the first.
   RequestFlow(Context& aContext,
               CallerRequest aRequest,
+              std::uint32_t aNumber,
               ResponseWriter& aWriter);
   ~RequestFlow() override;
   RequestFlow(const RequestFlow&) = delete;
@@ -69,6 +61,8 @@
   // Fails the request, because the process stops.
   void Terminate();
 
+  const std::string& AttemptId() const { return m_facts.m_attemptId; }
+
   void OnHead(const platform::HttpResponseHead& aHead,
               const platform::ResponseFacts& aFacts) override;
   void OnBody(std::string_view aPiece) override;
@@ -128,6 +122,7 @@
   void OnAttemptFailed(const std::string& aWhy);
   bool MayRunAgain() const;
   RepeatResult TryRepeat(const char* aWhy);
+  RepeatResult RepeatNow(const char* aWhy);
   void EndAttempt(SendOutcome aOutcome);
   void CancelAttempt(SendOutcome aOutcome);
 
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -1,5 +1,7 @@
 #include "router/request_record.h"
 
+#include <array>
+
 #include "walnutwing/routing/request_fingerprint.h"
 
 namespace walnutwing::router {
@@ -9,6 +11,20 @@
 constexpr std::size_t kMaxLoggedFieldBytes = 40;
 constexpr std::size_t kMaxLoggedParts = 8; // of a prompt
 
+struct RepeatResultName
+{
+  RepeatResult m_result;
+  std::string_view m_name;
+};
+
+constexpr std::array<RepeatResultName, 5> kRepeatResults{ {
+  { RepeatResult::Sent, "sent" },
+  { RepeatResult::NoTime, "no_time" },
+  { RepeatResult::NoUpstream, "no_upstream" },
+  { RepeatResult::NoBudget, "no_budget" },
+  { RepeatResult::Blocked, "blocked" },
+} };
+
 std::string
 FormatLabel(std::string_view aName, std::string_view aValue)
 {
@@ -23,9 +39,23 @@
 
 } // namespace
 
-RequestRecord::RequestRecord(Context& aContext, const std::string& aAttemptId)
+std::string_view
+NameOf(RepeatResult aResult)
+{
+  for (const RepeatResultName& row : kRepeatResults) {
+    if (row.m_result == aResult) {
+      return row.m_name;
+    }
+  }
+  return "unknown";
+}
+
+RequestRecord::RequestRecord(Context& aContext,
+                             const std::string& aAttemptId,
+                             std::uint32_t aNumber)
   : m_context(aContext)
   , m_attemptId(aAttemptId)
+  , m_number(aNumber)
   , m_arrivedAt(Now())
 {
 }
@@ -165,6 +195,7 @@
     line.Add("budget_left", remaining)
       .Add("daemons", static_cast<std::int64_t>(m_context.m_daemons));
   }
+  AddConnectionState(line);
   CountOutcome(aRefusal.m_code, "");
 }
 
@@ -191,6 +222,10 @@
   if (aFailure.m_timeLeft) {
     line.Add("left_ms", ToMilliseconds(*aFailure.m_timeLeft));
   }
+  if (m_repeatResult) {
+    line.Add("repeat", NameOf(*m_repeatResult));
+  }
+  AddConnectionState(line);
   CountOutcome(aFailure.m_code, aLast.m_zone.Value());
 }
 
@@ -218,6 +253,18 @@
 }
 
 // The names joined by commas, with "..." in place of those beyond the limit.
+// Tells a request that was read before a planned stop from one that was read
+// during it, and the first one of a connection from those after it.
+void
+RequestRecord::AddConnectionState(EventLog::Line& aLine) const
+{
+  aLine.Add("number", static_cast<std::int64_t>(m_number));
+  const std::optional<Duration> stopping = m_context.m_stop.Elapsed(Now());
+  if (stopping) {
+    aLine.Add("stopping_ms", ToMilliseconds(*stopping));
+  }
+}
+
 std::string
 RequestRecord::SharedPartsText() const
 {
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -19,11 +19,27 @@
 
 namespace walnutwing::router {
 
+// Outcome of the attempt to send a request again.
+enum class RepeatResult
+{
+  Sent,       // sent, or ended with a final response: nothing left to do
+  NoTime,     // deadline too close, or too many attempts
+  NoUpstream, // no upstream can take it
+  NoBudget,   // the repeat budget is exhausted
+  Blocked,    // a part of its prompt is likely to crash the next upstream too
+};
+
+std::string_view
+NameOf(RepeatResult aResult);
+
 class RequestRecord
 {
 public:
   // aAttemptId is the caller's attempt id. It must outlive this object.
-  RequestRecord(Context& aContext, const std::string& aAttemptId);
+  // aNumber: of the request on its connection; 1 for the first.
+  RequestRecord(Context& aContext,
+                const std::string& aAttemptId,
+                std::uint32_t aNumber);
 
   // Adds the route, service and configuration version to all later lines.
   // aRoute must outlive this object.
@@ -67,6 +83,8 @@
   void LogUpstreamLimited(const Choice& aChoice,
                           std::string_view aText,
                           std::optional<double> aPerSecond);
+  // The outcome of the last attempt to send the request again.
+  void SetRepeatResult(RepeatResult aResult) { m_repeatResult = aResult; }
   // Counts a repeat that the budget did not allow.
   void CountDeniedRepeat();
   // aFirstByteAt: when the head of the response was received.
@@ -111,11 +129,13 @@
 private:
   EventLog::Line StartLine(Event aEvent) const;
   std::string SharedPartsText() const;
+  void AddConnectionState(EventLog::Line& aLine) const;
   void CountOutcome(ResultCode aCode, std::string_view aZone);
   std::int64_t ElapsedMs() const; // since the request arrived
 
   Context& m_context;
   const std::string& m_attemptId;
+  std::uint32_t m_number;
   Time m_arrivedAt;
   const Route* m_route = nullptr;
   const std::vector<TraitId>* m_sharedParts = nullptr;
@@ -123,6 +143,7 @@
   TraitId m_blockedTrait;
   ServiceId m_service;
   std::uint64_t m_version = 0;
+  std::optional<RepeatResult> m_repeatResult;
 };
 
 // Updates the gauge of each service's remaining repeats.
--- a/router/router.cc
+++ b/router/router.cc
@@ -150,7 +150,7 @@
 
   void UpdateReadiness()
   {
-    const bool ready = m_state.CanServe() && !m_context.m_stopping;
+    const bool ready = m_state.CanServe() && !m_context.m_stop.IsStopping();
     if (ready == m_ready) {
       return;
     }
@@ -298,9 +298,10 @@
   // served, and their connections are closed after the response.
   void OnStopSignal()
   {
-    if (std::exchange(m_context.m_stopping, true)) {
+    if (m_context.m_stop.IsStopping()) {
       return;
     }
+    m_context.m_stop.Begin(Now());
     LogLine(Event::Stopping)
       .Add("in_progress",
            static_cast<std::int64_t>(m_context.m_requestsInProgress));
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -319,7 +319,11 @@
       WithUpstreams(DoNotRespond, StopDuringRequest),
       "request_failed",
       5008,
-      { kId, R"("runs":1)", R"("in_answer":0)" } },
+      { kId,
+        R"("runs":1)",
+        R"("in_answer":0)",
+        R"("number":1)",
+        "stopping_ms" } },
   };
 }
 
