--- /dev/null
+++ b/standin/planned_stop_test.cc
@@ -0,0 +1,135 @@
+// Tests of what a router that was told to stop still passes on. Guards against
+// issue 41, LOST: a request that was read late in a planned stop was passed on
+// to an upstream and cut when the time of the stop was over.
+
+#include "standin/router_harness.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using Exchange = std::shared_ptr<UpstreamExchange>;
+
+// From SIGTERM on; later than the last moment at which any request is passed
+// on.
+constexpr Duration kLate{ 3500 };
+const std::string kStoppingNumber = "2006";
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string
+Request(const std::string& aPath,
+        const std::string& aAttempt,
+        const std::string& aFields = "Content-Length: 0\r\n")
+{
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + aAttempt +
+         "\r\nAuthorization: Bearer k1\r\n" + aFields + "\r\n";
+}
+
+// A router whose only upstream begins a stream for the request "first" and
+// answers all others at once.
+class PlannedStop : public testing::TestWithParam<const char*>
+{
+protected:
+  PlannedStop()
+    : m_harness(1)
+  {
+    m_harness.Upstream(0).SetHandler([this](const Exchange& aExchange) {
+      const auto& request = aExchange->Request();
+      if (request["X-Attempt-Id"] != "first") {
+        aExchange->Write(MakeUpstreamResponse(request, 200, "done"));
+        return;
+      }
+      m_stream = aExchange;
+      m_stream->Write(MakeStreamHead(request) + MakeEventChunk(1));
+    });
+  }
+
+  // A stream begins, the router is told to stop, and the stream ends late, on a
+  // connection that its head has promised to keep.
+  std::unique_ptr<CallerStandin> KeepConnection()
+  {
+    auto caller = m_harness.Connect();
+    caller->Send(Request("/stream/", "first"));
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return m_stream != nullptr; }));
+    EXPECT_TRUE(m_harness.WaitUntil(
+      [&] { return Contains(caller->Received(), "data: e1"); }));
+    m_harness.Router().Signal(SIGTERM);
+    m_harness.RunLoopFor(kLate);
+    m_stream->Write(MakeEventChunk(2) + "0\r\n\r\n");
+    EXPECT_TRUE(m_harness.WaitUntil(
+      [&] { return Contains(caller->Received(), "\r\n0\r\n\r\n"); }));
+    return caller;
+  }
+
+  std::string Path() const { return "/" + std::string(GetParam()) + "/"; }
+
+  bool ExitsWith(int aStatus)
+  {
+    return m_harness.WaitUntil(
+      [&] { return m_harness.Router().ExitStatus() == aStatus; });
+  }
+
+  RouterHarness m_harness;
+  Exchange m_stream;
+};
+
+// Guards against a request on a kept connection that is passed on although the
+// stop will cut it.
+TEST_P(PlannedStop, RefusesALateRequestOnAKeptConnection)
+{
+  const auto caller = KeepConnection();
+  caller->Send(Request(Path(), "late"));
+  EXPECT_TRUE(m_harness.WaitUntil([&] { return caller->Ended(); }));
+  EXPECT_EQ(1U, m_harness.CountExchanges());
+  EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 503"));
+  EXPECT_TRUE(Contains(caller->Received(), kStoppingNumber));
+  EXPECT_TRUE(ExitsWith(0));
+}
+
+// Guards against the same for a request whose body is complete that late.
+TEST_P(PlannedStop, RefusesARequestWhoseBodyIsCompleteLate)
+{
+  const auto caller = m_harness.Connect();
+  caller->Send(Request(Path(), "late", "Transfer-Encoding: chunked\r\n") +
+               "4\r\nbody\r\n");
+  m_harness.RunLoopFor(Duration(100));
+  m_harness.Router().Signal(SIGTERM);
+  m_harness.RunLoopFor(kLate);
+  caller->Send("0\r\n\r\n");
+  EXPECT_TRUE(m_harness.WaitUntil([&] { return caller->Ended(); }));
+  EXPECT_EQ(0U, m_harness.CountExchanges());
+  EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 503"));
+  EXPECT_TRUE(Contains(caller->Received(), kStoppingNumber));
+  EXPECT_TRUE(ExitsWith(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds,
+                         PlannedStop,
+                         testing::Values("order", "stream", "lookup"),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param);
+                         });
+
+// Guards against refusing what ends before the stop does.
+TEST_F(PlannedStop, ServesALateRequestThatEndsInTime)
+{
+  const auto caller = KeepConnection();
+  caller->Send(
+    Request("/order/", "late", "Content-Length: 0\r\nX-Deadline-Ms: 1500\r\n"));
+  EXPECT_TRUE(m_harness.WaitUntil([&] { return caller->Ended(); }));
+  EXPECT_EQ(2U, m_harness.CountExchanges());
+  EXPECT_TRUE(Contains(caller->Received(), "done"));
+  EXPECT_TRUE(ExitsWith(0));
+}
+
+} // namespace
+} // namespace walnutwing::standin
--- /dev/null
+++ b/standin/silent_upstream_test.cc
@@ -0,0 +1,129 @@
+// Tests of what a router does with a request whose upstream is silent for a
+// while. Guards against issue 41, LOST: the router canceled the attempt before
+// it was certain that the request could go on elsewhere, and then ended the
+// caller's answer.
+
+#include "standin/router_harness.h"
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using Exchange = std::shared_ptr<UpstreamExchange>;
+
+// Longer than an upstream may be silent if another one can take over.
+constexpr Duration kPause{ 1500 };
+const std::string kNoRepeats = "repeat_ratio = 0\nrepeat_allowance = 0\n";
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string
+Request(const std::string& aPath)
+{
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: "
+         "Bearer k1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+}
+
+class SilentUpstream
+{
+public:
+  explicit SilentUpstream(const HarnessOptions& aOptions)
+    : m_harness(aOptions)
+  {
+    for (std::size_t i = 0; i < m_harness.Upstreams(); ++i) {
+      m_harness.Upstream(i).SetHandler(
+        [this](const Exchange& aExchange) { m_exchange = aExchange; });
+    }
+  }
+
+  void Send(const std::string& aPath)
+  {
+    m_caller = m_harness.Connect();
+    m_caller->Send(Request(aPath));
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return m_exchange != nullptr; }));
+  }
+
+  // Begins a stream, pauses and ends it.
+  void StreamWithPause()
+  {
+    Send("/resume/");
+    const Exchange exchange = m_exchange;
+    exchange->Write(MakeStreamHead(exchange->Request()) + MakeEventChunk(1));
+    m_harness.RunLoopFor(kPause);
+    exchange->Write(MakeEventChunk(2) + "0\r\n\r\n");
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return m_caller->Ended(); }));
+  }
+
+  bool StreamIsWhole() const
+  {
+    return Contains(m_caller->Received(), "data: e2") &&
+           Contains(m_caller->Received(), "\r\n0\r\n\r\n");
+  }
+
+  RouterHarness m_harness;
+  Exchange m_exchange; // of the last attempt
+  std::unique_ptr<CallerStandin> m_caller;
+};
+
+// Guards against a stream that is cut while its upstream pauses because no
+// request may be repeated.
+TEST(SilentUpstream, EndsNoStreamWithoutABudgetOfRepeats)
+{
+  SilentUpstream test({ .m_extraBounds = kNoRepeats });
+  test.StreamWithPause();
+  EXPECT_TRUE(test.StreamIsWhole());
+  EXPECT_EQ(1U, test.m_harness.CountExchanges());
+}
+
+// Guards against the same where there is no other upstream.
+TEST(SilentUpstream, EndsNoStreamWithoutAnotherUpstream)
+{
+  SilentUpstream test({ .m_upstreams = 1 });
+  test.StreamWithPause();
+  EXPECT_TRUE(test.StreamIsWhole());
+  EXPECT_EQ(1U, test.m_harness.CountExchanges());
+}
+
+// Guards against a lookup that gets an error while its upstream is at work.
+TEST(SilentUpstream, EndsNoLookupWithoutABudgetOfRepeats)
+{
+  SilentUpstream test({ .m_extraBounds = kNoRepeats });
+  test.Send("/lookup/");
+  const Exchange exchange = test.m_exchange;
+  test.m_harness.RunLoopFor(kPause);
+  exchange->Write(MakeUpstreamResponse(exchange->Request(), 200, "late"));
+  EXPECT_TRUE(test.m_harness.WaitUntil([&] { return test.m_caller->Ended(); }));
+  EXPECT_TRUE(Contains(test.m_caller->Received(), "HTTP/1.1 200"));
+  EXPECT_TRUE(Contains(test.m_caller->Received(), "late"));
+}
+
+// Guards against a stream that stays at a silent upstream although another one
+// has come meanwhile.
+TEST(SilentUpstream, LosesTheStreamToAnUpstreamThatComesMeanwhile)
+{
+  SilentUpstream test({});
+  test.m_harness.RegisterUpstream(1, "draining");
+  test.m_harness.RunLoopFor(Duration(800));
+  test.Send("/resume/");
+  const Exchange first = test.m_exchange;
+  first->Write(MakeStreamHead(first->Request()) + MakeEventChunk(1));
+  test.m_harness.RunLoopFor(kPause);
+  EXPECT_FALSE(first->PeerClosed());
+  test.m_harness.RegisterUpstream(1, "ready", 1);
+  ASSERT_TRUE(
+    test.m_harness.WaitUntil([&] { return test.m_exchange != first; }));
+  EXPECT_TRUE(test.m_harness.WaitUntil([&] { return first->PeerClosed(); }));
+  test.m_exchange->Write(MakeStreamHead(test.m_exchange->Request()) +
+                         MakeEventChunk(2) + "0\r\n\r\n");
+  EXPECT_TRUE(test.m_harness.WaitUntil([&] { return test.m_caller->Ended(); }));
+  EXPECT_TRUE(test.StreamIsWhole());
+}
+
+} // namespace
+} // namespace walnutwing::standin
