--- a/router/progress_timer.cc
+++ b/router/progress_timer.cc
@@ -11,6 +11,8 @@
 constexpr int kTimeoutTargets = 4;
 constexpr Duration kMinTimeout = std::chrono::milliseconds(600);
 constexpr Duration kMaxTimeout = std::chrono::milliseconds(1500);
+// Between two calls while the upstream stays silent.
+constexpr Duration kRepeatInterval = std::chrono::milliseconds(200);
 
 Duration
 TimeoutFor(Duration aTarget)
@@ -65,7 +67,12 @@
         Wait(state, state->m_timeout - silentFor);
         return;
       }
-      std::exchange(state->m_onSilent, nullptr)();
+      // A copy, as the callee may call Stop or Start.
+      const std::function<void()> onSilent = state->m_onSilent;
+      onSilent();
+      if (state->m_onSilent) {
+        Wait(state, kRepeatInterval);
+      }
     });
 }
 
--- a/router/progress_timer.h
+++ b/router/progress_timer.h
@@ -21,9 +21,9 @@
   ProgressTimer(const ProgressTimer&) = delete;
   ProgressTimer& operator=(const ProgressTimer&) = delete;
 
-  // An attempt has started. Calls aOnSilent once, when the upstream has shown
-  // no progress for the time that the route allows, unless Stop is called
-  // before.
+  // An attempt has started. Calls aOnSilent when the upstream has shown no
+  // progress for the time that the route allows, and again and again while it
+  // stays silent, until Stop is called.
   void Start(const Route& aRoute, std::function<void()> aOnSilent);
 
   // The head of the response has arrived: from now on the route's gap between
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -52,6 +52,9 @@
 // a change of versions is undone.
 constexpr Duration kVersionGoneRetryAfter = std::chrono::milliseconds(5000);
 
+// Why an attempt ends whose upstream was silent, in the log.
+constexpr const char* kSilentCause = "silent";
+
 constexpr int kFirstServerErrorStatus = 500;
 
 bool
@@ -499,15 +502,30 @@
   }
 }
 
+// A silent upstream may still answer, so the attempt is canceled only once it
+// is certain that the request can be sent elsewhere.
 void
 RequestFlow::OnProgressTimeout()
 {
   const auto self = shared_from_this();
   if (!MayRunAgain()) {
-    return; // it cannot be repeated, and its response may still arrive
+    return;
+  }
+  SelectionRequest selection = MakeSelection();
+  selection.m_avoid.insert(m_attempt.m_choice.m_upstream);
+  // A permit may be refused.
+  selection.m_excludeLimited = selection.m_excludeLimited || m_forwarding;
+  Choice choice;
+  const RepeatResult result = PrepareRepeat(selection, choice);
+  m_record.SetRepeatResult(result);
+  if (result != RepeatResult::Sent) {
+    return; // the timer calls again
   }
+  m_cause = kSilentCause;
   CancelAttempt(SendOutcome::Failed);
-  OnAttemptFailed("silent");
+  m_avoid.insert(m_attempt.m_choice.m_upstream);
+  m_events.DropPartialEvent();
+  SendRepeat(kSilentCause, choice);
 }
 
 void
@@ -780,13 +798,22 @@
 RepeatResult
 RequestFlow::TryRepeat(const char* aWhy)
 {
-  const RepeatResult result = RepeatNow(aWhy);
+  Choice choice;
+  const RepeatResult result = PrepareRepeat(MakeSelection(), choice);
   m_record.SetRepeatResult(result);
+  if (result == RepeatResult::NoBudget) {
+    m_record.CountDeniedRepeat();
+  }
+  if (result == RepeatResult::Sent) {
+    SendRepeat(aWhy, choice);
+  }
   return result;
 }
 
+// Returns Sent if the request may be sent again, to aChoice; the repeat is then
+// taken from the budget.
 RepeatResult
-RequestFlow::RepeatNow(const char* aWhy)
+RequestFlow::PrepareRepeat(const SelectionRequest& aSelection, Choice& aChoice)
 {
   if (m_tries >= kMaxTries || TimeLeft() < kMinAttemptTime) {
     return RepeatResult::NoTime;
@@ -796,20 +823,23 @@
   }
   // Choose first, so that no repeat is taken from the budget without an
   // upstream to send it to.
-  const Choice choice = m_context.m_selector.Choose(MakeSelection(), Now());
-  if (choice.m_failure != SelectionFailure::None) {
+  aChoice = m_context.m_selector.Choose(aSelection, Now());
+  if (aChoice.m_failure != SelectionFailure::None) {
     return RepeatResult::NoUpstream;
   }
-  if (!m_context.RepeatBudgetOf(m_serviceId)
-         .TryRepeat(m_context.m_daemons, Now())) {
-    m_record.CountDeniedRepeat();
-    return RepeatResult::NoBudget;
-  }
+  return m_context.RepeatBudgetOf(m_serviceId)
+             .TryRepeat(m_context.m_daemons, Now())
+           ? RepeatResult::Sent
+           : RepeatResult::NoBudget;
+}
+
+void
+RequestFlow::SendRepeat(const char* aWhy, const Choice& aChoice)
+{
   m_record.LogRepeated(
     m_attempt.m_choice,
     { m_forwarding, aWhy, m_events.LastId(), m_traitProbe.HasBegun() });
-  SendNext(choice);
-  return RepeatResult::Sent;
+  SendNext(aChoice);
 }
 
 void
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -122,7 +122,9 @@
   void OnAttemptFailed(const std::string& aWhy);
   bool MayRunAgain() const;
   RepeatResult TryRepeat(const char* aWhy);
-  RepeatResult RepeatNow(const char* aWhy);
+  RepeatResult PrepareRepeat(const SelectionRequest& aSelection,
+                             Choice& aChoice);
+  void SendRepeat(const char* aWhy, const Choice& aChoice);
   void EndAttempt(SendOutcome aOutcome);
   void CancelAttempt(SendOutcome aOutcome);
 
