--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -380,6 +380,7 @@
     return;
   }
   m_state = State::Idle;
+  m_idleSince = Now();
   SetTimer(Limits().m_idleTimeout);
   Parse();
   Read();
@@ -418,7 +419,8 @@
   }
   const bool isNew = !m_hadRequest && Now() - m_acceptedAt < kFirstRequestTime;
   error_code ignored; // a broken connection has nothing to read
-  if (isNew || m_socket.available(ignored) != 0) {
+  const bool wasBusy = Now() - m_idleSince < PlannedStop::kIdleTime;
+  if (isNew || wasBusy || m_socket.available(ignored) != 0) {
     return;
   }
   Close();
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -36,7 +36,7 @@
   void Start();
 
   // Closes the connection if the caller has no request in progress and has sent
-  // no part of one. A new connection is given some time for its first request.
+  // no part of one. It is given some time for its first and for its next one.
   void CloseIfIdle();
 
   // Ends the request in progress and closes the connection, because the process
@@ -85,6 +85,7 @@
   Timer m_timer;
   std::function<void()> m_onClosed;
   Time m_acceptedAt;
+  Time m_idleSince; // when the last response ended
   State m_state = State::Idle;
   InputBuffer m_input;
   std::optional<Parser> m_parser;
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -48,6 +48,10 @@
 // for the outcome of another attempt.
 constexpr Duration kSuspectRetryAfter = std::chrono::milliseconds(1000);
 
+// The same for a request that comes too late in a planned stop: its caller
+// finds other daemons at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+
 // The same for a stream whose version is gone: upstreams of it may be back when
 // a change of versions is undone.
 constexpr Duration kVersionGoneRetryAfter = std::chrono::milliseconds(5000);
@@ -113,6 +117,10 @@
   }
   m_resumption.SetRoute(*m_route, m_serviceId);
   SetDeadline();
+  if (!m_context.m_stop.MaySend(m_deadline, Now())) {
+    Refuse(ResultCode::Stopping, kStoppingRetryAfter);
+    return;
+  }
   m_context.RepeatBudgetOf(m_serviceId).OnRequest(m_record.ArrivedAt());
   m_context.m_selector.OnRequest(
     m_serviceId, m_facts.m_promptTokens, m_record.ArrivedAt());
--- a/router/router.cc
+++ b/router/router.cc
@@ -30,14 +30,6 @@
 // Until a changed settings file is read once more; see StableText.
 constexpr Duration kSettingsSettleTime = std::chrono::milliseconds(50);
 
-// How long connections are accepted after a planned stop began. The platform
-// checks readiness every second and removes the daemon after two failed checks;
-// until then callers still connect.
-constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
-// Part of the stop limit that is reserved, so that the process ends before it
-// is killed.
-constexpr Duration kStopReserve = std::chrono::milliseconds(400);
-
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFoundStatus = 404;
 
@@ -301,20 +293,19 @@
     if (m_context.m_stop.IsStopping()) {
       return;
     }
-    m_context.m_stop.Begin(Now());
+    m_context.m_stop.Begin(Now(), m_context.m_settings.m_stopLimit);
     LogLine(Event::Stopping)
       .Add("in_progress",
            static_cast<std::int64_t>(m_context.m_requestsInProgress));
     UpdateReadiness();
-    m_stopTimer.expires_after(kAcceptAfterStop);
+    m_stopTimer.expires_after(PlannedStop::kAcceptTime);
     m_stopTimer.async_wait([this](const error_code& aError) {
       if (!aError) {
         m_front.StopAccepting();
         StopWhenIdle();
       }
     });
-    m_stopLimitTimer.expires_after(m_context.m_settings.m_stopLimit -
-                                   kStopReserve);
+    m_stopLimitTimer.expires_after(m_context.m_stop.TimeUntilCut());
     m_stopLimitTimer.async_wait([this](const error_code& aError) {
       if (!aError) {
         m_terminatedRequests = m_context.m_requestsInProgress;
--- a/standin/planned_stop_test.cc
+++ b/standin/stopping_router_test.cc
@@ -36,10 +36,10 @@
 
 // A router whose only upstream begins a stream for the request "first" and
 // answers all others at once.
-class PlannedStop : public testing::TestWithParam<const char*>
+class StoppingRouter : public testing::TestWithParam<const char*>
 {
 protected:
-  PlannedStop()
+  StoppingRouter()
     : m_harness(1)
   {
     m_harness.Upstream(0).SetHandler([this](const Exchange& aExchange) {
@@ -84,7 +84,7 @@
 
 // Guards against a request on a kept connection that is passed on although the
 // stop will cut it.
-TEST_P(PlannedStop, RefusesALateRequestOnAKeptConnection)
+TEST_P(StoppingRouter, RefusesALateRequestOnAKeptConnection)
 {
   const auto caller = KeepConnection();
   caller->Send(Request(Path(), "late"));
@@ -96,7 +96,7 @@
 }
 
 // Guards against the same for a request whose body is complete that late.
-TEST_P(PlannedStop, RefusesARequestWhoseBodyIsCompleteLate)
+TEST_P(StoppingRouter, RefusesARequestWhoseBodyIsCompleteLate)
 {
   const auto caller = m_harness.Connect();
   caller->Send(Request(Path(), "late", "Transfer-Encoding: chunked\r\n") +
@@ -113,14 +113,14 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Kinds,
-                         PlannedStop,
+                         StoppingRouter,
                          testing::Values("order", "stream", "lookup"),
                          [](const auto& aInfo) {
                            return std::string(aInfo.param);
                          });
 
 // Guards against refusing what ends before the stop does.
-TEST_F(PlannedStop, ServesALateRequestThatEndsInTime)
+TEST_F(StoppingRouter, ServesALateRequestThatEndsInTime)
 {
   const auto caller = KeepConnection();
   caller->Send(
