Soak: long streams that pause, slow bodies, hardly any repeats; nothing may end without an answer

Now one caller in three asks for streams of 5 s that pause for 1.6 s, one request in four has a body in two chunks up to 1.5 s apart, and with even seeds routers may repeat one request in a hundred. Without a fault no request may end without an answer, and a stop may cut only what was sent in its first 3 s and is at work in its last sixth.

The test of a request broken without a stop now expects a violation where it expected none.

--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -79,6 +79,14 @@
   std::optional<FaultKind> m_onlyKind; // empty: all kinds
 };
 
+// Whether routers may hardly repeat any request, as when other trouble has
+// spent their budget: with every other seed.
+inline bool
+HasTightRepeatBudget(std::uint64_t aSeed)
+{
+  return aSeed % 2 == 0;
+}
+
 // Returns the faults in the order of their start. Faults may overlap, except
 // those of the same kind, link and target.
 FaultPlan
--- a/soak/guarantee_checker.cc
+++ b/soak/guarantee_checker.cc
@@ -27,6 +27,8 @@
       return "/resume/";
     case RequestKind::OnlyVersion:
       return "/only-";
+    case RequestKind::Long:
+      return "/long/";
   }
   return "/";
 }
@@ -144,17 +146,33 @@
   } else if (aOutcome == RequestOutcome::NoRoute) {
     AddViolation("404 on a route that every version has: " + aRequest.m_id);
   }
+  if (aOutcome == RequestOutcome::Broken) {
+    CheckNotCut(aRequest, aNow);
+  }
+}
+
+void
+GuaranteeChecker::CheckNotCut(const SoakRequest& aRequest, Time aNow)
+{
+  if (IsAffected(
+        aRequest.m_router, aRequest.m_sentAt - kFaultGracePeriod, aNow) ||
+      AreUpstreamsAffected(aRequest.m_sentAt, aNow)) {
+    return;
+  }
   const auto stop = m_stops.find(aRequest.m_router);
-  const bool stopped = stop != m_stops.end() && stop->second <= aNow;
+  if (stop == m_stops.end() || stop->second > aNow) {
+    AddViolation("ended without an answer: " + aRequest.m_id);
+    return;
+  }
   // A connection that the router refuses breaks later for the caller, since the
   // proxy between them has accepted it.
-  const bool refused = stopped && aRequest.m_firstOnConnection &&
+  const bool refused = aRequest.m_firstOnConnection &&
                        aRequest.m_sentAt + m_options.m_slack >
                          stop->second + m_options.m_acceptAfterStop;
-  if (aOutcome == RequestOutcome::Broken && stopped && !refused &&
-      !IsAffected(
-        aRequest.m_router, aRequest.m_sentAt - kFaultGracePeriod, aNow) &&
-      !AreUpstreamsAffected(aRequest.m_sentAt, aNow)) {
+  const bool allowed =
+    aRequest.m_sentAt <= stop->second + m_options.m_servedAfterStop &&
+    aNow >= stop->second + m_options.m_cutAfterStop;
+  if (!refused && !allowed) {
     AddViolation("cut by a planned stop: " + aRequest.m_id);
   }
 }
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -28,13 +28,13 @@
   Stream,
   Resumable,
   OnlyVersion, // a route that exists in one configuration version only
+  Long,        // a resumable stream of seconds whose upstream pauses once
 };
 
-inline constexpr RequestKind kRequestKinds[] = { RequestKind::Order,
-                                                 RequestKind::Lookup,
-                                                 RequestKind::Stream,
-                                                 RequestKind::Resumable,
-                                                 RequestKind::OnlyVersion };
+inline constexpr RequestKind kRequestKinds[] = {
+  RequestKind::Order,     RequestKind::Lookup,      RequestKind::Stream,
+  RequestKind::Resumable, RequestKind::OnlyVersion, RequestKind::Long
+};
 
 // The path prefix of the kind's route, such as "/order/". The version number
 // and a slash follow the prefix of OnlyVersion.
@@ -75,6 +75,10 @@
   Duration m_slack{ 500 };
   // A router accepts no connections later than this after SIGTERM.
   Duration m_acceptAfterStop{ 2600 };
+  // A request that was sent at most m_servedAfterStop after SIGTERM may be cut,
+  // if it is still in progress m_cutAfterStop after it.
+  Duration m_servedAfterStop{ 3000 };
+  Duration m_cutAfterStop{ 6667 };
   // Repeats within m_repeatWindow, over all upstreams: at most
   // m_repeatRatio * first attempts + m_repeatAllowance.
   double m_repeatRatio = 0.2;
@@ -147,6 +151,9 @@
   void CheckArrivalAllowed(const std::string& aUpstream,
                            const std::string& aZone,
                            Time aAt);
+  // Without a fault no request ends without an answer, and a planned stop cuts
+  // only what m_cutAfterStop allows.
+  void CheckNotCut(const SoakRequest& aRequest, Time aNow);
   void CheckRepeats();
   void CheckCold();
   void AddViolation(const std::string& aText);
--- a/soak/guarantee_checker_test.cc
+++ b/soak/guarantee_checker_test.cc
@@ -185,7 +185,7 @@
   EXPECT_EQ(2U, checker.Violations().size());
 }
 
-TEST(GuaranteeChecker, RequestBrokenByPlannedStopIsAViolation)
+TEST(GuaranteeChecker, RequestBrokenWithoutAFaultIsAViolation)
 {
   GuaranteeChecker checker({});
   const auto violationsAfterBroken = [&](std::int64_t aMs,
@@ -195,14 +195,32 @@
     checker.OnRequestEnd(request, RequestOutcome::Broken, At(aMs + 10));
     return checker.Violations().size();
   };
-  EXPECT_EQ(0U, violationsAfterBroken(0, false)); // no stop
+  EXPECT_EQ(1U, violationsAfterBroken(0, false)); // no stop
   checker.OnRouterStop(0, At(1000));
-  EXPECT_EQ(1U, violationsAfterBroken(1100, false));
-  EXPECT_EQ(2U, violationsAfterBroken(1200, true));
-  EXPECT_EQ(2U, violationsAfterBroken(4000, true)); // refused
-  EXPECT_EQ(3U, violationsAfterBroken(4000, false));
+  EXPECT_EQ(2U, violationsAfterBroken(1100, false));
+  EXPECT_EQ(3U, violationsAfterBroken(1200, true));
+  EXPECT_EQ(3U, violationsAfterBroken(4000, true)); // refused
+  EXPECT_EQ(4U, violationsAfterBroken(4000, false));
   checker.OnUpstreamFault(At(4500), At(5000));
-  EXPECT_EQ(3U, violationsAfterBroken(4600, false)); // upstream fault
+  EXPECT_EQ(4U, violationsAfterBroken(4600, false)); // upstream fault
+}
+
+// A stop ends after 8 s, so a request that was sent early in it and is still in
+// progress in the last sixth may be cut; one that was sent later may not.
+TEST(GuaranteeChecker, RequestCutAtTheEndOfAStopIsAViolationIfItWasSentLate)
+{
+  GuaranteeChecker checker({});
+  checker.OnRouterStop(0, At(1000));
+  const auto violationsAfterCut = [&](std::int64_t aSentAtMs,
+                                      std::int64_t aCutAtMs) {
+    checker.OnRequestEnd(MakeRequest(RequestKind::Long, "l", aSentAtMs),
+                         RequestOutcome::Broken,
+                         At(aCutAtMs));
+    return checker.Violations().size();
+  };
+  EXPECT_EQ(0U, violationsAfterCut(4000, 8600));
+  EXPECT_EQ(1U, violationsAfterCut(4100, 8600));
+  EXPECT_EQ(2U, violationsAfterCut(4000, 7600));
 }
 
 TEST(GuaranteeChecker, RepeatsAndColdArrivalsOverBudgetAreViolations)
--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -12,6 +12,7 @@
 
 #include "platform/store_codec.h"
 #include "router/store_channel.h"
+#include "soak/fault_plan.h"
 #include "soak/proxy.h"
 #include "standin/router_harness.h"
 
@@ -28,6 +29,10 @@
 constexpr milliseconds kRegisterInterval(600);
 constexpr milliseconds kStoreTimeout(1500);
 constexpr milliseconds kEventInterval(15);
+// Of long streams, which pause once, in front of kPausedEvent.
+constexpr milliseconds kLongEventInterval(180);
+constexpr milliseconds kLongPause(1600);
+constexpr int kPausedEvent = 10;
 const std::string kEventStart = "id: ";
 const std::string kEventEnd = "\n\n";
 constexpr std::uint64_t kMinRunMs = 3;
@@ -36,6 +41,13 @@
 constexpr std::uint64_t kUnframedPercent = 50;
 constexpr std::uint64_t kBrokenPercent = 60; // during kAnswerBreakTime
 
+// Without repeats each of them would fail a caller's request.
+std::uint64_t
+RefusedPercent(std::uint64_t aSeed)
+{
+  return HasTightRepeatBudget(aSeed) ? 0 : kRefusedPercent;
+}
+
 struct DefectName
 {
   Defect m_defect;
@@ -95,6 +107,7 @@
   {
     Exchange m_exchange;
     std::string m_id;
+    bool m_long = false; // a stream of seconds
     bool m_unframed = false;
     bool m_breaks = false;
     bool m_reset = false; // breaks with a reset rather than an orderly close
@@ -181,7 +194,7 @@
       WriteRecord(Now(), "arrive", id);
       WriteRecord(Now(), "arrive", id);
     }
-    if (m_random() % 100 < kRefusedPercent) {
+    if (m_random() % 100 < RefusedPercent(m_options.m_seed)) {
       if (m_options.m_defect == Defect::FalseNotExecuted) {
         WriteRecord(Now(), "run", id);
       }
@@ -194,11 +207,13 @@
     if (m_options.m_defect == Defect::Twice && target.starts_with("/order/")) {
       WriteRecord(Now(), "run", id);
     }
-    if (target.starts_with("/stream/") || target.starts_with("/resume/")) {
-      StartStream(DrawAnswer(aExchange, id));
+    Answer answer = DrawAnswer(aExchange, id);
+    answer.m_long = target.starts_with("/long/");
+    if (answer.m_long || target.starts_with("/stream/") ||
+        target.starts_with("/resume/")) {
+      StartStream(answer);
       return;
     }
-    const Answer answer = DrawAnswer(aExchange, id);
     ScheduleAfter(milliseconds(kMinRunMs + m_random() % kRunJitterMs),
                   [this, answer] { SendBody(answer); });
   }
@@ -268,9 +283,17 @@
       Break(aAnswer, aAnswer.m_reset);
       return;
     }
-    ScheduleAfter(kEventInterval, [this, aAnswer, aNumber] {
-      SendEvent(aAnswer, aNumber + 1);
-    });
+    ScheduleAfter(
+      TimeUntilEvent(aAnswer, aNumber + 1),
+      [this, aAnswer, aNumber] { SendEvent(aAnswer, aNumber + 1); });
+  }
+
+  static milliseconds TimeUntilEvent(const Answer& aAnswer, int aNumber)
+  {
+    if (!aAnswer.m_long) {
+      return kEventInterval;
+    }
+    return aNumber == kPausedEvent ? kLongPause : kLongEventInterval;
   }
 
   // An unframed stream is always inside an event until its end: each event
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kRequestTimeout(9000);
 constexpr std::uint64_t kPauseJitterMs = 60;
 constexpr std::uint64_t kOlderVersionPercent = 20;
+constexpr std::uint64_t kChunkedPercent = 25; // of requests
+constexpr std::uint64_t kMaxChunkPauseMs = 1500;
 
 std::string
 CompleteStream(const std::string& aId)
@@ -37,7 +39,8 @@
                  const std::string& aBody)
 {
   const bool streamed = aRequest.m_kind == RequestKind::Stream ||
-                        aRequest.m_kind == RequestKind::Resumable;
+                        aRequest.m_kind == RequestKind::Resumable ||
+                        aRequest.m_kind == RequestKind::Long;
   if (aStatus == 200) {
     const std::string complete =
       streamed ? CompleteStream(aRequest.m_id) : AnswerBody(aRequest.m_id);
@@ -85,8 +88,10 @@
     m_currentRequest = {};
     m_currentRequest.m_id =
       m_options.m_name + "-" + std::to_string(m_requestCount++);
-    m_currentRequest.m_kind =
-      kRequestKinds[m_random() % std::size(kRequestKinds)];
+    // Most of the callers' time would go by in long streams.
+    const std::size_t kinds =
+      std::size(kRequestKinds) - (m_options.m_longStreams ? 0 : 1);
+    m_currentRequest.m_kind = kRequestKinds[m_random() % kinds];
     if (m_connected) {
       Send();
     } else {
@@ -119,7 +124,6 @@
 void
 SoakCaller::Send()
 {
-  m_currentRequest.m_sentAt = SteadyClock().Now();
   m_currentRequest.m_router = m_router;
   std::string target = PathPrefixOf(m_currentRequest.m_kind);
   if (m_currentRequest.m_kind == RequestKind::OnlyVersion) {
@@ -128,11 +132,24 @@
     m_currentRequest.m_version = older ? previous : newest;
     target += std::to_string(m_currentRequest.m_version) + "/";
   }
-  m_requestText =
-    "POST " + target + " HTTP/1.1\r\nHost: h.example\r\n" +
-    "X-Attempt-Id: " + m_currentRequest.m_id +
-    "\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nbody";
+  m_requestText = "POST " + target + " HTTP/1.1\r\nHost: h.example\r\n" +
+                  "X-Attempt-Id: " + m_currentRequest.m_id +
+                  "\r\nAuthorization: Bearer k1\r\n";
   StartTimeout();
+  if (m_random() % 100 >= kChunkedPercent) {
+    Write(m_requestText + "Content-Length: 4\r\n\r\nbody");
+  } else {
+    Write(m_requestText + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n");
+    WriteLater("2\r\ndy\r\n0\r\n\r\n");
+  }
+  Read();
+}
+
+void
+SoakCaller::Write(std::string aText)
+{
+  m_currentRequest.m_sentAt = SteadyClock().Now();
+  m_requestText = std::move(aText);
   const auto generation = m_generation;
   boost::asio::async_write(
     m_socket,
@@ -142,7 +159,19 @@
         Finish(RequestOutcome::Broken, false);
       }
     });
-  Read();
+}
+
+// Writes the rest of a body after a while, as a slow caller does.
+void
+SoakCaller::WriteLater(std::string aText)
+{
+  m_pauseTimer.expires_after(milliseconds(m_random() % kMaxChunkPauseMs));
+  const auto generation = m_generation;
+  m_pauseTimer.async_wait([this, generation, aText](const error_code& aError) {
+    if (!aError && generation == m_generation) {
+      Write(aText);
+    }
+  });
 }
 
 void
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -28,6 +28,7 @@
   std::string m_name;                 // unique; the prefix of its attempt ids
   std::vector<std::string> m_routers; // addresses, "IP:port"
   std::uint64_t m_seed = 1;
+  bool m_longStreams = false; // whether it asks for them too
   // Returns the newest configuration version and the one before it, for
   // OnlyVersion requests.
   std::function<std::pair<std::uint64_t, std::uint64_t>()> m_versions;
@@ -51,6 +52,8 @@
   void ScheduleNextRequest();
   void Connect();
   void Send();
+  void Write(std::string aText);
+  void WriteLater(std::string aText);
   void Read();
   void OnRead(const boost::system::error_code& aError);
   RequestOutcome Classify() const;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -86,6 +86,16 @@
   return m_options.m_directory + "/" + aName;
 }
 
+// No more than the guarantee allows. Every other seed has hardly any repeats,
+// as when other trouble has spent them.
+std::string
+SoakFleet::RepeatBounds() const
+{
+  return HasTightRepeatBudget(m_options.m_plan.m_seed)
+           ? "repeat_allowance = 1\nrepeat_ratio = 0.01\n"
+           : "repeat_allowance = 30\n";
+}
+
 std::string
 SoakFleet::StoreAddress() const
 {
@@ -135,7 +145,8 @@
     << "\nmetrics_port = 0\nlog_bytes_per_s = "
     << kLogBytesPerSecond + ++m_settingsWritten << "\n[platform]\naddress = "
     << MakeAddress(kSharedHost, kStoreProxyBasePort + aIndex)
-    << "\n[bounds]\nstop_limit_s = 8\nrepeat_allowance = 30\n";
+    << "\n[bounds]\nstop_limit_s = 8\n"
+    << RepeatBounds();
 }
 
 void
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -83,6 +83,7 @@
   std::string MakeAddress(std::uint32_t aHost, std::uint32_t aPort) const;
   std::uint32_t UpstreamHost(std::uint32_t aIndex) const;
   std::string Path(const std::string& aName) const;
+  std::string RepeatBounds() const; // of the settings
 
   const SoakOptions& m_options;
   std::string m_addressPrefix; // "127.B.C."
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -33,7 +33,8 @@
 constexpr milliseconds kDrainTime(2600);
 // From a restore of the store until operators have noticed it.
 constexpr milliseconds kRewriteDelay(300);
-constexpr std::size_t kRecoveredStreak = 10; // complete answers in a row
+constexpr std::uint32_t kLongStreamCallers = 3; // one caller of so many
+constexpr std::size_t kRecoveredStreak = 10;    // complete answers in a row
 
 Time
 Now()
@@ -61,6 +62,10 @@
                "streaming",
                R"(,"maxAttempts":3,"resumable":true,"targetGapMs":100)") +
          "," +
+         route("/long/",
+               "streaming",
+               R"(,"maxAttempts":3,"resumable":true,"targetGapMs":100)") +
+         "," +
          route("/only-" + std::to_string(aOnly) + "/",
                "idempotent",
                R"(,"maxAttempts":2)") +
@@ -191,6 +196,7 @@
       options.m_name = "c" + std::to_string(i);
       options.m_routers = routers;
       options.m_seed = m_options.m_plan.m_seed * 1000 + i;
+      options.m_longStreams = i % kLongStreamCallers == 0;
       options.m_versions = [this] {
         return std::pair(m_version, std::max<std::uint64_t>(1, m_version - 1));
       };
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -41,6 +41,16 @@
       { "--seed=2", "--seconds=6", "--machines=3", "--only=upstream_break" }));
 }
 
+// Guards against answers that are cut while upstreams pause and routers stop,
+// with hardly a repeat left.
+TEST(Soak, GuaranteesHoldWhileRoutersStopAndUpstreamsPause)
+{
+  EXPECT_EQ(
+    0,
+    RunSoakProgram(
+      { "--seed=4", "--seconds=8", "--machines=3", "--only=router_stop" }));
+}
+
 struct Variant
 {
   const char* m_break;
