--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -429,16 +429,24 @@
 void
 CallerConnection::Terminate()
 {
-  const auto flow = m_flow;
-  if (flow != nullptr) {
-    flow->Terminate();
+  const auto self = shared_from_this();
+  if (m_flow != nullptr) {
+    m_flow->Terminate();
   }
-  if (m_state != State::Closed && PendingBytes() != 0) {
-    EventLog::Line(m_context.m_log, Event::AnswerUnsent, Now())
-      .Add("id", flow == nullptr ? "" : flow->AttemptId())
-      .Add("bytes", static_cast<std::int64_t>(PendingBytes()));
+  if (m_state != State::Closed && PendingBytes() == 0) {
+    Close();
   }
-  Close();
+}
+
+void
+CallerConnection::LogUnsent() const
+{
+  if (PendingBytes() == 0) {
+    return;
+  }
+  EventLog::Line(m_context.m_log, Event::AnswerUnsent, Now())
+    .Add("id", m_flow == nullptr ? "" : m_flow->AttemptId())
+    .Add("bytes", static_cast<std::int64_t>(PendingBytes()));
 }
 
 void
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -39,10 +39,13 @@
   // no part of one. It is given some time for its first and for its next one.
   void CloseIfIdle();
 
-  // Ends the request in progress and closes the connection, because the process
-  // stops.
+  // Ends the request in progress, because the process stops, and closes the
+  // connection once the caller has taken what there is for it.
   void Terminate();
 
+  // Logs how much of an answer the caller has not taken, if any.
+  void LogUnsent() const;
+
   void Begin(std::string aHead, std::optional<std::uint64_t> aLength) override;
   void Write(std::string_view aPiece) override;
   void End() override;
--- a/router/front.cc
+++ b/router/front.cc
@@ -91,4 +91,12 @@
   }
 }
 
+void
+Front::LogUnsent() const
+{
+  for (const auto& connection : m_connections) {
+    connection->LogUnsent();
+  }
+}
+
 } // namespace walnutwing::router
--- a/router/front.h
+++ b/router/front.h
@@ -30,9 +30,13 @@
   // Stops accepting connections.
   void StopAccepting();
 
-  // Ends all requests in progress and closes all connections.
+  // Ends all requests in progress. Connections close once the callers have
+  // taken what there is for them.
   void TerminateAll();
 
+  // Logs what callers have not taken.
+  void LogUnsent() const;
+
   std::size_t OpenConnections() const { return m_connections.size(); }
 
 private:
--- a/router/router.cc
+++ b/router/router.cc
@@ -30,6 +30,9 @@
 // Until a changed settings file is read once more; see StableText.
 constexpr Duration kSettingsSettleTime = std::chrono::milliseconds(50);
 
+// For the answers of requests that a stop cuts.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(150);
+
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFoundStatus = 404;
 
@@ -308,8 +311,22 @@
     m_stopLimitTimer.expires_after(m_context.m_stop.TimeUntilCut());
     m_stopLimitTimer.async_wait([this](const error_code& aError) {
       if (!aError) {
-        m_terminatedRequests = m_context.m_requestsInProgress;
-        m_front.TerminateAll();
+        TerminateRequests();
+      }
+    });
+  }
+
+  // Callers get an answer, also that their request was cut: a connection that
+  // ends without one looks as if the request had not been read, and its caller
+  // might send it again.
+  void TerminateRequests()
+  {
+    m_terminatedRequests = m_context.m_requestsInProgress;
+    m_front.TerminateAll();
+    m_stopLimitTimer.expires_after(kLastAnswersTime);
+    m_stopLimitTimer.async_wait([this](const error_code& aError) {
+      if (!aError) {
+        m_front.LogUnsent();
         StopLoop();
       }
     });
--- /dev/null
+++ b/standin/order_once_test.cc
@@ -0,0 +1,190 @@
+// Tests of each way in which an order can end at its upstream, with real
+// sockets. Guards against issue 41, TWICE: an order that may have run is sent
+// again, or its caller is told that it has not run and sends it again.
+
+#include "standin/router_harness.h"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+namespace walnutwing::standin {
+namespace {
+
+using Exchange = std::shared_ptr<UpstreamExchange>;
+using Answer = std::function<void(const Exchange&)>;
+
+constexpr std::size_t kUpstreams = 3;
+constexpr Duration kSettleTime{ 300 }; // in which a second send would arrive
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string
+Order(const std::string& aBody)
+{
+  return "POST /order/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: "
+         "o1\r\nAuthorization: Bearer k1\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+AnswerOf(const std::string& aId, int aStatus, const std::string& aFields)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " Answer\r\n" +
+         (aId.empty() ? "" : "X-Attempt-Id: " + aId + "\r\n") + aFields +
+         "Content-Length: 2\r\n\r\nno";
+}
+
+struct OrderEnding
+{
+  const char* m_name;
+  Answer m_answer;
+};
+
+// Without it GoogleTest prints the bytes of the object.
+void
+PrintTo(const OrderEnding& aEnding, std::ostream* aStream)
+{
+  *aStream << aEnding.m_name;
+}
+
+class OrderOnce : public testing::TestWithParam<OrderEnding>
+{
+protected:
+  OrderOnce()
+    : m_harness(kUpstreams)
+  {
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      m_harness.Upstream(i).SetHandler([this](const Exchange& aExchange) {
+        if (aExchange->Request()["X-Attempt-Id"] == "o1") {
+          ++m_arrivals;
+          GetParam().m_answer(aExchange);
+          return;
+        }
+        aExchange->Write(
+          MakeUpstreamResponse(aExchange->Request(), 200, "warm"));
+      });
+    }
+  }
+
+  // Leaves a kept connection to each upstream.
+  void KeepConnections()
+  {
+    for (std::size_t i = 0; i < 4 * kUpstreams; ++i) {
+      m_harness.Fetch("GET", "/lookup/" + std::to_string(i));
+    }
+  }
+
+  void ExpectOneRunThatIsNotDenied()
+  {
+    const auto caller = m_harness.Connect();
+    caller->Send(Order("body"));
+    EXPECT_TRUE(m_harness.WaitUntil(
+      [&] { return Contains(caller->Received(), "HTTP/1.1 "); }));
+    m_harness.RunLoopFor(kSettleTime);
+    EXPECT_EQ(1U, m_arrivals);
+    EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 502"))
+      << caller->Received();
+  }
+
+  RouterHarness m_harness;
+  std::size_t m_arrivals = 0;
+};
+
+TEST_P(OrderOnce, IsSentOnceOnANewConnection)
+{
+  ExpectOneRunThatIsNotDenied();
+}
+
+TEST_P(OrderOnce, IsSentOnceOnAKeptConnection)
+{
+  KeepConnections();
+  ExpectOneRunThatIsNotDenied();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Endings,
+  OrderOnce,
+  testing::Values(
+    OrderEnding{ "Reset",
+                 [](const Exchange& aExchange) { aExchange->Reset(); } },
+    OrderEnding{ "Close",
+                 [](const Exchange& aExchange) { aExchange->Close(); } },
+    OrderEnding{ "ResetInsideTheHead",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write("HTTP/1.1 503 Full\r\nX-Not-Exec");
+                   aExchange->Reset();
+                 } },
+    OrderEnding{ "RefusalThatDoesNotSayNotExecuted",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write(AnswerOf("o1", 503, ""));
+                 } },
+    OrderEnding{ "RefusalOfAnotherRequestThenClose",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write(
+                     AnswerOf("o0", 503, "X-Not-Executed: 1\r\n"));
+                   aExchange->Close();
+                 } },
+    OrderEnding{ "RefusalWithoutAnEnd",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write("HTTP/1.1 503 Full\r\nX-Attempt-Id: o1\r\n"
+                                    "X-Not-Executed: 1\r\n"
+                                    "Content-Length: 9\r\n\r\nno");
+                   aExchange->Close();
+                 } },
+    OrderEnding{
+      "Garbage",
+      [](const Exchange& aExchange) { aExchange->Write("not HTTP\r\n\r\n"); } },
+    OrderEnding{ "FailureOfItsOwn",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write(AnswerOf("o1", 502, ""));
+                 } }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against a doubled "not executed" that is taken for the answer of the
+// upstream that got the order next.
+TEST(OrderOnceAfterRefusal, IsSentToOneOtherUpstream)
+{
+  RouterHarness harness(kUpstreams);
+  std::size_t refusals = 0;
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    harness.Upstream(i).SetHandler([&](const Exchange& aExchange) {
+      if (refusals++ == 0) {
+        const std::string refusal =
+          AnswerOf("o1", 503, "X-Not-Executed: 1\r\n");
+        aExchange->Write(refusal + refusal);
+        return;
+      }
+      aExchange->Reset();
+    });
+  }
+  const auto caller = harness.Connect();
+  caller->Send(Order("body"));
+  EXPECT_TRUE(harness.WaitUntil(
+    [&] { return Contains(caller->Received(), "HTTP/1.1 "); }));
+  harness.RunLoopFor(kSettleTime);
+  EXPECT_EQ(2U, harness.CountExchanges());
+  EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 502"));
+}
+
+// Guards against an order that is sent although its caller broke off its body.
+TEST(OrderOnceFromCaller, IsNotSentWithHalfABody)
+{
+  RouterHarness harness(kUpstreams);
+  const auto caller = harness.Connect();
+  caller->Send(
+    "POST /order/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: o1\r\n"
+    "Authorization: Bearer k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nbody\r\n");
+  harness.RunLoopFor(kSettleTime);
+  caller->Close();
+  harness.RunLoopFor(kSettleTime);
+  EXPECT_EQ(0U, harness.CountExchanges());
+}
+
+} // namespace
+} // namespace walnutwing::standin
--- a/standin/stopping_router_test.cc
+++ b/standin/stopping_router_test.cc
@@ -131,5 +131,25 @@
   EXPECT_TRUE(ExitsWith(0));
 }
 
+// Guards against issue 41, TWICE: an order that is in progress when the time of
+// the stop is over ended with a reset and no answer, as if it had not been
+// read, so that its caller may send it again.
+TEST_F(StoppingRouter, AnswersAnOrderThatItCuts)
+{
+  RouterHarness harness(HarnessOptions{ .m_stopLimitSeconds = 2 });
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([](const Exchange&) {});
+  }
+  const auto caller = harness.Connect();
+  caller->Send(Request("/order/", "cut"));
+  ASSERT_TRUE(harness.WaitUntil([&] { return harness.CountExchanges() == 1; }));
+  harness.Router().Signal(SIGTERM);
+  EXPECT_TRUE(harness.WaitUntil([&] { return caller->Ended(); }));
+  EXPECT_FALSE(caller->WasReset());
+  EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 502"));
+  EXPECT_TRUE(Contains(caller->Received(), R"("ran":"unknown")"));
+  EXPECT_EQ(1U, harness.CountExchanges());
+}
+
 } // namespace
 } // namespace walnutwing::standin
--- a/walnutwing/base/result_code.cc
+++ b/walnutwing/base/result_code.cc
@@ -115,7 +115,7 @@
     "the command line cannot be read" },
   { AddressInUse, "address_in_use", 0, Ran::NotRun, Repeat::No,
     "the address cannot be bound" },
-  { StopCutRequests, "stop_cut_requests", 0, Ran::Unknown, Repeat::No,
+  { StopCutRequests, "stop_cut_requests", 502, Ran::Unknown, Repeat::No,
     "the stop cut requests in progress" },
 });
 // clang-format on
