--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -37,6 +37,8 @@
 const std::string kEventEnd = "\n\n";
 constexpr std::uint64_t kMinRunMs = 3;
 constexpr std::uint64_t kRunJitterMs = 40;
+constexpr milliseconds kSlowRun(3000); // of kSlowPercent of the orders
+constexpr std::uint64_t kSlowPercent = 4;
 constexpr std::uint64_t kRefusedPercent = 3;
 constexpr std::uint64_t kUnframedPercent = 50;
 constexpr std::uint64_t kBrokenPercent = 60; // during kAnswerBreakTime
@@ -214,7 +216,10 @@
       StartStream(answer);
       return;
     }
-    ScheduleAfter(milliseconds(kMinRunMs + m_random() % kRunJitterMs),
+    const bool slow =
+      target.starts_with("/order/") && m_random() % 100 < kSlowPercent;
+    ScheduleAfter(slow ? kSlowRun
+                       : milliseconds(kMinRunMs + m_random() % kRunJitterMs),
                   [this, answer] { SendBody(answer); });
   }
 
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -1,5 +1,7 @@
 #include "soak/soak_caller.h"
 
+#include <utility>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -83,8 +85,14 @@
     return;
   }
   m_pauseTimer.expires_after(milliseconds(5 + m_random() % kPauseJitterMs));
-  m_pauseTimer.async_wait([this](const error_code&) {
-    ++m_generation;
+  m_pauseTimer.async_wait([this](const error_code&) { BeginRequest(); });
+}
+
+void
+SoakCaller::BeginRequest()
+{
+  ++m_generation;
+  if (!std::exchange(m_repeatsOrder, false)) {
     m_currentRequest = {};
     m_currentRequest.m_id =
       m_options.m_name + "-" + std::to_string(m_requestCount++);
@@ -92,12 +100,12 @@
     const std::size_t kinds =
       std::size(kRequestKinds) - (m_options.m_longStreams ? 0 : 1);
     m_currentRequest.m_kind = kRequestKinds[m_random() % kinds];
-    if (m_connected) {
-      Send();
-    } else {
-      Connect();
-    }
-  });
+  }
+  if (m_connected) {
+    Send();
+  } else {
+    Connect();
+  }
 }
 
 void
@@ -193,6 +201,10 @@
 SoakCaller::OnRead(const error_code& aError)
 {
   if (aError) {
+    m_repeatsOrder = m_options.m_repeatsResetOrders &&
+                     m_currentRequest.m_kind == RequestKind::Order &&
+                     aError == boost::asio::error::connection_reset &&
+                     !m_parser->got_some();
     Finish(RequestOutcome::Broken, false);
     return;
   }
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -29,6 +29,10 @@
   std::vector<std::string> m_routers; // addresses, "IP:port"
   std::uint64_t m_seed = 1;
   bool m_longStreams = false; // whether it asks for them too
+  // Whether it sends an order again, under the same id and to any router, if
+  // its connection was reset before a byte of the answer came: as a caller does
+  // that takes it for unread. Only where nothing but a router resets.
+  bool m_repeatsResetOrders = false;
   // Returns the newest configuration version and the one before it, for
   // OnlyVersion requests.
   std::function<std::pair<std::uint64_t, std::uint64_t>()> m_versions;
@@ -50,6 +54,7 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void ScheduleNextRequest();
+  void BeginRequest();
   void Connect();
   void Send();
   void Write(std::string aText);
@@ -69,6 +74,7 @@
   boost::asio::steady_timer m_timeoutTimer;
   bool m_connected = false;
   bool m_stopping = false;
+  bool m_repeatsOrder = false; // the next request is the order that was reset
   bool m_ended = false;
   std::uint32_t m_router = 0;
   std::uint64_t m_requestCount = 0;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -196,6 +196,8 @@
       options.m_name = "c" + std::to_string(i);
       options.m_routers = routers;
       options.m_seed = m_options.m_plan.m_seed * 1000 + i;
+      options.m_repeatsResetOrders =
+        m_options.m_plan.m_onlyKind == FaultKind::RouterStop;
       options.m_longStreams = i % kLongStreamCallers == 0;
       options.m_versions = [this] {
         return std::pair(m_version, std::max<std::uint64_t>(1, m_version - 1));
