--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -22,9 +22,6 @@
 constexpr Duration kMemberLifetime = 3 * kMemberInterval;
 constexpr Duration kFirstRosterReadDelay = std::chrono::milliseconds(1500);
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
-// A list of upstreams that the store confirmed this long ago, or later, is up
-// to date.
-constexpr Duration kFreshUpstreams = std::chrono::milliseconds(2000);
 // Fleet size assumed until the members are read. It is large, so that this
 // daemon's share of the budgets is small and cold upstreams get no requests.
 constexpr std::uint32_t kInitialFleetSize = 30;
@@ -87,8 +84,18 @@
       [this](const std::string& aAddress, proto::RouterPeerMessage aMessage) {
         m_peers.SendTo(aAddress, std::move(aMessage));
       },
-      [this] { return HasFreshUpstreams(); })
+      [this] { return HasFreshUpstreams(); },
+      [this](std::function<void(bool)> aOnRead) {
+        AskStoreForVersions(std::move(aOnRead));
+      })
   , m_streamVersionStore(m_context, m_exchange)
+  , m_streamJournal(m_context)
+  , m_upstreamTail(m_context,
+                   std::string(platform::kUpstreamTopic),
+                   TopicGap::FailRead,
+                   [this](const std::vector<platform::StoreRecord>& aRecords) {
+                     NoteVersions(aRecords);
+                   })
   , m_announceTimer(aContext.m_loop.get_executor())
   , m_memberReadTimer(aContext.m_loop.get_executor())
 {
@@ -151,9 +158,11 @@
     OnUpstreamChange(id, UpstreamChange::Removed);
   }
   UpdateVersions();
+  NoteStandstill();
   m_context.m_sendLimiter.DropExpired(aNow);
   m_traitBlocks.Tick(aNow);
   m_streamVersionStore.Tick(aNow);
+  m_streamJournal.Tick(m_exchange.IsHub(), aNow);
   if (m_context.m_traitBreaker.TakeHasNews()) {
     m_peers.SendSoon();
   }
@@ -184,7 +193,8 @@
   return m_operatorFeed.Channel().Calls() + m_upstreamFeed.Channel().Calls() +
          m_memberFeed.Channel().Calls() + m_announceChannel->Calls() +
          m_traitBlocks.Channel().Calls() +
-         m_streamVersionStore.Channel().Calls();
+         m_streamVersionStore.Channel().Calls() + m_streamJournal.StoreCalls() +
+         m_upstreamTail.Channel().Calls();
 }
 
 std::uint64_t
@@ -194,7 +204,9 @@
          m_upstreamFeed.Channel().BytesRead() +
          m_memberFeed.Channel().BytesRead() + m_announceChannel->BytesRead() +
          m_traitBlocks.Channel().BytesRead() +
-         m_streamVersionStore.Channel().BytesRead();
+         m_streamVersionStore.Channel().BytesRead() +
+         m_streamJournal.StoreBytesRead() +
+         m_upstreamTail.Channel().BytesRead();
 }
 
 void
@@ -361,7 +373,61 @@
 {
   const Time confirmedAt =
     std::max(m_upstreamFeed.LastResponseAt(), m_peers.UpstreamsConfirmedAt());
-  return m_upstreamFeed.Loaded() && Now() - confirmedAt <= kFreshUpstreams;
+  return m_upstreamFeed.Loaded() &&
+         !m_standstill.IsCatchingUp(TimeSinceBoot()) &&
+         confirmedAt >= m_trustedFrom && Now() - confirmedAt <= kFreshListAge;
+}
+
+void
+FleetState::NoteStandstill()
+{
+  m_standstill.OnTick(TimeSinceBoot());
+  if (m_standstill.IsCatchingUp(TimeSinceBoot())) {
+    m_trustedFrom = Now();
+  }
+}
+
+// The two reads run side by side. The list counts only if it was read to its
+// end; what is found in the journal counts in any case.
+void
+FleetState::AskStoreForVersions(std::function<void(bool aFresh)> aOnRead)
+{
+  struct Reads
+  {
+    int m_left = 3;
+    bool m_listRead = false;
+    std::function<void(bool)> m_onRead;
+  };
+  const auto reads = std::make_shared<Reads>();
+  reads->m_onRead = std::move(aOnRead);
+  const auto onEnd = [reads] {
+    if (--reads->m_left == 0) {
+      reads->m_onRead(reads->m_listRead);
+    }
+  };
+  const TopicFollower& list = m_upstreamFeed.Follower();
+  m_upstreamTail.SkipTo(list.Next(), list.Era());
+  m_upstreamTail.Read([this, reads, onEnd](bool aComplete) {
+    reads->m_listRead = aComplete && m_upstreamFeed.Loaded();
+    onEnd();
+  });
+  m_streamJournal.Read([onEnd](bool) { onEnd(); });
+  m_streamVersionStore.ReadIfUnread(onEnd);
+}
+
+// The list itself is left to its feed, which has its own order of records.
+void
+FleetState::NoteVersions(const std::vector<platform::StoreRecord>& aRecords)
+{
+  for (const platform::StoreRecord& record : aRecords) {
+    platform::DecodeError ignored; // the feed logs it
+    const auto entry = platform::DecodeUpstream(
+      record.m_key, record.m_value.value_or(""), ignored);
+    if (entry) {
+      m_context.m_streamVersions.OnVersionSeen(
+        entry->m_service, entry->m_version, Now());
+    }
+  }
 }
 
 // Suspect upstreams count: they may run on, and their streams too.
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -7,6 +7,7 @@
 // the Context what requests need.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -16,10 +17,13 @@
 #include "router/context.h"
 #include "router/peers.h"
 #include "router/send_permits.h"
+#include "router/standstill.h"
 #include "router/store_channel.h"
+#include "router/stream_journal.h"
 #include "router/stream_version_exchange.h"
 #include "router/stream_version_store.h"
 #include "router/topic_feed.h"
+#include "router/topic_tail.h"
 #include "router/trait_block_store.h"
 #include "walnutwing/routing/fleet_roster.h"
 #include "walnutwing/routing/load_exchange.h"
@@ -65,6 +69,12 @@
   void OnUpstreamUpdate(const TopicUpdate& aUpdate);
   // Whether the list of upstreams is as the store had it a moment ago.
   bool HasFreshUpstreams() const;
+  void NoteStandstill();
+  // Reads from the store which version began streams, which services have one
+  // version only, and what has changed in the list of upstreams. Calls aOnRead
+  // with whether the list is up to date after that.
+  void AskStoreForVersions(std::function<void(bool aFresh)> aOnRead);
+  void NoteVersions(const std::vector<platform::StoreRecord>& aRecords);
   void UpdateVersions();
   std::optional<UpstreamEntry> ReadUpstream(
     const platform::StoreRecord& aRecord);
@@ -99,6 +109,10 @@
   TraitBlockStore m_traitBlocks;
   StreamVersionExchange m_streamExchange;
   StreamVersionStore m_streamVersionStore;
+  StreamJournal m_streamJournal;
+  TopicTail m_upstreamTail; // for questions about versions
+  Standstill m_standstill;
+  Time m_trustedFrom; // confirmations before it may have waited in a socket
   Timer m_announceTimer;
   Timer m_memberReadTimer;
   std::set<ZoneId> m_zonesOut;
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -320,6 +320,10 @@
   selection.m_daemons = m_context.m_daemons;
   selection.m_avoid = m_avoid;
   selection.m_version = m_resumption.Version();
+  if (m_route->m_kind == RouteKind::Stream && !selection.m_version) {
+    selection.m_newVersions =
+      m_context.m_streamVersions.NewVersions(m_serviceId, Now());
+  }
   selection.m_excludeRefusing = m_refusedByUpstream;
   selection.m_excludeLimited = m_permitsAsked >= kMaxPermitsAsked;
   if (m_service != nullptr) {
--- a/router/stream_version_exchange.cc
+++ b/router/stream_version_exchange.cc
@@ -43,10 +43,12 @@
 
 StreamVersionExchange::StreamVersionExchange(Context& aContext,
                                              SendMessage aSendMessage,
-                                             IsFresh aIsFresh)
+                                             IsFresh aIsFresh,
+                                             AskStore aAskStore)
   : m_context(aContext)
   , m_sendMessage(std::move(aSendMessage))
   , m_isFresh(std::move(aIsFresh))
+  , m_askStore(std::move(aAskStore))
   , m_recordTimer(aContext.m_loop.get_executor())
 {
 }
@@ -68,7 +70,11 @@
     m_context.m_streamVersions.Keepers(aStream);
   const VersionPoll poll(OwnOpinion(aStream, aService), keepers.size());
   if (poll.IsDecided()) {
-    aOnAnswer(poll.Result());
+    if (const auto version = poll.Result()) {
+      aOnAnswer(version);
+    } else {
+      FindInStore(aStream, aService, std::move(aOnAnswer));
+    }
     return;
   }
   const std::uint32_t number = ++m_lastNumber;
@@ -80,8 +86,9 @@
       Finish(number);
     }
   });
-  m_pending.emplace(number,
-                    Pending{ poll, std::move(aOnAnswer), std::move(timer) });
+  m_pending.emplace(
+    number,
+    Pending{ aStream, aService, poll, std::move(aOnAnswer), std::move(timer) });
   ++m_context.m_metrics.Counter("stream_version_questions_total");
   for (const std::string& address : keepers) {
     proto::RouterPeerMessage message;
@@ -179,9 +186,32 @@
   if (found == m_pending.end()) {
     return;
   }
-  const Pending pending = std::move(found->second);
+  Pending pending = std::move(found->second);
   m_pending.erase(found);
-  pending.m_onAnswer(pending.m_poll.Result());
+  if (const auto version = pending.m_poll.Result()) {
+    pending.m_onAnswer(version);
+    return;
+  }
+  FindInStore(
+    pending.m_stream, pending.m_service, std::move(pending.m_onAnswer));
+}
+
+// No daemon that has answered knows the stream: those that did may be gone.
+void
+StreamVersionExchange::FindInStore(StreamKey aStream,
+                                   const ServiceId& aService,
+                                   Context::OnStreamVersion aOnAnswer)
+{
+  ++m_context.m_metrics.Counter("stream_versions_asked_of_store_total");
+  m_askStore([this, aStream, aService, onAnswer = std::move(aOnAnswer)](
+               bool aFresh) {
+    const VersionPoll poll(
+      m_context.m_streamVersions.Opinion(aStream, aService, aFresh, Now()), 0);
+    const std::optional<SoftwareVersion> version = poll.Result();
+    ++m_context.m_metrics.Counter("stream_versions_store_answers_total",
+                                  version ? "known=\"1\"" : "known=\"0\"");
+    onAnswer(version);
+  });
 }
 
 } // namespace walnutwing::router
--- a/router/stream_version_exchange.h
+++ b/router/stream_version_exchange.h
@@ -24,10 +24,14 @@
                                          proto::RouterPeerMessage aMessage)>;
   // Whether this daemon's list of upstreams is up to date.
   using IsFresh = std::function<bool()>;
+  // Reads from the store what no daemon that has answered knows. Calls
+  // aOnAsked with whether the list of upstreams is up to date after that.
+  using AskStore = std::function<void(std::function<void(bool aFresh)>)>;
 
   StreamVersionExchange(Context& aContext,
                         SendMessage aSendMessage,
-                        IsFresh aIsFresh);
+                        IsFresh aIsFresh,
+                        AskStore aAskStore);
   StreamVersionExchange(const StreamVersionExchange&) = delete;
   StreamVersionExchange& operator=(const StreamVersionExchange&) = delete;
 
@@ -46,12 +50,17 @@
 private:
   struct Pending
   {
+    StreamKey m_stream;
+    ServiceId m_service;
     VersionPoll m_poll;
     Context::OnStreamVersion m_onAnswer;
     std::unique_ptr<Timer> m_timer;
   };
 
   VersionOpinion OwnOpinion(StreamKey aStream, const ServiceId& aService) const;
+  void FindInStore(StreamKey aStream,
+                   const ServiceId& aService,
+                   Context::OnStreamVersion aOnAnswer);
   void SendRecords();
   void AnswerQuestions(const proto::RouterPeerMessage& aMessage,
                        const std::string& aFromAddress);
@@ -61,6 +70,7 @@
   Context& m_context;
   SendMessage m_sendMessage;
   IsFresh m_isFresh;
+  AskStore m_askStore;
   Timer m_recordTimer;
   bool m_recordsScheduled = false;
   std::uint32_t m_lastNumber = 0;
--- a/router/stream_version_store.cc
+++ b/router/stream_version_store.cc
@@ -9,11 +9,13 @@
 #include <rapidjson/writer.h>
 
 #include "platform/json_value.h"
+#include "router/input_guard.h"
 
 namespace walnutwing::router {
 namespace {
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kReadTimeout = std::chrono::milliseconds(600);
 constexpr Duration kRetryInterval = std::chrono::milliseconds(2000);
 // No daemon's name contains a slash.
 constexpr std::string_view kKeyPrefix = "version/";
@@ -70,7 +72,49 @@
   , m_channel(std::make_shared<StoreChannel>(
       aContext.m_loop,
       ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
+  , m_readChannel(std::make_shared<StoreChannel>(
+      aContext.m_loop,
+      ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
+{
+}
+
+void
+StreamVersionStore::ReadIfUnread(std::function<void()> aOnRead)
+{
+  if (m_topicRead) {
+    aOnRead();
+    return;
+  }
+  m_reading.push_back(std::move(aOnRead));
+  if (m_reading.size() > 1) {
+    return; // the read in progress serves it too
+  }
+  m_readChannel->Call(
+    platform::EncodeNewestRequest(platform::kMemberTopic, ""),
+    kReadTimeout,
+    [this](const StoreResponse& aResponse) { OnNewest(aResponse); });
+}
+
+// One page has the records of every fleet of a few hundred daemons. What is not
+// in it stays unknown until the whole topic is read.
+void
+StreamVersionStore::OnNewest(const StoreResponse& aResponse)
 {
+  RunGuarded(m_context.m_log, m_context.m_metrics, "store", Now(), [&] {
+    const auto page = aResponse.m_status == 200
+                        ? platform::DecodeNewest(aResponse.m_body)
+                        : std::nullopt;
+    if (!page) {
+      return;
+    }
+    for (const platform::StoreRecord& record : page->m_records) {
+      OnMemberRecord(record);
+    }
+  });
+  const auto reading = std::exchange(m_reading, {});
+  for (const auto& onRead : reading) {
+    onRead();
+  }
 }
 
 void
@@ -153,6 +197,8 @@
     only ? std::optional(only->m_version) : std::optional<SoftwareVersion>();
   if (only) {
     m_context.m_streamVersions.OnOnlyVersion(service, *only);
+  } else {
+    m_context.m_streamVersions.OnSeveralVersions(service, Now());
   }
   return true;
 }
--- a/router/stream_version_store.h
+++ b/router/stream_version_store.h
@@ -32,6 +32,10 @@
   // so, it is taken over.
   bool OnMemberRecord(const platform::StoreRecord& aRecord);
 
+  // Reads the topic if it was not read yet, as a daemon that has just started
+  // does so late. Calls aOnRead afterwards, or at once, in any case.
+  void ReadIfUnread(std::function<void()> aOnRead);
+
   // The complete topic was read.
   void OnMemberSnapshot() { m_topicRead = true; }
 
@@ -39,8 +43,10 @@
   void OnStoreRestored() { m_written.clear(); }
 
   const StoreChannel& Channel() const { return *m_channel; }
+  const StoreChannel& ReadChannel() const { return *m_readChannel; }
 
 private:
+  void OnNewest(const StoreResponse& aResponse);
   void NoteNewServices(Time aNow);
   void WriteNext(Time aNow);
   void Write(const ServiceId& aService,
@@ -50,6 +56,8 @@
   Context& m_context;
   const LoadExchange& m_exchange;
   std::shared_ptr<StoreChannel> m_channel;
+  std::shared_ptr<StoreChannel> m_readChannel;
+  std::vector<std::function<void()>> m_reading; // wait for a read
   // The versions in the records, as far as they were read or written here;
   // nothing for services with several versions.
   std::map<ServiceId, std::optional<SoftwareVersion>> m_written;
--- a/standin/stream_version_test.cc
+++ b/standin/stream_version_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <map>
 
 #include <gtest/gtest.h>
@@ -156,6 +157,22 @@
     RunFor(Duration(700));
   }
 
+  // All routers are killed and start again.
+  void RestartAll()
+  {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      m_harness.Router(i).Kill();
+    }
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      m_harness.StartRouter(i);
+    }
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      EXPECT_TRUE(
+        m_harness.WaitUntil([&] { return m_harness.ReadyStatus(i) == 200; }));
+    }
+    RunFor(Duration(500));
+  }
+
   std::size_t Mixed() const
   {
     std::size_t mixed = 0;
@@ -381,6 +398,67 @@
   EXPECT_EQ(kStreams, GoneOn());
 }
 
+// Guards against streams that are refused, or go on at another version, because
+// the memory of all routers is gone (issue 41, rejoined streams).
+TEST_F(StreamVersion, IsKnownAfterAllRoutersWereKilled)
+{
+  SetTwoVersions();
+  BeginMany();
+  RunFor(Duration(600));
+  RestartAll();
+  TakeUpAll();
+  EXPECT_EQ(0U, Mixed());
+  EXPECT_GE(GoneOn(), kStreams * 3 / 4);
+}
+
+// Guards against the same after the engines of the other version have left.
+TEST_F(StreamVersion, IsKnownAfterAllRoutersWereKilledAndAVersionLeft)
+{
+  SetTwoVersions();
+  BeginMany();
+  RunFor(Duration(600));
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    m_harness.Router(i).Kill();
+  }
+  Unregister(kEngines / 2, kEngines);
+  std::size_t ofLeft = 0;
+  for (const auto& [prompt, stream] : m_streams) {
+    ofLeft += stream.m_beganAt == "v2" ? 1 : 0;
+  }
+  RestartAll();
+  TakeUpAll();
+  EXPECT_EQ(0U, Mixed());
+  EXPECT_EQ(kStreams - ofLeft, GoneOn());
+}
+
+// Guards against a router that stood still while a version joined and takes its
+// old list of engines for proof that there is one version only. The cases in
+// which issue 41 saw that (a machine out of step) are in stream_versions_test.
+TEST_F(OneVersion, IsNotGuessedByARouterThatStoodStill)
+{
+  for (const Duration still : { Duration(900), Duration(4000) }) {
+    Unregister(kEngines / 2, kEngines);
+    RunFor(Duration(1500));
+    m_harness.Router(0).Signal(SIGSTOP);
+    SetVersion(kEngines / 2, kEngines, "v2");
+    RunFor(still - kRegistrationTime);
+    m_streams.clear();
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      Begin(1);
+    }
+    m_harness.Router(1).Kill();
+    m_harness.Router(0).Signal(SIGCONT);
+    for (auto& [prompt, stream] : m_streams) {
+      TakeUp(prompt, 0);
+    }
+    RunFor(Duration(1000));
+    EXPECT_EQ(0U, Mixed()) << still.count();
+    m_harness.StartRouter(1);
+    ASSERT_TRUE(
+      m_harness.WaitUntil([&] { return m_harness.ReadyStatus(1) == 200; }));
+  }
+}
+
 // Guards against upstreams that state no version: they count as one.
 TEST_F(StreamVersion, MayBeUnstated)
 {
--- a/walnutwing/routing/stream_versions.cc
+++ b/walnutwing/routing/stream_versions.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kKeepersTold = 2;
 // Limits on what is remembered and queued.
 constexpr std::size_t kMaxRemembered = 16'384;
+constexpr std::size_t kMaxTold = 65'536;
 constexpr std::size_t kMaxUntold = 4096;
 
 double
@@ -34,6 +35,7 @@
 
 VersionPoll::VersionPoll(const VersionOpinion& aOwn, std::size_t aAsked)
   : m_missing(aAsked)
+  , m_othersAsked(aAsked != 0)
 {
   Merge(aOwn);
 }
@@ -63,7 +65,7 @@
 bool
 VersionPoll::IsDecided() const
 {
-  return m_missing == 0 || m_recorded || (m_freshOnly && !m_conflict);
+  return m_missing == 0 || m_recorded;
 }
 
 std::optional<SoftwareVersion>
@@ -72,8 +74,9 @@
   if (m_recorded) {
     return m_recorded;
   }
-  const bool agreed = m_unanimous && m_missing == 0;
-  return !m_conflict && (m_freshOnly || agreed) ? m_only : std::nullopt;
+  const bool proved =
+    m_missing == 0 && (m_freshOnly || (m_unanimous && m_othersAsked));
+  return proved && !m_conflict ? m_only : std::nullopt;
 }
 
 void
@@ -91,16 +94,58 @@
   const bool wasOnly = IsOnlyVersion(known, aNow);
   known.m_listed = aVersions;
   known.m_changedAt = aNow;
+  std::erase_if(known.m_listedSince, [&](const auto& aListed) {
+    return !aVersions.contains(aListed.first);
+  });
+  for (const SoftwareVersion& version : aVersions) {
+    known.m_listedSince.try_emplace(version, aNow);
+  }
   if (!wasOnly) {
     return; // all streams were told of when they began
   }
   for (const auto& [stream, remembered] : m_own) {
-    if (remembered.m_service == aService && m_untold.size() < kMaxUntold) {
-      m_untold.push_back({ stream, remembered.m_version });
+    if (remembered.m_service == aService) {
+      AddRecord({ stream, remembered.m_version });
     }
   }
 }
 
+std::set<SoftwareVersion>
+StreamVersions::NewVersions(const ServiceId& aService, Time aNow) const
+{
+  std::set<SoftwareVersion> versions;
+  const auto known = m_services.find(aService);
+  if (known == m_services.end() || known->second.m_listed.size() < 2) {
+    return versions;
+  }
+  for (const auto& [version, since] : known->second.m_listedSince) {
+    if (aNow - since < kVersionDelay) {
+      versions.insert(version);
+    }
+  }
+  return versions;
+}
+
+void
+StreamVersions::OnVersionSeen(const ServiceId& aService,
+                              const SoftwareVersion& aVersion,
+                              Time aNow)
+{
+  const auto known = m_services.find(aService);
+  if (known != m_services.end() && !known->second.m_listed.contains(aVersion)) {
+    known->second.m_changedAt = aNow;
+  }
+}
+
+void
+StreamVersions::OnSeveralVersions(const ServiceId& aService, Time aNow)
+{
+  const auto known = m_services.find(aService);
+  if (known != m_services.end()) {
+    known->second.m_changedAt = aNow;
+  }
+}
+
 void
 StreamVersions::OnOnlyVersion(const ServiceId& aService,
                               const OnlyVersion& aOnly)
@@ -153,8 +198,19 @@
   const auto known = m_services.find(aService);
   const bool needless =
     known != m_services.end() && IsOnlyVersion(known->second, aNow);
-  if (!needless && m_untold.size() < kMaxUntold) {
-    m_untold.push_back({ aStream, aVersion });
+  if (!needless) {
+    AddRecord({ aStream, aVersion });
+  }
+}
+
+void
+StreamVersions::AddRecord(const StreamRecord& aRecord)
+{
+  if (m_untold.size() < kMaxUntold) {
+    m_untold.push_back(aRecord);
+  }
+  if (m_unwritten.size() < kMaxUntold) {
+    m_unwritten.push_back(aRecord);
   }
 }
 
@@ -217,7 +273,7 @@
 void
 StreamVersions::OnRecord(const StreamRecord& aRecord, Time aNow)
 {
-  if (m_told.size() < kMaxRemembered || m_told.contains(aRecord.m_stream)) {
+  if (m_told.size() < kMaxTold || m_told.contains(aRecord.m_stream)) {
     m_told[aRecord.m_stream] = { aRecord.m_version, ServiceId(), aNow };
   }
 }
--- a/walnutwing/routing/stream_versions.h
+++ b/walnutwing/routing/stream_versions.h
@@ -14,8 +14,20 @@
 // costs a few datagrams a stream, whatever the size of the fleet. When a second
 // version appears, each daemon tells of the streams that it has in progress.
 //
+// These records die with the daemons, so each daemon also hands the streams
+// that it begins to a journal outside, which is read if no daemon knows a
+// stream.
+//
 // What the daemons of a zone answer is combined by VersionPoll. It never
 // guesses: if nobody knows, the version is unknown.
+//
+// That a daemon sees one version only says something about a stream that
+// another daemon began only if its list is not older than any version in use.
+// So a version that is new gets no streams for kVersionDelay while others have
+// free slots, and a list counts as up to date if it was confirmed within the
+// shorter time kFreshListAge. Even then it counts only where no record can be
+// missing: the daemons that would have it have answered, or the journal was
+// read.
 
 #include <cstdint>
 #include <deque>
@@ -25,6 +37,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "walnutwing/base/clock.h"
@@ -43,6 +56,14 @@
 // The longest time from the first event of a stream until it is resumed.
 inline constexpr Duration kStreamLifetime = std::chrono::minutes(2);
 
+// How long a version that is listed for the first time gets no streams, unless
+// no upstream of another version has a free slot.
+inline constexpr Duration kVersionDelay = std::chrono::milliseconds(1500);
+
+// A list of upstreams that was confirmed this long ago, or later, has every
+// version that has begun a stream.
+inline constexpr Duration kFreshListAge = std::chrono::milliseconds(1200);
+
 // What one daemon knows of the version that began a stream.
 struct VersionOpinion
 {
@@ -67,14 +88,16 @@
   bool IsDecided() const;
 
   // The version, as far as the opinions show it; nullopt if it is unknown. A
-  // record counts most. An only version counts if a daemon with an up to date
-  // list states it, or if all agree, and no other one is stated.
+  // record counts most. An only version counts if all that were asked have
+  // answered and have no record, if a daemon with an up to date list states it,
+  // or all state it, and if no other one is stated.
   std::optional<SoftwareVersion> Result() const;
 
 private:
   void Merge(const VersionOpinion& aOpinion);
 
   std::size_t m_missing;
+  bool m_othersAsked;
   bool m_unanimous = true; // about the only version
   bool m_conflict = false;
   bool m_freshOnly = false; // stated by a daemon with an up to date list
@@ -118,6 +141,19 @@
                  const std::set<SoftwareVersion>& aVersions,
                  Time aNow);
 
+  // The versions that are too new to begin streams; see kVersionDelay.
+  std::set<SoftwareVersion> NewVersions(const ServiceId& aService,
+                                        Time aNow) const;
+
+  // An upstream of this version may have served, though it was not listed here.
+  void OnVersionSeen(const ServiceId& aService,
+                     const SoftwareVersion& aVersion,
+                     Time aNow);
+
+  // The fleet has seen several versions; they may have left before they were
+  // listed here.
+  void OnSeveralVersions(const ServiceId& aService, Time aNow);
+
   // The fleet has seen only this version since a time before this daemon
   // started. Ignored unless it is the one that is listed.
   void OnOnlyVersion(const ServiceId& aService, const OnlyVersion& aOnly);
@@ -141,6 +177,12 @@
   std::map<std::string, std::vector<StreamRecord>> TakeRecords();
   bool HasRecords() const { return !m_untold.empty(); }
 
+  // The streams that this daemon has begun and that are not in the journal.
+  std::vector<StreamRecord> TakeUnwritten()
+  {
+    return std::exchange(m_unwritten, {});
+  }
+
   // Another daemon tells of a stream.
   void OnRecord(const StreamRecord& aRecord, Time aNow);
 
@@ -166,10 +208,12 @@
   struct ServiceVersions
   {
     std::set<SoftwareVersion> m_listed;
+    std::map<SoftwareVersion, Time> m_listedSince; // of these
     Time m_changedAt; // from then on the list was as it is
   };
   using Memory = std::unordered_map<StreamKey, Remembered>;
 
+  void AddRecord(const StreamRecord& aRecord);
   bool IsOnlyVersion(const ServiceVersions& aVersions, Time aNow) const;
   std::vector<const RosterMember*> RankKeepers(StreamKey aStream) const;
 
@@ -180,6 +224,7 @@
   Memory m_own;  // streams that were begun or resumed here
   Memory m_told; // streams that other daemons told of
   std::deque<StreamRecord> m_untold;
+  std::vector<StreamRecord> m_unwritten;
 };
 
 } // namespace walnutwing
--- a/walnutwing/routing/stream_versions_test.cc
+++ b/walnutwing/routing/stream_versions_test.cc
@@ -37,14 +37,36 @@
 
 TEST(VersionPoll, OnlyVersionOfAnUpToDateListCounts)
 {
-  const VersionPoll own(Only(kOne, true), 2);
+  VersionPoll own(Only(kOne, true), 1);
+  own.Add({});
   EXPECT_TRUE(own.IsDecided());
   EXPECT_EQ(kOne, own.Result());
   VersionPoll poll({}, 2);
   poll.Add(Only(kOne, true));
+  poll.Add({});
   EXPECT_EQ(kOne, poll.Result());
 }
 
+// Guards against issue 41: a daemon out of step takes its own list, which
+// counts as up to date, for proof, although a daemon that would have a record
+// of the stream has not answered.
+TEST(VersionPoll, OnlyVersionDoesNotCountWhileAnAnswerIsMissing)
+{
+  VersionPoll poll(Only(kOne, true), 2);
+  EXPECT_FALSE(poll.IsDecided());
+  EXPECT_FALSE(poll.Result());
+  poll.Add(Only(kOne, true));
+  EXPECT_FALSE(poll.IsDecided());
+  EXPECT_FALSE(poll.Result());
+}
+
+// Guards against a daemon that knows no other one and has an old list.
+TEST(VersionPoll, OldListOfADaemonWithNobodyToAskDoesNotCount)
+{
+  EXPECT_FALSE(VersionPoll(Only(kOne, false), 0).Result());
+  EXPECT_EQ(kOne, VersionPoll(Only(kOne, true), 0).Result());
+}
+
 // Guards against a daemon without the store that takes its old list for true,
 // although another one knows of a second version or is silent.
 TEST(VersionPoll, OnlyVersionOfOldListsCountsIfAllAgree)
@@ -236,6 +258,43 @@
 }
 
 // Guards against an outage of all upstreams that is taken for a change.
+// Guards against a list that was confirmed just before a version joined, and is
+// taken for proof after streams have begun at that version.
+TEST_F(StreamVersionsTest, NewVersionGetsNoStreamsUntilAllListsHaveIt)
+{
+  PausedClock clock;
+  StreamVersions versions(DaemonId("d"), ZoneId("z"));
+  const ServiceId service("s");
+  versions.SetListed(service, { kOne }, clock.Now());
+  EXPECT_TRUE(versions.NewVersions(service, clock.Now()).empty());
+  clock.Advance(kStreamLifetime);
+  versions.SetListed(service, { kOne, kTwo }, clock.Now());
+  clock.Advance(kFreshListAge);
+  EXPECT_EQ(std::set{ kTwo }, versions.NewVersions(service, clock.Now()));
+  clock.Advance(kVersionDelay - kFreshListAge);
+  EXPECT_TRUE(versions.NewVersions(service, clock.Now()).empty());
+}
+
+// Guards against an only version that the daemon states although it has heard
+// of another one that it has not listed.
+TEST_F(StreamVersionsTest, VersionThatIsSeenElsewhereEndsTheOnlyVersion)
+{
+  for (const bool seen : { true, false }) {
+    PausedClock clock;
+    StreamVersions versions(DaemonId("d"), ZoneId("z"));
+    const ServiceId service("s");
+    versions.SetListed(service, { kOne }, clock.Now());
+    clock.Advance(kStreamLifetime);
+    EXPECT_TRUE(versions.Opinion(1, service, true, clock.Now()).m_only);
+    if (seen) {
+      versions.OnVersionSeen(service, kTwo, clock.Now());
+    } else {
+      versions.OnSeveralVersions(service, clock.Now());
+    }
+    EXPECT_FALSE(versions.Opinion(1, service, true, clock.Now()).m_only);
+  }
+}
+
 TEST_F(StreamVersionsTest, EmptyListChangesNothing)
 {
   MakeDaemons(7, 3);
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -292,6 +292,24 @@
   }
 }
 
+// Drops candidates of new versions as long as another one has a free slot.
+void
+UpstreamSelector::DropNewVersions(std::vector<Candidate>& aCandidates,
+                                  const SelectionRequest& aRequest)
+{
+  const auto isNew = [&](const Candidate& aCandidate) {
+    return aRequest.m_newVersions.contains(
+      aCandidate.m_upstream->m_entry.m_version);
+  };
+  const auto isFree = [&](const Candidate& aCandidate) {
+    return !isNew(aCandidate) &&
+           aCandidate.m_load < aCandidate.m_upstream->m_entry.m_slots;
+  };
+  if (std::any_of(aCandidates.begin(), aCandidates.end(), isFree)) {
+    std::erase_if(aCandidates, isNew);
+  }
+}
+
 // Drops suspect candidates unless they are the majority. A few that are missing
 // from the list have probably left; if most are missing, the store has probably
 // lost its data and they will register again.
@@ -457,6 +475,7 @@
     return choice;
   }
   ComputeLoads(candidates, aRequest, aNow);
+  DropNewVersions(candidates, aRequest);
   std::sort(
     candidates.begin(),
     candidates.end(),
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -74,6 +74,9 @@
   std::set<UpstreamId> m_avoid; // upstreams that have been tried already
   // Only upstreams of this version, as one of them began the stream.
   std::optional<SoftwareVersion> m_version;
+  // Versions that get the request only if no upstream of another one has a free
+  // slot.
+  std::set<SoftwareVersion> m_newVersions{};
   // Also skip upstreams that refused a request recently, because one has
   // already refused this one.
   bool m_excludeRefusing = false;
@@ -232,6 +235,8 @@
   // applies to all zones, as the cause is then not in a zone.
   std::set<ZoneId> PartitionedZones(Time aNow) const;
   void ComputeBound(CandidateSet& aCandidateSet) const;
+  static void DropNewVersions(std::vector<Candidate>& aCandidates,
+                              const SelectionRequest& aRequest);
   static void DropSuspect(std::vector<Candidate>& aCandidates);
   void DropFailing(std::vector<Candidate>& aCandidates, Time aNow) const;
   void ComputeLoads(std::vector<Candidate>& aCandidates,
