Soak: two versions and take-ups, all routers killed, a store that refuses one router, odd records

Upstreams that replace others now have the other version, which is in each event; callers take broken streams up at any router; all_routers_kill, store_refuse and odd_record are faults; a router may not end by itself, and most take-ups must go on.

--- a/Makefile
+++ b/Makefile
@@ -49,4 +49,5 @@
 		-DCMAKE_CXX_COMPILER=clang++ --log-level=WARNING > /dev/null
 	@cmake --build build-fuzz -j $(JOBS) --target platform_fuzz
 	@fuzz/make-corpus build-fuzz/corpus
-	@cd build-fuzz && fuzz/platform_fuzz -max_total_time=$(FUZZ_SECONDS) -seed=1 -max_len=262145 corpus
+	@cd build-fuzz && fuzz/platform_fuzz corpus/*
+	@cd build-fuzz && fuzz/platform_fuzz -max_total_time=$(FUZZ_SECONDS) -seed=1 -max_len=262145
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -26,10 +26,11 @@
   std::string_view m_name;
 };
 
-constexpr std::array<Name<FaultKind>, 17> kKinds{ {
+constexpr std::array<Name<FaultKind>, 20> kKinds{ {
   { FaultKind::RouterKill, "router_kill" },
   { FaultKind::RouterStop, "router_stop" },
   { FaultKind::RouterPause, "router_pause" },
+  { FaultKind::AllRoutersKill, "all_routers_kill" },
   { FaultKind::RouterReload, "router_reload" },
   { FaultKind::UpstreamKill, "upstream_kill" },
   { FaultKind::UpstreamPause, "upstream_pause" },
@@ -37,6 +38,8 @@
   { FaultKind::UpstreamDrain, "upstream_drain" },
   { FaultKind::StorePause, "store_pause" },
   { FaultKind::StoreForget, "store_forget" },
+  { FaultKind::StoreRefuse, "store_refuse" },
+  { FaultKind::OddRecord, "odd_record" },
   { FaultKind::StoreRestore, "store_restore" },
   { FaultKind::LinkDelay, "link_delay" },
   { FaultKind::LinkReset, "link_reset" },
@@ -97,7 +100,10 @@
     case FaultKind::StoreForget:
     case FaultKind::StoreRestore:
     case FaultKind::ConfigChange:
+    case FaultKind::AllRoutersKill:
       return 1;
+    case FaultKind::OddRecord:
+      return kOddRecords;
     case FaultKind::ZoneOut:
       return kZones;
     case FaultKind::LinkDelay:
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -16,25 +16,32 @@
 
 namespace walnutwing::soak {
 
+// Kinds of entries that cannot be read: nested, a number or a port out of
+// range.
+inline constexpr std::uint32_t kOddRecords = 3;
+
 enum class FaultKind
 {
-  RouterKill,    // SIGKILL; restarted when the fault ends
-  RouterStop,    // SIGTERM; restarted once it has exited
-  RouterPause,   // SIGSTOP until the fault ends
-  RouterReload,  // writes other settings and sends SIGHUP
-  UpstreamKill,  // SIGKILL; a cold one replaces it when the fault ends
-  UpstreamPause, // SIGSTOP until the fault ends
-  UpstreamBreak, // breaks off answers for a while
-  UpstreamDrain, // announces that it drains; a cold one replaces it later
-  StorePause,    // SIGSTOP until the fault ends
-  StoreForget,   // drops its history; the newest record per key stays
-  StoreRestore,  // comes back from a copy that is up to a second old
-  LinkDelay,     // data is delayed
-  LinkReset,     // open and new connections are reset
-  LinkSilence,   // no data passes, in either direction
-  LinkOneWay,    // no data passes back to the client
-  ConfigChange,  // operators write a new configuration version
-  ZoneOut,       // operators take an availability zone out, then back in
+  RouterKill,     // SIGKILL; restarted when the fault ends
+  RouterStop,     // SIGTERM; restarted once it has exited
+  RouterPause,    // SIGSTOP until the fault ends
+  AllRoutersKill, // SIGKILL of all at once; restarted when the fault ends
+  RouterReload,   // writes other settings and sends SIGHUP
+  UpstreamKill,   // SIGKILL; a cold one replaces it when the fault ends
+  UpstreamPause,  // SIGSTOP until the fault ends
+  UpstreamBreak,  // breaks off answers for a while
+  UpstreamDrain,  // announces that it drains; a cold one replaces it later
+  StorePause,     // SIGSTOP until the fault ends
+  StoreForget,    // drops its history; the newest record per key stays
+  StoreRefuse,    // answers 503 to one router until the fault ends
+  OddRecord,      // another writer leaves an entry that cannot be read
+  StoreRestore,   // comes back from a copy that is up to a second old
+  LinkDelay,      // data is delayed
+  LinkReset,      // open and new connections are reset
+  LinkSilence,    // no data passes, in either direction
+  LinkOneWay,     // no data passes back to the client
+  ConfigChange,   // operators write a new configuration version
+  ZoneOut,        // operators take an availability zone out, then back in
 };
 
 std::span<const FaultKind>
--- a/soak/guarantee_checker.cc
+++ b/soak/guarantee_checker.cc
@@ -9,6 +9,7 @@
 // How long after its end a fault still explains a delay: what a hub has sent
 // stays valid for a while, and calls to the store time out and are retried.
 constexpr Duration kFaultGracePeriod{ 4000 };
+constexpr std::size_t kMinTakeUps = 12;
 constexpr double kMinRecoveredShare = 0.95;
 
 } // namespace
@@ -135,6 +136,12 @@
   if (aRequest.m_kind == RequestKind::Order) {
     m_orderIds.insert(aRequest.m_id);
   }
+  const bool answered = aOutcome != RequestOutcome::Broken &&
+                        aOutcome != RequestOutcome::Unreachable;
+  if (!aRequest.m_streamId.empty() && answered) {
+    ++m_takeUps;
+    m_takeUpsRefused += aRequest.m_refusedForVersion ? 1 : 0;
+  }
   if (aOutcome == RequestOutcome::Wrong) {
     AddViolation("wrong answer: " + aRequest.m_id);
   }
@@ -269,9 +276,26 @@
   }
 }
 
+void
+GuaranteeChecker::OnRouterEnded(std::uint32_t aRouter)
+{
+  AddViolation("a router ended by itself: " + std::to_string(aRouter));
+}
+
+void
+GuaranteeChecker::CheckTakeUps()
+{
+  if (m_takeUps >= kMinTakeUps && 2 * m_takeUpsRefused > m_takeUps) {
+    AddViolation("streams that are taken up are refused: " +
+                 std::to_string(m_takeUpsRefused) + " of " +
+                 std::to_string(m_takeUps));
+  }
+}
+
 void
 GuaranteeChecker::CheckAtEnd()
 {
+  CheckTakeUps();
   for (const auto& [id, runs] : m_runCounts) {
     if (runs > 1 && m_orderIds.contains(id)) {
       AddViolation("an order ran " + std::to_string(runs) + " times: " + id);
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -63,8 +63,16 @@
   std::uint64_t m_version = 0; // for OnlyVersion
   bool m_firstOnConnection = false;
   Time m_sentAt;
+  std::string m_streamId; // of a stream that is taken up: its first attempt
+  bool m_refusedForVersion = false; // nobody knew the version that began it
 };
 
+inline const std::string&
+StreamIdOf(const SoakRequest& aRequest)
+{
+  return aRequest.m_streamId.empty() ? aRequest.m_id : aRequest.m_streamId;
+}
+
 struct GuaranteeOptions
 {
   // Until a written configuration is in force.
@@ -122,6 +130,9 @@
   // the zone of the upstream.
   void OnRecord(const std::string& aLine, const std::string& aZone);
 
+  // A router ended though nobody had stopped it.
+  void OnRouterEnded(std::uint32_t aRouter);
+
   // aCompleteShare: complete answers after the last fault, from 0 to 1.
   void CheckRecovery(double aCompleteShare);
 
@@ -154,6 +165,8 @@
   // Without a fault no request ends without an answer, and a planned stop cuts
   // only what m_cutAfterStop allows.
   void CheckNotCut(const SoakRequest& aRequest, Time aNow);
+  // Most streams that are taken up go on, whatever happens to routers.
+  void CheckTakeUps();
   void CheckRepeats();
   void CheckCold();
   void AddViolation(const std::string& aText);
@@ -171,6 +184,8 @@
   std::map<std::string, std::vector<Time>> m_coldArrivals;
   std::vector<std::pair<Time, std::string>> m_arrivals; // with attempt ids
   std::map<std::string, std::uint32_t> m_runCounts;     // by attempt id
+  std::size_t m_takeUps = 0;                            // that were answered
+  std::size_t m_takeUpsRefused = 0; // as nobody knew their version
   std::set<std::string> m_orderIds;
   std::set<std::string> m_notRunIds;
   std::vector<std::string> m_violations;
--- a/soak/guarantee_checker_test.cc
+++ b/soak/guarantee_checker_test.cc
@@ -65,8 +65,8 @@
     ClassifyResponse(order, 502, R"({"error":{"code":3004,"ran":"unknown"}})"));
   std::string stream;
   for (int i = 1; i <= kStreamEvents; ++i) {
-    stream +=
-      "id: " + std::to_string(i) + "\ndata: " + EventData(i, "s") + "\n\n";
+    stream += "id: " + std::to_string(i) +
+              "\ndata: " + EventData(i, "s", "v0") + "\n\n";
   }
   const SoakRequest streamed = MakeRequest(RequestKind::Stream, "s", 0);
   EXPECT_EQ(RequestOutcome::Complete, ClassifyResponse(streamed, 200, stream));
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -112,6 +112,11 @@
 
   void Forward(tcp::socket& aFrom, tcp::socket& aTo, Flow& aFlow)
   {
+    if (m_mode == ProxyMode::Refuse && &aFlow == &m_toServer &&
+        aFlow.m_size != 0) {
+      Refuse();
+      return;
+    }
     aFlow.m_held = IsSilenced(aFlow);
     if (aFlow.m_held) {
       return;
@@ -127,6 +132,24 @@
       });
   }
 
+  // Requests of the store's clients have no body that matters here.
+  void Refuse()
+  {
+    static const std::string kRefusal =
+      "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}";
+    asio::async_write(
+      m_clientSocket,
+      asio::buffer(kRefusal),
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (aError) {
+          self->Reset();
+          return;
+        }
+        self->Read(
+          self->m_clientSocket, self->m_serverSocket, self->m_toServer);
+      });
+  }
+
   void ReleaseHeld(tcp::socket& aFrom, tcp::socket& aTo, Flow& aFlow)
   {
     if (aFlow.m_held) {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -23,6 +23,7 @@
   Delay,   // forwards each chunk of data after kProxyDelay
   Reset,   // resets open connections at once, new ones on accept
   Silence, // forwards nothing, in either direction
+  Refuse,  // answers each request of the client with 503
   OneWay,  // forwards nothing from the target to the client
 };
 
--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -109,7 +109,8 @@
   {
     Exchange m_exchange;
     std::string m_id;
-    bool m_long = false; // a stream of seconds
+    std::string m_streamId; // the attempt that brought a stream's first event
+    bool m_long = false;    // a stream of seconds
     bool m_unframed = false;
     bool m_breaks = false;
     bool m_reset = false; // breaks with a reset rather than an orderly close
@@ -132,7 +133,9 @@
 
   Answer DrawAnswer(const Exchange& aExchange, const std::string& aId)
   {
-    Answer answer{ aExchange, aId };
+    Answer answer;
+    answer.m_exchange = aExchange;
+    answer.m_id = aId;
     answer.m_unframed = m_random() % 100 < kUnframedPercent;
     answer.m_breaks = Now() < m_breakUntil && m_random() % 100 < kBrokenPercent;
     answer.m_reset = m_random() % 2 == 0;
@@ -159,7 +162,8 @@
       announcesCold ? std::max<Duration::rep>(0, (m_coldUntil - Now()).count())
                     : 0;
     return R"({"service":"s","address":")" + m_options.m_address +
-           R"(","zone":")" + m_options.m_zone + R"(","slots":8,"state":")" +
+           R"(","zone":")" + m_options.m_zone + R"(","version":")" +
+           m_options.m_version + R"(","slots":8,"state":")" +
            (SaysItLeaves() ? "draining" : "ready") + R"(","coldRemainingMs":)" +
            std::to_string(coldRemainingMs) + R"(,"born":)" +
            std::to_string(m_bornWallMs) + "}";
@@ -211,6 +215,8 @@
     }
     Answer answer = DrawAnswer(aExchange, id);
     answer.m_long = target.starts_with("/long/");
+    const std::string resumed(request["Resumes"]);
+    answer.m_streamId = resumed.empty() ? id : resumed;
     if (answer.m_long || target.starts_with("/stream/") ||
         target.starts_with("/resume/")) {
       StartStream(answer);
@@ -305,11 +311,12 @@
   // comes with the start of the next one. If the upstream is killed, its
   // connections are closed in an orderly way, and between two events nobody
   // could tell that from the end of the stream.
-  static std::string EventText(const Answer& aAnswer, int aNumber)
+  std::string EventText(const Answer& aAnswer, int aNumber) const
   {
-    const std::string rest = std::to_string(aNumber) +
-                             "\ndata: " + EventData(aNumber, aAnswer.m_id) +
-                             kEventEnd;
+    const std::string rest =
+      std::to_string(aNumber) +
+      "\ndata: " + EventData(aNumber, aAnswer.m_streamId, m_options.m_version) +
+      kEventEnd;
     if (!aAnswer.m_unframed) {
       return kEventStart + rest;
     }
@@ -380,9 +387,10 @@
 }
 
 std::string
-EventData(int aNumber, std::string_view aId)
+EventData(int aNumber, std::string_view aId, std::string_view aVersion)
 {
-  return "event " + std::to_string(aNumber) + " of " + std::string(aId);
+  return "event " + std::to_string(aNumber) + " of " + std::string(aId) +
+         " by " + std::string(aVersion);
 }
 
 void
--- a/soak/roles.h
+++ b/soak/roles.h
@@ -46,7 +46,7 @@
 std::string
 AnswerBody(std::string_view aId);
 std::string
-EventData(int aNumber, std::string_view aId);
+EventData(int aNumber, std::string_view aId, std::string_view aVersion);
 
 // The store drops registrations of upstreams that were not renewed for so long.
 inline constexpr Duration kRegistrationLifetime{ 2000 };
@@ -66,6 +66,7 @@
 {
   std::string m_name; // of this incarnation
   std::string m_zone;
+  std::string m_version; // of its software
   std::string m_ip;
   std::uint16_t m_port = 0;
   std::string m_address; // that it registers: its proxy's
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -23,16 +23,39 @@
 constexpr std::uint64_t kMaxChunkPauseMs = 1500;
 
 std::string
-CompleteStream(const std::string& aId)
+CompleteStream(const std::string& aId, const std::string& aVersion)
 {
   std::string text;
   for (int i = 1; i <= kStreamEvents; ++i) {
-    text +=
-      "id: " + std::to_string(i) + "\ndata: " + EventData(i, aId) + "\n\n";
+    text += "id: " + std::to_string(i) +
+            "\ndata: " + EventData(i, aId, aVersion) + "\n\n";
   }
   return text;
 }
 
+// The version that wrote the first event.
+std::string
+VersionOf(const std::string& aStream)
+{
+  const std::size_t at = aStream.find(" by ");
+  return at == std::string::npos ? "" : aStream.substr(at + 4, 2);
+}
+
+// aStream up to its last whole event.
+std::string
+WholeEvents(const std::string& aStream)
+{
+  const std::size_t end = aStream.rfind("\n\n");
+  return end == std::string::npos ? "" : aStream.substr(0, end + 2);
+}
+
+std::string
+LastEventId(const std::string& aEvents)
+{
+  const std::size_t at = aEvents.rfind("id: ");
+  return aEvents.substr(at + 4, aEvents.find('\n', at) - at - 4);
+}
+
 } // namespace
 
 RequestOutcome
@@ -45,7 +68,8 @@
                         aRequest.m_kind == RequestKind::Long;
   if (aStatus == 200) {
     const std::string complete =
-      streamed ? CompleteStream(aRequest.m_id) : AnswerBody(aRequest.m_id);
+      streamed ? CompleteStream(StreamIdOf(aRequest), VersionOf(aBody))
+               : AnswerBody(aRequest.m_id);
     return aBody == complete ? RequestOutcome::Complete : RequestOutcome::Wrong;
   }
   if (aStatus == 404) {
@@ -92,7 +116,9 @@
 SoakCaller::BeginRequest()
 {
   ++m_generation;
-  if (!std::exchange(m_repeatsOrder, false)) {
+  if (!m_taken.empty()) {
+    BeginTakeUp();
+  } else if (!std::exchange(m_repeatsOrder, false)) {
     m_currentRequest = {};
     m_currentRequest.m_id =
       m_options.m_name + "-" + std::to_string(m_requestCount++);
@@ -108,6 +134,17 @@
   }
 }
 
+// The same stream once more, under a new attempt id and at any router.
+void
+SoakCaller::BeginTakeUp()
+{
+  SoakRequest request;
+  request.m_kind = m_currentRequest.m_kind;
+  request.m_streamId = StreamIdOf(m_currentRequest);
+  request.m_id = m_options.m_name + "-" + std::to_string(m_requestCount++);
+  m_currentRequest = request;
+}
+
 void
 SoakCaller::Connect()
 {
@@ -143,6 +180,10 @@
   m_requestText = "POST " + target + " HTTP/1.1\r\nHost: h.example\r\n" +
                   "X-Attempt-Id: " + m_currentRequest.m_id +
                   "\r\nAuthorization: Bearer k1\r\n";
+  if (!m_taken.empty()) {
+    m_requestText += "Last-Event-Id: " + LastEventId(m_taken) +
+                     "\r\nResumes: " + m_currentRequest.m_streamId + "\r\n";
+  }
   StartTimeout();
   if (m_random() % 100 >= kChunkedPercent) {
     Write(m_requestText + "Content-Length: 4\r\n\r\nbody");
@@ -205,13 +246,24 @@
                      m_currentRequest.m_kind == RequestKind::Order &&
                      aError == boost::asio::error::connection_reset &&
                      !m_parser->got_some();
+    const bool resumable = m_currentRequest.m_kind == RequestKind::Resumable ||
+                           m_currentRequest.m_kind == RequestKind::Long;
+    if (resumable && m_parser->get().result_int() == 200) {
+      m_taken += WholeEvents(m_parser->get().body());
+    }
     Finish(RequestOutcome::Broken, false);
     return;
   }
   const auto& response = m_parser->get();
-  Finish(
-    ClassifyResponse(m_currentRequest, response.result_int(), response.body()),
-    m_parser->keep_alive());
+  m_currentRequest.m_refusedForVersion =
+    response.body().find(R"("code":2016)") != std::string::npos;
+  const std::string before = std::exchange(m_taken, {});
+  Finish(ClassifyResponse(m_currentRequest,
+                          response.result_int(),
+                          response.result_int() == 200
+                            ? before + response.body()
+                            : response.body()),
+         m_parser->keep_alive());
 }
 
 void
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -55,6 +55,7 @@
 
   void ScheduleNextRequest();
   void BeginRequest();
+  void BeginTakeUp();
   void Connect();
   void Send();
   void Write(std::string aText);
@@ -80,6 +81,7 @@
   std::uint64_t m_requestCount = 0;
   std::uint64_t m_generation = 0; // of the request; older callbacks are ignored
   SoakRequest m_currentRequest;
+  std::string m_taken; // whole events of a stream that is to be taken up
   std::string m_requestText;
   boost::beast::flat_buffer m_input;
   std::optional<Parser> m_parser;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -172,6 +172,8 @@
     "--role=upstream",
     "--name=" + name,
     "--zone=" + ZoneOf(aIndex),
+    // One that replaces another has the other version.
+    "--software=v" + std::to_string((upstream.m_startCount - 1) % 2),
     "--ip=" + m_addressPrefix + std::to_string(UpstreamHost(aIndex)),
     "--port=" + std::to_string(kUpstreamPort),
     "--address=" + MakeAddress(kSharedHost, kUpstreamProxyBasePort + aIndex),
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -47,6 +47,7 @@
 DEFINE_uint32(port, 0, "role: port to listen at");
 DEFINE_string(name, "", "upstream: its name");
 DEFINE_string(zone, "", "upstream: its zone");
+DEFINE_string(software, "v0", "upstream: version of its software");
 DEFINE_string(address, "", "upstream: the address to register");
 DEFINE_string(store, "", "upstream: the store's address");
 DEFINE_string(record, "", "upstream: file in which it writes what it sees");
@@ -234,6 +235,7 @@
     UpstreamRoleOptions options;
     options.m_name = FLAGS_name;
     options.m_zone = FLAGS_zone;
+    options.m_version = FLAGS_software;
     options.m_ip = FLAGS_ip;
     options.m_port = port;
     options.m_address = FLAGS_address;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -1,10 +1,12 @@
 #include "soak/soak_run.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <set>
 #include <stdexcept>
 
 #include <boost/asio/io_context.hpp>
@@ -134,6 +136,7 @@
   {
     m_fleet.StartRouter(aIndex);
     m_checker.OnRouterStart(aIndex);
+    m_down.erase(aIndex);
   }
 
   // --- operators ---
@@ -166,22 +169,33 @@
            const std::string& aValue,
            const std::function<void()>& aDone)
   {
+    PutTo(platform::kOperatorTopic, aKey, aValue, aDone);
+  }
+
+  void PutTo(std::string_view aTopic,
+             const std::string& aKey,
+             const std::string& aValue,
+             const std::function<void()>& aDone)
+  {
+    const auto retry = [=, this] {
+      ScheduleAfter(kPollInterval,
+                    [=, this] { PutTo(aTopic, aKey, aValue, aDone); });
+    };
     if (m_putInFlight) {
-      ScheduleAfter(kPollInterval, [=, this] { Put(aKey, aValue, aDone); });
+      retry();
       return;
     }
     m_putInFlight = true;
-    m_store->Call(
-      platform::EncodePutRequest(platform::kOperatorTopic, aKey, aValue),
-      kStoreTimeout,
-      [=, this](const router::StoreResponse& aResponse) {
-        m_putInFlight = false;
-        if (aResponse.m_status == 200) {
-          aDone();
-        } else {
-          ScheduleAfter(kPollInterval, [=, this] { Put(aKey, aValue, aDone); });
-        }
-      });
+    m_store->Call(platform::EncodePutRequest(aTopic, aKey, aValue),
+                  kStoreTimeout,
+                  [=, this](const router::StoreResponse& aResponse) {
+                    m_putInFlight = false;
+                    if (aResponse.m_status == 200) {
+                      aDone();
+                    } else {
+                      retry();
+                    }
+                  });
   }
 
   // --- callers ---
@@ -277,8 +291,12 @@
     switch (aFault.m_kind) {
       case FaultKind::RouterKill:
         m_checker.OnFault(aFault.m_target, now, end);
+        m_down.insert(aFault.m_target);
         m_fleet.Router(aFault.m_target).Kill();
         break;
+      case FaultKind::AllRoutersKill:
+        KillAllRouters(end);
+        break;
       case FaultKind::RouterStop:
         BeginRouterStop(aFault);
         return;
@@ -313,6 +331,14 @@
         m_checker.OnFault(GuaranteeChecker::kAllRouters, now, now);
         m_fleet.Store().Signal(SIGUSR1);
         return;
+      case FaultKind::StoreRefuse:
+        m_checker.OnFault(aFault.m_target, now, end);
+        m_fleet.ProxyOf(Link::Store, aFault.m_target)
+          .SetMode(ProxyMode::Refuse);
+        break;
+      case FaultKind::OddRecord:
+        LeaveOddRecord(aFault.m_target);
+        return;
       case FaultKind::StoreRestore:
         m_checker.OnFault(
           GuaranteeChecker::kAllRouters, now, now + kRewriteDelay);
@@ -343,6 +369,12 @@
       case FaultKind::RouterKill:
         StartRouter(aFault.m_target);
         return;
+      case FaultKind::AllRoutersKill:
+        StartAllRouters();
+        return;
+      case FaultKind::StoreRefuse:
+        m_fleet.ProxyOf(Link::Store, aFault.m_target).SetMode(ProxyMode::Pass);
+        return;
       case FaultKind::RouterPause:
         m_fleet.Router(aFault.m_target).Signal(SIGCONT);
         return;
@@ -364,6 +396,50 @@
     }
   }
 
+  void KillAllRouters(Time aEnd)
+  {
+    m_checker.OnFault(GuaranteeChecker::kAllRouters, Now(), aEnd);
+    for (std::uint32_t i = 0; i < m_options.m_plan.m_routers; ++i) {
+      m_down.insert(i);
+      m_fleet.Router(i).Kill();
+    }
+  }
+
+  void StartAllRouters()
+  {
+    for (std::uint32_t i = 0; i < m_options.m_plan.m_routers; ++i) {
+      if (m_fleet.Router(i).ExitStatus()) {
+        StartRouter(i);
+      }
+    }
+  }
+
+  // The platform starts a router again that has ended by itself.
+  void CheckRoutersRun()
+  {
+    for (std::uint32_t i = 0; i < m_options.m_plan.m_routers; ++i) {
+      if (!m_down.contains(i) && m_fleet.Router(i).ExitStatus()) {
+        m_checker.OnRouterEnded(i);
+        StartRouter(i);
+      }
+    }
+  }
+
+  // An entry of another writer in the list of upstreams.
+  void LeaveOddRecord(std::uint32_t aKind)
+  {
+    constexpr std::size_t kRecordBytes = 262'000;
+    const std::array<std::string, kOddRecords> records{
+      std::string(kRecordBytes, '['),
+      R"({"service":"s","zone":"z0","state":"ready","slots":1e999})",
+      R"({"service":"s","zone":"z0","state":"ready","address":"127.0.0.1:70000"})"
+    };
+    PutTo(platform::kUpstreamTopic,
+          "odd-" + std::to_string(aKind),
+          records.at(aKind),
+          [] {});
+  }
+
   void PauseAllUpstreams()
   {
     for (std::uint32_t i = 0; i < m_options.m_plan.m_upstreams; ++i) {
@@ -375,6 +451,7 @@
   {
     const std::uint32_t index = aFault.m_target;
     m_checker.OnRouterStop(index, Now());
+    m_down.insert(index);
     const bool killed = m_options.m_defect == Defect::Stop;
     m_fleet.Router(index).Signal(killed ? SIGKILL : SIGTERM);
     RestartWhenEnded(index);
@@ -454,6 +531,7 @@
   void ReadRecordsPeriodically()
   {
     ReadRecords();
+    CheckRoutersRun();
     ScheduleAfter(kRecordReadInterval, [this] { ReadRecordsPeriodically(); });
   }
 
@@ -509,6 +587,7 @@
   SoakFleet m_fleet;
   std::shared_ptr<router::StoreChannel> m_store;
   bool m_putInFlight = false;
+  std::set<std::uint32_t> m_down; // routers that were killed or stopped
   std::uint64_t m_version = 0;
   std::map<std::string, bool> m_zonesOut; // by zone
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -51,6 +51,26 @@
       { "--seed=4", "--seconds=8", "--machines=3", "--only=router_stop" }));
 }
 
+// Guards against an entry of another writer that ends routers.
+TEST(Soak, GuaranteesHoldWithOddRecordsInTheListOfUpstreams)
+{
+  EXPECT_EQ(
+    0,
+    RunSoakProgram(
+      { "--seed=1", "--seconds=6", "--machines=3", "--only=odd_record" }));
+}
+
+// Guards against streams that are refused or mixed after all routers were
+// killed.
+TEST(Soak, GuaranteesHoldWhenAllRoutersAreKilled)
+{
+  EXPECT_EQ(0,
+            RunSoakProgram({ "--seed=1",
+                             "--seconds=10",
+                             "--machines=3",
+                             "--only=all_routers_kill" }));
+}
+
 struct Variant
 {
   const char* m_break;
