--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -57,6 +57,7 @@
   { CallerGone, "caller_gone", DropPolicy::DropLast, "the caller closed the connection before its answer ended" },
   { CallerRejected, "caller_rejected", DropPolicy::DropLast, "the caller's request is invalid, too large or did not arrive in time" },
   { AnswerUnsent, "answer_unsent", DropPolicy::DropLast, "the process ends with bytes of an answer that the caller has not taken" },
+  { StreamTakenUp, "stream_taken_up", DropPolicy::DropLast, "a caller takes up a stream that has broken off" },
 });
 // clang-format on
 
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -64,6 +64,7 @@
   CallerGone = 307,
   CallerRejected = 308,
   AnswerUnsent = 309,
+  StreamTakenUp = 310,
 };
 
 // Which lines are dropped when there are too many.
--- a/router/odd_record_test.cc
+++ b/router/odd_record_test.cc
@@ -95,12 +95,22 @@
 TEST_P(OddRecord, NumbersOutOfRangeAreUnreadable)
 {
   for (const char* number : { "1e999", "-1e999", "18446744073709551616" }) {
-    const std::string text = number;
-    EXPECT_FALSE(Decode("{\"version\":" + text + ",\"since_wall_ms\":" + text +
-                        ",\"trials\":" + text + ",\"endOffset\":" + text +
-                        ",\"announcement\":" + text + ",\"items\":" + text +
-                        ",\"service\":\"s\",\"zone\":\"z\",\"customers\":[" +
-                        text + "]}"));
+    std::string text = R"({"service":"s","zone":"z","customers":[)";
+    text += number;
+    text += "]";
+    for (const char* name : { "version",
+                              "since_wall_ms",
+                              "trials",
+                              "endOffset",
+                              "announcement",
+                              "items" }) {
+      text += ",\"";
+      text += name;
+      text += "\":";
+      text += number;
+    }
+    text += "}";
+    EXPECT_FALSE(Decode(text)) << text;
   }
 }
 
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -147,6 +147,7 @@
 RequestFlow::OnStreamVersion(const std::optional<SoftwareVersion>& aVersion)
 {
   const auto self = shared_from_this();
+  m_record.LogTakenUp(m_resumption.FirstAttemptId(*m_route), aVersion);
   if (!aVersion) {
     Refuse(ResultCode::StreamVersionUnknown, kRetryAfter);
     return;
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -124,6 +124,17 @@
     .Add("per_s", aPerSecond.value_or(-1));
 }
 
+void
+RequestRecord::LogTakenUp(const std::string& aFirstAttemptId,
+                          const std::optional<SoftwareVersion>& aVersion)
+{
+  StartLine(Event::StreamTakenUp)
+    .Add("resumes", aFirstAttemptId)
+    .Add("known", static_cast<std::int64_t>(aVersion.has_value()))
+    .Add("version", aVersion ? std::string_view(aVersion->Value()) : "")
+    .Add("ms", ElapsedMs());
+}
+
 void
 RequestRecord::CountDeniedRepeat()
 {
--- a/router/topic_tail.cc
+++ b/router/topic_tail.cc
@@ -70,15 +70,12 @@
     RunGuarded(m_context.m_log, m_context.m_metrics, "store", Now(), [&] {
       readable = Apply(aResponse);
     });
-  if (!handled || !readable) {
-    Finish(false);
-  } else if (m_atEnd) {
-    Finish(true);
-  } else if (m_calls == kMaxCalls) {
-    Finish(false);
-  } else {
-    Call();
+  const bool usable = handled && readable;
+  if (!usable || m_atEnd || m_calls == kMaxCalls) {
+    Finish(usable && m_atEnd);
+    return;
   }
+  Call();
 }
 
 // Sets where to go on and m_atEnd. Returns false if the response is of no use.
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -212,7 +212,7 @@
 
 // Writes the rest of a body after a while, as a slow caller does.
 void
-SoakCaller::WriteLater(std::string aText)
+SoakCaller::WriteLater(const std::string& aText)
 {
   m_pauseTimer.expires_after(milliseconds(m_random() % kMaxChunkPauseMs));
   const auto generation = m_generation;
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -59,7 +59,7 @@
   void Connect();
   void Send();
   void Write(std::string aText);
-  void WriteLater(std::string aText);
+  void WriteLater(const std::string& aText);
   void Read();
   void OnRead(const boost::system::error_code& aError);
   RequestOutcome Classify() const;
--- a/standin/stream_version_test.cc
+++ b/standin/stream_version_test.cc
@@ -409,6 +409,9 @@
   TakeUpAll();
   EXPECT_EQ(0U, Mixed());
   EXPECT_GE(GoneOn(), kStreams * 3 / 4);
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    EXPECT_TRUE(Contains(m_harness.LogText(i), "stream_taken_up"));
+  }
 }
 
 // Guards against the same after the engines of the other version have left.
