--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -136,7 +136,10 @@
                                          Context::OnStreamVersion aOnAnswer) {
     m_streamExchange.Find(aStream, aService, std::move(aOnAnswer));
   };
-  m_context.m_onStreamBegun = [this] { m_streamExchange.OnStreamsBegun(); };
+  m_context.m_onStreamBegun = [this] {
+    m_streamExchange.OnStreamsBegun();
+    m_streamJournal.OnStreamsBegun();
+  };
   m_context.m_askSuspectPermit = [this](const TraitId& aTrait,
                                         Context::OnPermitAnswer aOnAnswer) {
     return m_permits.AskForSuspect(aTrait, std::move(aOnAnswer));
--- a/router/stream_journal.cc
+++ b/router/stream_journal.cc
@@ -16,6 +16,8 @@
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1000);
 // Between two appends of one daemon: 100 a second in a fleet of any size.
 constexpr Duration kAppendIntervalPerDaemon = std::chrono::milliseconds(10);
+// In which streams that begin together are gathered.
+constexpr Duration kGatherTime = std::chrono::milliseconds(5);
 constexpr Duration kMaxAppendInterval = std::chrono::milliseconds(2000);
 constexpr Duration kTrimInterval = std::chrono::seconds(15);
 constexpr int kOk = 200;
@@ -40,6 +42,7 @@
   , m_channel(std::make_shared<StoreChannel>(
       aContext.m_loop,
       ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
+  , m_appendTimer(aContext.m_loop.get_executor())
   , m_tail(aContext,
            std::string(kTopic),
            TopicGap::Skip,
@@ -55,6 +58,39 @@
   while (m_written.size() > 1 && aNow - m_written[1].m_at > kStreamLifetime) {
     m_written.pop_front();
   }
+  AppendIfDue(aNow);
+  if (m_calling) {
+    return;
+  }
+  const bool hasOld =
+    !m_written.empty() && aNow - m_written.front().m_at > kStreamLifetime;
+  if (aTrims && hasOld && aNow >= m_nextTrimAt) {
+    m_nextTrimAt = aNow + kTrimInterval;
+    Trim(m_written.front().m_offset);
+  }
+}
+
+// What is not yet appended when this daemon is killed is lost, so it waits no
+// longer than the share of calls demands.
+void
+StreamJournal::OnStreamsBegun()
+{
+  if (!m_context.m_streamVersions.HasUnwritten() || m_calling ||
+      std::exchange(m_appendScheduled, true)) {
+    return;
+  }
+  m_appendTimer.expires_after(std::max(kGatherTime, m_nextAppendAt - Now()));
+  m_appendTimer.async_wait([this](const error_code& aError) {
+    m_appendScheduled = false;
+    if (!aError) {
+      AppendIfDue(Now());
+    }
+  });
+}
+
+void
+StreamJournal::AppendIfDue(Time aNow)
+{
   if (m_calling || aNow < m_nextAppendAt) {
     return;
   }
@@ -63,13 +99,6 @@
   }
   if (!m_appending.empty()) {
     Append(aNow);
-    return;
-  }
-  const bool hasOld =
-    !m_written.empty() && aNow - m_written.front().m_at > kStreamLifetime;
-  if (aTrims && hasOld && aNow >= m_nextTrimAt) {
-    m_nextTrimAt = aNow + kTrimInterval;
-    Trim(m_written.front().m_offset);
   }
 }
 
@@ -103,6 +132,7 @@
   if (const auto offset = platform::DecodeAppendOffset(aResponse.m_body)) {
     m_written.push_back({ *offset, Now() });
   }
+  OnStreamsBegun();
 }
 
 void
--- a/router/stream_journal.h
+++ b/router/stream_journal.h
@@ -4,8 +4,8 @@
 // A journal in the platform's store of which version began which stream, for
 // streams that are taken up after the daemons that knew it are gone. A daemon
 // appends the streams that it has begun while a service has several versions,
-// all together a few times a second. It is read only when a stream is taken up
-// whose version no daemon knows.
+// as soon as its share of the store's calls allows. It is read only when a
+// stream is taken up whose version no daemon knows.
 
 #include <deque>
 #include <memory>
@@ -24,6 +24,9 @@
   StreamJournal(const StreamJournal&) = delete;
   StreamJournal& operator=(const StreamJournal&) = delete;
 
+  // There are streams to append, soon.
+  void OnStreamsBegun();
+
   // Must be called several times a second. aTrims: whether this daemon is one
   // of the few that drop what is too old.
   void Tick(bool aTrims, Time aNow);
@@ -49,6 +52,7 @@
     Time m_at;
   };
 
+  void AppendIfDue(Time aNow);
   void Append(Time aNow);
   void OnAppended(const StoreResponse& aResponse);
   void Trim(std::uint64_t aBefore);
@@ -56,7 +60,9 @@
 
   Context& m_context;
   std::shared_ptr<StoreChannel> m_channel;
+  Timer m_appendTimer;
   TopicTail m_tail;
+  bool m_appendScheduled = false;
   bool m_calling = false;
   std::vector<StreamRecord> m_appending; // kept in case it has to be repeated
   Time m_nextAppendAt;
--- a/walnutwing/routing/stream_versions.h
+++ b/walnutwing/routing/stream_versions.h
@@ -177,6 +177,8 @@
   std::map<std::string, std::vector<StreamRecord>> TakeRecords();
   bool HasRecords() const { return !m_untold.empty(); }
 
+  bool HasUnwritten() const { return !m_unwritten.empty(); }
+
   // The streams that this daemon has begun and that are not in the journal.
   std::vector<StreamRecord> TakeUnwritten()
   {
