--- a/router/event_log.h
+++ b/router/event_log.h
@@ -54,6 +54,7 @@
   UpstreamLimited = 220,
   RequestBlocked = 221,
   RequestUnblocked = 222,
+  ItemsUnreadable = 223,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -390,31 +390,34 @@
   }
 }
 
-// The two reads run side by side. The list counts only if it was read to its
-// end; what is found in the journal counts in any case.
+// The reads run side by side. The list counts only if it and the journal were
+// read to their ends, as a record may be missing otherwise; what is found in
+// the journal counts in any case.
 void
 FleetState::AskStoreForVersions(std::function<void(bool aFresh)> aOnRead)
 {
   struct Reads
   {
     int m_left = 3;
-    bool m_listRead = false;
+    bool m_complete = true;
     std::function<void(bool)> m_onRead;
   };
   const auto reads = std::make_shared<Reads>();
   reads->m_onRead = std::move(aOnRead);
   const auto onEnd = [reads] {
     if (--reads->m_left == 0) {
-      reads->m_onRead(reads->m_listRead);
+      reads->m_onRead(reads->m_complete);
     }
   };
   const TopicFollower& list = m_upstreamFeed.Follower();
   m_upstreamTail.SkipTo(list.Next(), list.Era());
-  m_upstreamTail.Read([this, reads, onEnd](bool aComplete) {
-    reads->m_listRead = aComplete && m_upstreamFeed.Loaded();
+  const auto onTailRead = [reads, onEnd](bool aComplete) {
+    reads->m_complete = reads->m_complete && aComplete;
     onEnd();
-  });
-  m_streamJournal.Read([onEnd](bool) { onEnd(); });
+  };
+  reads->m_complete = m_upstreamFeed.Loaded();
+  m_upstreamTail.Read(onTailRead);
+  m_streamJournal.Read(onTailRead);
   m_streamVersionStore.ReadIfUnread(onEnd);
 }
 
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -531,7 +531,7 @@
   Choice choice;
   const RepeatResult result = PrepareRepeat(selection, choice);
   m_record.SetRepeatResult(result);
-  if (result != RepeatResult::Sent) {
+  if (result != RepeatResult::Allowed) {
     return; // the timer calls again
   }
   m_cause = kSilentCause;
@@ -743,7 +743,7 @@
   }
   if (!m_forwarding) {
     if (failure && MayRunAgain() &&
-        TryRepeat("failure") == RepeatResult::Sent) {
+        TryRepeat("failure") == RepeatResult::Allowed) {
       return;
     }
     m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
@@ -775,7 +775,7 @@
     return; // a part was blocked meanwhile
   }
   const RepeatResult result = TryRepeat("not executed");
-  if (result != RepeatResult::Sent) {
+  if (result != RepeatResult::Allowed) {
     Refuse(result == RepeatResult::NoBudget ? ResultCode::RetryBudgetSpent
                                             : ResultCode::QueueFull,
            kRetryAfter);
@@ -792,7 +792,7 @@
     Finish();
     return;
   }
-  if (MayRunAgain() && TryRepeat(aWhy.c_str()) == RepeatResult::Sent) {
+  if (MayRunAgain() && TryRepeat(aWhy.c_str()) == RepeatResult::Allowed) {
     return;
   }
   Fail(m_forwarding ? ResultCode::StreamBroken : ResultCode::UpstreamFailed);
@@ -817,14 +817,14 @@
   if (result == RepeatResult::NoBudget) {
     m_record.CountDeniedRepeat();
   }
-  if (result == RepeatResult::Sent) {
+  if (result == RepeatResult::Allowed) {
     SendRepeat(aWhy, choice);
   }
   return result;
 }
 
-// Returns Sent if the request may be sent again, to aChoice; the repeat is then
-// taken from the budget.
+// Chooses where the request may be sent again. If that is allowed, the repeat
+// is taken from the budget.
 RepeatResult
 RequestFlow::PrepareRepeat(const SelectionRequest& aSelection, Choice& aChoice)
 {
@@ -842,7 +842,7 @@
   }
   return m_context.RepeatBudgetOf(m_serviceId)
              .TryRepeat(m_context.m_daemons, Now())
-           ? RepeatResult::Sent
+           ? RepeatResult::Allowed
            : RepeatResult::NoBudget;
 }
 
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -18,7 +18,7 @@
 };
 
 constexpr std::array<RepeatResultName, 5> kRepeatResults{ {
-  { RepeatResult::Sent, "sent" },
+  { RepeatResult::Allowed, "allowed" },
   { RepeatResult::NoTime, "no_time" },
   { RepeatResult::NoUpstream, "no_upstream" },
   { RepeatResult::NoBudget, "no_budget" },
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -22,7 +22,7 @@
 // Outcome of the attempt to send a request again.
 enum class RepeatResult
 {
-  Sent,       // sent, or ended with a final response: nothing left to do
+  Allowed,    // it may be sent
   NoTime,     // deadline too close, or too many attempts
   NoUpstream, // no upstream can take it
   NoBudget,   // the repeat budget is exhausted
--- a/router/standstill.h
+++ b/router/standstill.h
@@ -16,14 +16,13 @@
 class Standstill
 {
 public:
-  // OnTick is called this often, or hardly less often.
-  static constexpr Duration kTickInterval = std::chrono::milliseconds(200);
   // A longer time between two ticks is a standstill.
   static constexpr Duration kMaxGap = std::chrono::milliseconds(600);
   // After it, until what has waited is read.
   static constexpr Duration kCatchUpTime = std::chrono::milliseconds(300);
 
-  // aNow counts the time in which the machine was suspended.
+  // Must be called several times a second. aNow counts the time in which the
+  // machine was suspended.
   void OnTick(Duration aNow)
   {
     if (aNow - m_lastTick > kMaxGap) {
--- a/router/standstill_test.cc
+++ b/router/standstill_test.cc
@@ -5,6 +5,8 @@
 namespace walnutwing::router {
 namespace {
 
+constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+
 TEST(Standstill, IsNotSeenWhileTicksComeInTime)
 {
   Standstill standstill;
@@ -13,7 +15,7 @@
   now += Standstill::kCatchUpTime;
   standstill.OnTick(now);
   for (int i = 0; i < 10; ++i) {
-    now += Standstill::kTickInterval;
+    now += kTickInterval;
     EXPECT_FALSE(standstill.IsCatchingUp(now));
     standstill.OnTick(now);
   }
@@ -30,10 +32,10 @@
   EXPECT_TRUE(standstill.IsCatchingUp(now));
   standstill.OnTick(now);
   EXPECT_TRUE(standstill.IsCatchingUp(now));
-  now += Standstill::kTickInterval;
+  now += kTickInterval;
   standstill.OnTick(now);
   EXPECT_TRUE(standstill.IsCatchingUp(now));
-  now += Standstill::kCatchUpTime - Standstill::kTickInterval;
+  now += Standstill::kCatchUpTime - kTickInterval;
   EXPECT_FALSE(standstill.IsCatchingUp(now));
 }
 
--- a/router/stream_journal.cc
+++ b/router/stream_journal.cc
@@ -122,6 +122,7 @@
 StreamJournal::OnAppended(const StoreResponse& aResponse)
 {
   m_calling = false;
+  SetStoreAvailable(aResponse.m_status == kOk, aResponse);
   if (aResponse.m_status != kOk) {
     ++m_context.m_metrics.Counter("stream_journal_appends_failed_total");
     return;
@@ -135,6 +136,21 @@
   OnStreamsBegun();
 }
 
+void
+StreamJournal::SetStoreAvailable(bool aAvailable,
+                                 const StoreResponse& aResponse)
+{
+  if (std::exchange(m_storeAvailable, aAvailable) == aAvailable) {
+    return;
+  }
+  EventLog::Line(m_context.m_log,
+                 aAvailable ? Event::StoreRegained : Event::StoreLost,
+                 Now())
+    .Add("topic", kTopic)
+    .Add("status", static_cast<std::int64_t>(aResponse.m_status))
+    .Add("error", aResponse.m_error);
+}
+
 void
 StreamJournal::Trim(std::uint64_t aBefore)
 {
--- a/router/stream_journal.h
+++ b/router/stream_journal.h
@@ -55,6 +55,7 @@
   void AppendIfDue(Time aNow);
   void Append(Time aNow);
   void OnAppended(const StoreResponse& aResponse);
+  void SetStoreAvailable(bool aAvailable, const StoreResponse& aResponse);
   void Trim(std::uint64_t aBefore);
   void OnRecords(const std::vector<platform::StoreRecord>& aRecords);
 
@@ -64,6 +65,7 @@
   TopicTail m_tail;
   bool m_appendScheduled = false;
   bool m_calling = false;
+  bool m_storeAvailable = true;          // for appends
   std::vector<StreamRecord> m_appending; // kept in case it has to be repeated
   Time m_nextAppendAt;
   Time m_nextTrimAt;
--- a/router/topic_feed.cc
+++ b/router/topic_feed.cc
@@ -94,6 +94,11 @@
   if (update.m_eraChange) {
     m_onEra(m_topic, *update.m_eraChange);
   }
+  if (update.m_unreadable != 0) {
+    EventLog::Line(m_context.m_log, Event::ItemsUnreadable, Now())
+      .Add("topic", m_topic)
+      .Add("items", static_cast<std::int64_t>(update.m_unreadable));
+  }
   if (update.m_succeeded) {
     m_lastResponseAt = Now();
     m_loaded = m_loaded || update.m_isSnapshot;
--- a/router/topic_follower.cc
+++ b/router/topic_follower.cc
@@ -108,6 +108,7 @@
   m_failures = 0;
   m_callImmediately = true;
   m_firstPageEnd = m_firstPageEnd.value_or(page->m_endOffset);
+  update.m_unreadable = page->m_unreadable;
   std::move(page->m_records.begin(),
             page->m_records.end(),
             std::back_inserter(m_snapshotRecords));
--- a/router/topic_follower.h
+++ b/router/topic_follower.h
@@ -49,6 +49,7 @@
   std::optional<EraChange> m_eraChange; // the topic is read anew
   bool m_isSnapshot = false; // m_records is complete; other keys are gone
   std::vector<platform::StoreRecord> m_records;
+  std::size_t m_unreadable = 0; // items of the response that were left out
 };
 
 class TopicFollower
--- a/soak/guarantee_checker_test.cc
+++ b/soak/guarantee_checker_test.cc
@@ -3,6 +3,8 @@
 
 #include "soak/guarantee_checker.h"
 
+#include <tuple>
+
 #include <gtest/gtest.h>
 
 #include "soak/roles.h"
@@ -223,6 +225,34 @@
   EXPECT_EQ(2U, violationsAfterCut(4000, 7600));
 }
 
+TEST(GuaranteeChecker, RouterThatEndsByItselfIsAViolation)
+{
+  GuaranteeChecker checker({});
+  checker.OnRouterEnded(2);
+  EXPECT_EQ(1U, checker.Violations().size());
+}
+
+// Fewer than 12 take-ups say nothing; of more, half may be refused as nobody
+// knows which version began them.
+TEST(GuaranteeChecker, MostTakeUpsRefusedIsAViolation)
+{
+  for (const auto& [refused, goneOn, violations] :
+       { std::tuple(11, 0, 0U), std::tuple(6, 6, 0U), std::tuple(7, 5, 1U) }) {
+    GuaranteeChecker checker({});
+    for (int i = 0; i < refused + goneOn; ++i) {
+      SoakRequest request = MakeRequest(RequestKind::Long, "l", 0);
+      request.m_id += std::to_string(i);
+      request.m_streamId = "first" + std::to_string(i);
+      request.m_refusedForVersion = i < refused;
+      checker.OnRequestEnd(request,
+                           i < refused ? RequestOutcome::NotRun
+                                       : RequestOutcome::Complete,
+                           At(5));
+    }
+    EXPECT_EQ(violations, CountViolations(checker)) << refused;
+  }
+}
+
 TEST(GuaranteeChecker, RepeatsAndColdArrivalsOverBudgetAreViolations)
 {
   GuaranteeOptions options;
