--- a/router/stream_version_exchange.cc
+++ b/router/stream_version_exchange.cc
@@ -23,7 +23,8 @@
 {
   return { DecodeVersion(aAnswer.has_recorded(), aAnswer.recorded()),
            DecodeVersion(aAnswer.has_only(), aAnswer.only()),
-           aAnswer.fresh() };
+           aAnswer.fresh(),
+           DecodeVersion(aAnswer.has_before(), aAnswer.before()) };
 }
 
 void
@@ -37,6 +38,9 @@
     aAnswer.set_only(aOpinion.m_only->Value());
   }
   aAnswer.set_fresh(aOpinion.m_fresh);
+  if (aOpinion.m_before) {
+    aAnswer.set_before(aOpinion.m_before->Value());
+  }
 }
 
 } // namespace
@@ -73,7 +77,7 @@
     if (const auto version = poll.Result()) {
       aOnAnswer(version);
     } else {
-      FindInStore(aStream, aService, std::move(aOnAnswer));
+      FindInStore(aStream, aService, poll, std::move(aOnAnswer));
     }
     return;
   }
@@ -192,22 +196,32 @@
     pending.m_onAnswer(version);
     return;
   }
-  FindInStore(
-    pending.m_stream, pending.m_service, std::move(pending.m_onAnswer));
+  FindInStore(pending.m_stream,
+              pending.m_service,
+              pending.m_poll,
+              std::move(pending.m_onAnswer));
 }
 
 // No daemon that has answered knows the stream: those that did may be gone.
 void
 StreamVersionExchange::FindInStore(StreamKey aStream,
                                    const ServiceId& aService,
+                                   const VersionPoll& aPoll,
                                    Context::OnStreamVersion aOnAnswer)
 {
   ++m_context.m_metrics.Counter("stream_versions_asked_of_store_total");
-  m_askStore([this, aStream, aService, onAnswer = std::move(aOnAnswer)](
-               bool aFresh) {
-    const VersionPoll poll(
-      m_context.m_streamVersions.Opinion(aStream, aService, aFresh, Now()), 0);
-    const std::optional<SoftwareVersion> version = poll.Result();
+  m_askStore([this,
+              aStream,
+              aService,
+              aPoll,
+              onAnswer = std::move(aOnAnswer)](bool aFresh) {
+    const VersionOpinion opinion =
+      m_context.m_streamVersions.Opinion(aStream, aService, aFresh, Now());
+    std::optional<SoftwareVersion> version = VersionPoll(opinion, 0).Result();
+    if (!version && aFresh && opinion.m_before &&
+        aPoll.AllStateBefore(*opinion.m_before)) {
+      version = opinion.m_before;
+    }
     ++m_context.m_metrics.Counter("stream_versions_store_answers_total",
                                   version ? "known=\"1\"" : "known=\"0\"");
     onAnswer(version);
--- a/router/stream_version_exchange.h
+++ b/router/stream_version_exchange.h
@@ -58,8 +58,10 @@
   };
 
   VersionOpinion OwnOpinion(StreamKey aStream, const ServiceId& aService) const;
+  // aPoll: what the daemons that were asked have answered.
   void FindInStore(StreamKey aStream,
                    const ServiceId& aService,
+                   const VersionPoll& aPoll,
                    Context::OnStreamVersion aOnAnswer);
   void SendRecords();
   void AnswerQuestions(const proto::RouterPeerMessage& aMessage,
--- a/router/stream_version_store.cc
+++ b/router/stream_version_store.cc
@@ -190,13 +190,16 @@
     return false;
   }
   const ServiceId service(aRecord.m_key.substr(kKeyPrefix.size()));
-  const auto only = DecodeRecord(aRecord.m_value.value_or(""), Now());
+  const Time now = Now();
+  const auto only = DecodeRecord(aRecord.m_value.value_or(""), now);
   m_written[service] =
     only ? std::optional(only->m_version) : std::optional<SoftwareVersion>();
-  if (only) {
+  if (only && !m_topicRead) {
+    m_context.m_streamVersions.OnOnlyVersionAtStart(service, *only, now);
+  } else if (only) {
     m_context.m_streamVersions.OnOnlyVersion(service, *only);
   } else {
-    m_context.m_streamVersions.OnSeveralVersions(service, Now());
+    m_context.m_streamVersions.OnSeveralVersions(service, now);
   }
   return true;
 }
--- a/standin/stream_version_test.cc
+++ b/standin/stream_version_test.cc
@@ -434,6 +434,28 @@
   EXPECT_EQ(kStreams - ofLeft, GoneOn());
 }
 
+// Guards against issue 44, LOST: a version joins while all routers are down, and
+// the streams that had begun are refused, as nobody could write them down.
+TEST_F(OneVersion, IsKnownWhenAVersionJoinedWhileAllRoutersWereDown)
+{
+  SetVersion(0, kEngines, "v1");
+  BeginMany();
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    m_harness.Router(i).Kill();
+  }
+  SetVersion(kEngines / 2, kEngines, "v2");
+  RestartAll();
+  TakeUpAll();
+  EXPECT_EQ(0U, Mixed());
+  EXPECT_GE(GoneOn(), kStreams * 3 / 4);
+  RunFor(Duration(3000));
+  m_streams.clear();
+  BeginMany();
+  TakeUpAll();
+  EXPECT_EQ(0U, Mixed());
+  EXPECT_EQ(kStreams, GoneOn());
+}
+
 // Guards against a router that stood still while a version joined and takes its
 // old list of engines for proof that there is one version only. The cases in
 // which issue 41 saw that (a machine out of step) are in stream_versions_test.
--- a/walnutwing/routing/stream_versions.cc
+++ b/walnutwing/routing/stream_versions.cc
@@ -43,6 +43,7 @@
 void
 VersionPoll::Add(const VersionOpinion& aOpinion)
 {
+  m_othersBefore.push_back(aOpinion.m_before);
   m_missing -= m_missing == 0 ? 0 : 1;
   Merge(aOpinion);
 }
@@ -79,6 +80,15 @@
   return proved && !m_conflict ? m_only : std::nullopt;
 }
 
+bool
+VersionPoll::AllStateBefore(const SoftwareVersion& aVersion) const
+{
+  return m_missing == 0 &&
+         std::all_of(m_othersBefore.begin(),
+                     m_othersBefore.end(),
+                     [&](const auto& aBefore) { return aBefore == aVersion; });
+}
+
 void
 StreamVersions::SetListed(const ServiceId& aService,
                           const std::set<SoftwareVersion>& aVersions,
@@ -158,6 +168,20 @@
   }
 }
 
+void
+StreamVersions::OnOnlyVersionAtStart(const ServiceId& aService,
+                                     const OnlyVersion& aOnly,
+                                     Time aNow)
+{
+  OnOnlyVersion(aService, aOnly);
+  const auto known = m_services.find(aService);
+  if (known != m_services.end() &&
+      known->second.m_listed != std::set{ aOnly.m_version } &&
+      aNow - aOnly.m_since >= kStreamLifetime) {
+    known->second.m_before = { aOnly.m_version, aNow };
+  }
+}
+
 std::optional<OnlyVersion>
 StreamVersions::OnlyListed(const ServiceId& aService) const
 {
@@ -309,6 +333,10 @@
   if (known != m_services.end() && IsOnlyVersion(known->second, aNow)) {
     opinion.m_only = *known->second.m_listed.begin();
   }
+  if (known != m_services.end() && known->second.m_before &&
+      aNow - known->second.m_before->m_since < kStreamLifetime) {
+    opinion.m_before = known->second.m_before->m_version;
+  }
   return opinion;
 }
 
--- a/walnutwing/routing/stream_versions.h
+++ b/walnutwing/routing/stream_versions.h
@@ -28,6 +28,13 @@
 // shorter time kFreshListAge. Even then it counts only where no record can be
 // missing: the daemons that would have it have answered, or the journal was
 // read.
+//
+// A version that joins while no daemon is running ends the only version with
+// nobody there to write down the streams that had begun. The daemons that start
+// then find the record of the only version and a list that does not fit it.
+// Nobody has sent a stream to the new version yet, and what they send there is
+// recorded, so a stream without a record is one of the old version, as long as
+// all daemons that would know otherwise have been running since.
 
 #include <cstdint>
 #include <deque>
@@ -72,6 +79,8 @@
   std::optional<SoftwareVersion> m_only;
   // Whether its list of upstreams is up to date.
   bool m_fresh = false;
+  // The only version until another one joined while no daemon was running.
+  std::optional<SoftwareVersion> m_before{};
 };
 
 // Combines the opinions on one stream.
@@ -93,6 +102,10 @@
   // or all state it, and if no other one is stated.
   std::optional<SoftwareVersion> Result() const;
 
+  // Whether all daemons that were asked have answered and state aVersion as the
+  // only one before another joined.
+  bool AllStateBefore(const SoftwareVersion& aVersion) const;
+
 private:
   void Merge(const VersionOpinion& aOpinion);
 
@@ -103,6 +116,7 @@
   bool m_freshOnly = false; // stated by a daemon with an up to date list
   std::optional<SoftwareVersion> m_recorded;
   std::optional<SoftwareVersion> m_only;
+  std::vector<std::optional<SoftwareVersion>> m_othersBefore;
 };
 
 // A stream that another daemon is to remember.
@@ -158,6 +172,15 @@
   // started. Ignored unless it is the one that is listed.
   void OnOnlyVersion(const ServiceId& aService, const OnlyVersion& aOnly);
 
+  // The same, as this daemon finds it at its start. If another version is
+  // listed, that one has joined while no daemon was running, and streams that
+  // began before are of the version in the record; see VersionOpinion::m_before.
+  // Ignored if the record is younger than kStreamLifetime: it says nothing about
+  // streams that began earlier.
+  void OnOnlyVersionAtStart(const ServiceId& aService,
+                            const OnlyVersion& aOnly,
+                            Time aNow);
+
   // The only listed version; nullopt if there are several, or none was listed.
   std::optional<OnlyVersion> OnlyListed(const ServiceId& aService) const;
 
@@ -212,6 +235,8 @@
     std::set<SoftwareVersion> m_listed;
     std::map<SoftwareVersion, Time> m_listedSince; // of these
     Time m_changedAt; // from then on the list was as it is
+    // See VersionOpinion::m_before; m_since is when this daemon learned it.
+    std::optional<OnlyVersion> m_before;
   };
   using Memory = std::unordered_map<StreamKey, Remembered>;
 
--- a/walnutwing/routing/stream_versions_test.cc
+++ b/walnutwing/routing/stream_versions_test.cc
@@ -141,6 +141,11 @@
   }
 
   std::optional<SoftwareVersion> Find(const std::string& aAt, StreamKey aStream)
+  {
+    return Poll(aAt, aStream).Result();
+  }
+
+  VersionPoll Poll(const std::string& aAt, StreamKey aStream)
   {
     const std::vector<std::string> keepers = m_daemons[aAt]->Keepers(aStream);
     VersionPoll poll(m_daemons[aAt]->Opinion(aStream, kService, true, m_now),
@@ -150,7 +155,7 @@
         poll.Add(m_daemons[keeper]->Opinion(aStream, kService, true, m_now));
       }
     }
-    return poll.Result();
+    return poll;
   }
 
   std::size_t CountFound(const std::string& aAt,
@@ -321,6 +326,55 @@
   EXPECT_EQ(kOne, Find("d2", 5));
 }
 
+// Guards against issue 44, LOST: streams are refused because another version
+// joined while no daemon was running, so that nobody wrote them down.
+TEST_F(StreamVersionsTest, VersionBeforeAnotherJoinedIsKnownAfterAStart)
+{
+  MakeDaemons(6, 3);
+  List({ kOne, kTwo });
+  m_now += kStreamLifetime;
+  for (const auto& [name, daemon] : m_daemons) {
+    daemon->OnOnlyVersionAtStart(kService, { kOne, kStart }, m_now);
+    daemon->OnSeveralVersions(kService, m_now);
+  }
+  EXPECT_FALSE(Find("d2", 5)) << "the journal is to be read first";
+  EXPECT_TRUE(Poll("d2", 5).AllStateBefore(kOne));
+  EXPECT_FALSE(Poll("d2", 5).AllStateBefore(kTwo));
+  m_now += kStreamLifetime;
+  EXPECT_FALSE(Poll("d2", 5).AllStateBefore(kOne)) << "such streams are over";
+}
+
+// Guards against a stream of the new version that goes on at the old one: the
+// daemons that had its record were lost, or have started since.
+TEST_F(StreamVersionsTest, VersionBeforeAnotherJoinedNeedsAllThatMayKnowOtherwise)
+{
+  MakeDaemons(6, 3);
+  List({ kOne, kTwo });
+  m_now += kStreamLifetime;
+  for (const auto& [name, daemon] : m_daemons) {
+    daemon->OnOnlyVersionAtStart(kService, { kOne, kStart }, m_now);
+  }
+  const std::string keeper = m_daemons["d2"]->Keepers(5).front();
+  m_daemons[keeper] =
+    std::make_unique<StreamVersions>(DaemonId(keeper), ZoneId());
+  m_daemons[keeper]->SetListed(kService, { kOne, kTwo }, m_now);
+  m_daemons[keeper]->OnSeveralVersions(kService, m_now);
+  EXPECT_FALSE(Poll("d2", 5).AllStateBefore(kOne));
+  m_daemons.erase(keeper);
+  EXPECT_FALSE(Poll("d2", 5).AllStateBefore(kOne));
+}
+
+// Guards against the same with a record that is younger than streams may be.
+TEST_F(StreamVersionsTest, YoungRecordSaysNothingOfOlderStreams)
+{
+  MakeDaemons(3, 3);
+  List({ kOne, kTwo });
+  m_daemons["d0"]->OnOnlyVersionAtStart(
+    kService, { kOne, m_now - kStreamLifetime + Duration(1) }, m_now);
+  EXPECT_FALSE(
+    m_daemons["d0"]->Opinion(5, kService, true, m_now).m_before);
+}
+
 TEST_F(StreamVersionsTest, StreamsAreForgotten)
 {
   MakeDaemons(3, 3);
