--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -26,6 +26,7 @@
 #include "daemon/peer_link.h"
 #include "daemon/permit_coordinator.h"
 #include "net/owned_timer.h"
+#include "router/held_signals.h"
 #include "walnutwing/base/result_code.h"
 
 namespace walnutwing {
@@ -144,15 +145,11 @@
       "admin", [this] { return std::make_unique<Admin>(m_context, m_root); });
   }
 
-  // Blocks the signals and reads them from a descriptor, so that the event loop
-  // handles them like all other events.
+  // Reads the signals, which are held back since the start, from a descriptor,
+  // so that the event loop handles them like all other events.
   void WatchSignals()
   {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    const sigset_t signals = router::ControlSignals();
     const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     if (descriptor < 0) {
       throw std::system_error(errno, std::generic_category(), "signalfd");
@@ -160,7 +157,13 @@
     m_signals = m_loop.WatchReadable(descriptor, [this, descriptor] {
       signalfd_siginfo info{};
       while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
-        OnStopSignal();
+        if (info.ssi_signo == SIGHUP) {
+          LogEvent(LogLevel::Warning,
+                   "reload_ignored",
+                   { { "why", "settings are read at the start only" } });
+        } else {
+          OnStopSignal();
+        }
       }
     });
   }
@@ -242,6 +245,7 @@
 int
 RunDaemon(const std::string& aSettingsFile)
 {
+  router::HoldSignals();
   try {
     const DaemonSettings settings = LoadDaemonSettings(aSettingsFile);
     StartLog(settings.m_logLevel);
--- a/router/router.cc
+++ b/router/router.cc
@@ -15,6 +15,7 @@
 #include "platform/http_names.h"
 #include "router/fleet_state.h"
 #include "router/front.h"
+#include "router/held_signals.h"
 #include "router/page_server.h"
 #include "router/request_record.h"
 #include "router/stable_text.h"
@@ -33,6 +34,9 @@
 // For the answers of requests that a stop cuts.
 constexpr Duration kLastAnswersTime = std::chrono::milliseconds(150);
 
+// Between two tries to bind the addresses of a process that still runs.
+constexpr Duration kBindRetryInterval = std::chrono::milliseconds(50);
+
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFoundStatus = 404;
 
@@ -89,6 +93,7 @@
   {
     std::signal(SIGPIPE, SIG_IGN);
     ListenForSignal();
+    ReleaseSignals();
     Tick();
     ScheduleSettingsCheck();
     m_state.Start();
@@ -376,19 +381,43 @@
   std::size_t m_terminatedRequests = 0;
 };
 
+// Runs a router. While the addresses are in use, as when the process that is
+// being replaced has not ended yet, waits for them as long as a planned stop may
+// take. Throws boost::system::system_error if they are in use after that.
+int
+RunOnceAddressesAreFree(const std::string& aSettingsFile,
+                        const std::string& aText,
+                        const RouterSettings& aSettings)
+{
+  const Time end = Now() + aSettings.m_stopLimit;
+  while (true) {
+    try {
+      return Router(aSettingsFile, aText, aSettings).Run();
+    } catch (const boost::system::system_error& error) {
+      if (error.code() != asio::error::address_in_use || Now() >= end) {
+        throw;
+      }
+    }
+    if (WaitForHeldStop(kBindRetryInterval)) {
+      return 0;
+    }
+  }
+}
+
 } // namespace
 
 int
 RunRouter(std::string aSettingsFile)
 {
+  HoldSignals();
   if (aSettingsFile.empty()) {
     const char* path = std::getenv(kSettingsVariable);
     aSettingsFile = path == nullptr ? "" : path;
   }
   try {
-    std::string text = ReadTextFile(aSettingsFile);
+    const std::string text = ReadTextFile(aSettingsFile);
     const RouterSettings settings = ParseRouterSettings(text, aSettingsFile);
-    return Router(aSettingsFile, std::move(text), settings).Run();
+    return RunOnceAddressesAreFree(aSettingsFile, text, settings);
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
     return ExitStatusOf(error.Code());
