--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -230,15 +230,15 @@
     return true;
   }
   const platform::ResponseFacts facts = platform::DecodeResponse(head);
-  const bool lacksAttemptId = facts.m_attemptId.empty() && facts.m_notExecuted;
-  if (lacksAttemptId && m_reused) {
+  if (facts.m_attemptId.empty() && facts.m_notExecuted) {
     Finish(m_stage, "\"not executed\" without an attempt id");
     return false;
   }
-  if (facts.m_attemptId != m_request.m_attemptId && !lacksAttemptId) {
+  if (facts.m_attemptId != m_request.m_attemptId) {
     m_skipResponse = true;
     return true;
   }
+  m_lastRefusedId = facts.m_notExecuted ? m_request.m_attemptId : "";
   m_keepAlive = facts.m_keepAlive;
   m_framing = Framing();
   m_stage = SendStage::HeadReceived;
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -6,11 +6,11 @@
 //
 // A response is matched to the request by its attempt id, because a reused
 // connection may still deliver the response to an earlier request. That one is
-// skipped, as are interim responses, up to a limit of bytes for each request.
-// Only a "not executed" response may lack the id, and only to the first request
-// of a connection: on a reused one it may answer an earlier request, so that
-// the attempt fails. A connection with bytes beyond the response is closed
-// rather than reused.
+// skipped, as are interim responses, up to a limit of bytes for each request. A
+// "not executed" response without an id is believed on no connection: nothing
+// shows which request it is about, so the attempt fails as one that may have
+// run. A connection with bytes beyond the response is closed rather than reused,
+// and one with a refusal gets no request with the refused one's id.
 
 #include <functional>
 #include <memory>
@@ -108,6 +108,9 @@
   void Close();
   bool IsOpen() const { return !m_closed; }
 
+  // The attempt id of its last request, if that was not executed; else "".
+  const std::string& LastRefusedId() const { return m_lastRefusedId; }
+
   // Whether a response to an earlier request was completed on it.
   bool IsReused() const { return m_reused; }
 
@@ -134,6 +137,7 @@
   OnReusable m_onReusable;
   OnClosed m_onClosed;
   UpstreamRequest m_request;
+  std::string m_lastRefusedId;
   ResponseReceiver* m_receiver = nullptr;
   InputBuffer m_input;
   std::optional<Parser> m_parser;
--- a/router/upstream_pool.cc
+++ b/router/upstream_pool.cc
@@ -48,7 +48,7 @@
 {
   AddressEntry& entry = m_addresses[aAddress];
   std::shared_ptr<UpstreamConnection> connection =
-    TakeIdle(entry, aNonIdempotent);
+    TakeIdle(entry, aNonIdempotent, aRequest.m_attemptId);
   if (connection == nullptr) {
     const std::optional<Tcp::endpoint> endpoint = ParseEndpoint(aAddress);
     const bool full = aMaxConnections != 0 && entry.m_open >= aMaxConnections;
@@ -62,7 +62,9 @@
 }
 
 std::shared_ptr<UpstreamConnection>
-UpstreamPool::TakeIdle(AddressEntry& aEntry, bool aNonIdempotent)
+UpstreamPool::TakeIdle(AddressEntry& aEntry,
+                       bool aNonIdempotent,
+                       const std::string& aAttemptId)
 {
   while (!aEntry.m_idle.empty()) {
     IdleConnection& last = aEntry.m_idle.back();
@@ -72,7 +74,10 @@
     std::shared_ptr<UpstreamConnection> connection =
       std::move(last.m_connection);
     aEntry.m_idle.pop_back();
-    if (connection->IsOpen() && connection->IsIdleAndOpen()) {
+    // A copy of a refusal would be taken for the response to a request with the
+    // same id.
+    const bool ambiguous = connection->LastRefusedId() == aAttemptId;
+    if (!ambiguous && connection->IsOpen() && connection->IsIdleAndOpen()) {
       return connection;
     }
     connection->Close();
--- a/router/upstream_pool.h
+++ b/router/upstream_pool.h
@@ -55,7 +55,8 @@
   };
 
   std::shared_ptr<UpstreamConnection> TakeIdle(AddressEntry& aEntry,
-                                               bool aNonIdempotent);
+                                               bool aNonIdempotent,
+                                               const std::string& aAttemptId);
   std::shared_ptr<UpstreamConnection> OpenConnection(
     const std::string& aAddress,
     const Tcp::endpoint& aEndpoint);
--- a/standin/order_once_test.cc
+++ b/standin/order_once_test.cc
@@ -123,6 +123,17 @@
                  [](const Exchange& aExchange) {
                    aExchange->Write(AnswerOf("o1", 503, ""));
                  } },
+    // Issue 44, REFUSED and TWICE: believed as the first answer on a new
+    // connection, while the upstream ran the order.
+    OrderEnding{
+      "RefusalWithoutAnId",
+      [](const Exchange& aExchange) {
+        aExchange->Write(AnswerOf("", 503, "X-Not-Executed: 1\r\n"));
+      } },
+    OrderEnding{ "MisdirectedWithoutAnId",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write(AnswerOf("", 421, ""));
+                 } },
     OrderEnding{ "RefusalOfAnotherRequestThenClose",
                  [](const Exchange& aExchange) {
                    aExchange->Write(
@@ -171,6 +182,31 @@
   EXPECT_TRUE(Contains(caller->Received(), "HTTP/1.1 502"));
 }
 
+// Guards against issue 44, REFUSED: a caller repeats a refused order under its
+// id, and a second copy of the refusal is taken for the answer to the repeat.
+TEST(OrderOnceUnderTheSameId, CopyOfAnEarlierRefusalIsNotItsAnswer)
+{
+  RouterHarness harness(1);
+  const std::string refusal = AnswerOf("o1", 503, "X-Not-Executed: 1\r\n");
+  Exchange first;
+  harness.Upstream(0).SetHandler([&](const Exchange& aExchange) {
+    if (first == nullptr) {
+      first = aExchange;
+      aExchange->Write(refusal);
+      return;
+    }
+    first->Write(refusal);
+    aExchange->Write(MakeUpstreamResponse(aExchange->Request(), 200, "done"));
+  });
+  for (const char* status : { "HTTP/1.1 503", "HTTP/1.1 200" }) {
+    const auto caller = harness.Connect();
+    caller->Send(Order("body"));
+    EXPECT_TRUE(harness.WaitUntil(
+      [&] { return Contains(caller->Received(), "HTTP/1.1 "); }));
+    EXPECT_TRUE(Contains(caller->Received(), status)) << caller->Received();
+  }
+}
+
 // Guards against an order that is sent although its caller broke off its body.
 TEST(OrderOnceFromCaller, IsNotSentWithHalfABody)
 {
