--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "platform/field_text.h"
+#include "router/response_check.h"
 #include "router/upstream_statements.h"
 #include "walnutwing/placement/rendezvous.h"
 #include "walnutwing/routing/request_fingerprint.h"
@@ -61,12 +62,6 @@
 
 constexpr int kFirstServerErrorStatus = 500;
 
-bool
-IsSuccess(unsigned aStatus)
-{
-  return aStatus / 100 == 2;
-}
-
 std::string_view
 PathOf(std::string_view aTarget)
 {
@@ -474,6 +469,8 @@
   m_attempt.m_choice = aChoice;
   m_attempt.m_sentAt = now;
   m_attempt.m_reusedConnection = connection->IsReused();
+  m_attempt.m_resumedAfter =
+    m_forwardsEvents ? std::optional(m_events.LastId()) : std::nullopt;
   m_attempt.m_inFlight = true;
   m_attempt.m_connection = std::move(connection);
   m_traitProbe.OnAttemptStarted();
@@ -563,38 +560,35 @@
   const Time now = Now();
   m_progressTimer.OnHead(*m_route);
   m_attempt.m_notExecuted = aFacts.m_notExecuted;
-  m_attempt.m_unconfirmedRefusal = aFacts.m_unconfirmedRefusal;
   m_attempt.m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamStatements(
     m_context, m_record, m_attempt.m_choice, m_attempt.m_sentAt, aFacts);
-  const bool success = IsSuccess(aHead.result_int());
-  m_attempt.m_isEventStream = IsEventStream(aFacts, success);
-  const bool continues =
-    success && m_attempt.m_isEventStream == m_forwardsEvents;
-  m_attempt.m_discardResponse = m_attempt.m_notExecuted ||
-                                m_attempt.m_unconfirmedRefusal ||
-                                (m_forwarding && !continues);
-  if (m_attempt.m_discardResponse || m_forwarding) {
+  const Forwarded forwarded = !m_forwarding       ? Forwarded::Nothing
+                              : m_forwardsEvents ? Forwarded::Events
+                                                 : Forwarded::Other;
+  const ResponseCheck check =
+    CheckResponse(aHead.result_int(), aFacts, m_route->m_kind, forwarded);
+  m_attempt.m_isEventStream = check.m_isEventStream;
+  m_attempt.m_discardReason = check.m_discardReason;
+  if (m_attempt.Discards() && m_attempt.m_isEventStream &&
+      !m_attempt.m_notExecuted) {
+    // It may go on for long, and nothing of it is of use.
+    const auto self = shared_from_this();
+    CancelAttempt(SendOutcome::Failed);
+    OnAttemptFailed(std::string(m_attempt.m_discardReason));
+    return;
+  }
+  if (m_attempt.Discards() || m_forwarding) {
     return;
   }
   m_firstByteAt = now;
   m_head = aHead;
-  if (m_route->m_kind == RouteKind::Stream && success && m_caller != nullptr) {
+  if (m_route->m_kind == RouteKind::Stream &&
+      IsSuccess(aHead.result_int()) && m_caller != nullptr) {
     BeginForwarding();
   }
 }
 
-// The Content-Type decides; without one, a stream's route says what it sends.
-bool
-RequestFlow::IsEventStream(const platform::ResponseFacts& aFacts,
-                           bool aSuccess) const
-{
-  if (aFacts.m_mediaType == platform::MediaType::Unstated) {
-    return aSuccess && m_route->m_kind == RouteKind::Stream;
-  }
-  return aFacts.m_mediaType == platform::MediaType::EventStream;
-}
-
 void
 RequestFlow::BeginForwarding()
 {
@@ -613,7 +607,7 @@
 {
   const Time now = Now();
   m_attempt.m_choice.m_tracker->OnBytesReceived(now);
-  if (m_attempt.m_discardResponse) {
+  if (m_attempt.Discards()) {
     DiscardBody(aPiece.size());
     return;
   }
@@ -692,7 +686,8 @@
   const auto self = shared_from_this();
   m_attempt.m_bodyEnd = { aResult.m_framing,
                           aResult.m_bodyBytes,
-                          m_events.PartialEvent().size() };
+                          m_events.PartialEvent().size(),
+                          m_attempt.m_resumedAfter == m_events.LastId() };
   if (aResult.m_stage == SendStage::NotConnected) {
     EndAttempt(SendOutcome::Unreachable);
     m_avoid.insert(m_attempt.m_choice.m_upstream);
@@ -702,7 +697,7 @@
   std::string error = aResult.m_error;
   if (aResult.m_stage == SendStage::Complete) {
     const bool judged =
-      m_attempt.m_isEventStream && !m_attempt.m_discardResponse;
+      m_attempt.m_isEventStream && !m_attempt.Discards();
     const StreamEnd end =
       judged ? ClassifyStreamEnd(m_attempt.m_bodyEnd) : StreamEnd::Complete;
     if (end == StreamEnd::Complete) {
@@ -727,14 +722,14 @@
   }
   ++m_runs;
   const bool failure =
-    m_attempt.m_discardResponse ||
+    m_attempt.Discards() ||
     static_cast<int>(m_head->result_int()) >= kFirstServerErrorStatus;
   EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
   if (!failure && IsSuccess(m_head->result_int())) {
     m_traitProbe.OnComplete(m_attempt.m_bodyEnd.m_framing);
   }
-  if (m_attempt.m_discardResponse) {
-    OnAttemptFailed("response reports a failure");
+  if (m_attempt.Discards()) {
+    OnAttemptFailed(std::string(m_attempt.m_discardReason));
     return;
   }
   if (m_caller == nullptr) {
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -79,12 +79,15 @@
     bool m_reusedConnection = false;
     bool m_inFlight = false;
     bool m_notExecuted = false; // the upstream reported that it did not run it
-    // The status means "not run", but the upstream did not report that.
-    bool m_unconfirmedRefusal = false;
-    bool m_discardResponse = false; // do not forward its response
+    // Why its response is not forwarded; "" if it is.
+    std::string_view m_discardReason{};
     std::uint64_t m_discardedBytes = 0;
     bool m_isEventStream = false; // its response is a stream of events
+    // If it goes on with a stream: the id of the last event before it.
+    std::optional<std::string> m_resumedAfter{};
     BodyEnd m_bodyEnd;
+
+    bool Discards() const { return !m_discardReason.empty(); }
   };
 
   // These return false if they have ended the request with a refusal.
@@ -115,8 +118,6 @@
   bool SplitEvents(std::string_view& aPiece);
   void ForwardBody(std::string_view aPiece);
   void DiscardBody(std::size_t aBytes);
-  bool IsEventStream(const platform::ResponseFacts& aFacts,
-                     bool aSuccess) const;
   void OnResponseComplete();
   void OnNotExecuted();
   void OnAttemptFailed(const std::string& aWhy);
--- /dev/null
+++ b/router/response_check.cc
@@ -0,0 +1,54 @@
+#include "router/response_check.h"
+
+namespace walnutwing::router {
+namespace {
+
+constexpr unsigned kNoContentStatus = 204;
+constexpr unsigned kResetContentStatus = 205;
+
+// The Content-Type decides; without one, a stream's route says what it sends.
+bool
+IsEventStream(unsigned aStatus,
+              const platform::ResponseFacts& aFacts,
+              RouteKind aKind)
+{
+  if (aStatus == kNoContentStatus || aStatus == kResetContentStatus) {
+    return false;
+  }
+  if (aFacts.m_mediaType == platform::MediaType::Unstated) {
+    return IsSuccess(aStatus) && aKind == RouteKind::Stream;
+  }
+  return aFacts.m_mediaType == platform::MediaType::EventStream;
+}
+
+} // namespace
+
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus / 100 == 2;
+}
+
+ResponseCheck
+CheckResponse(unsigned aStatus,
+              const platform::ResponseFacts& aFacts,
+              RouteKind aKind,
+              Forwarded aForwarded)
+{
+  ResponseCheck check;
+  check.m_isEventStream = IsEventStream(aStatus, aFacts, aKind);
+  const bool success = IsSuccess(aStatus);
+  if (aFacts.m_notExecuted) {
+    check.m_discardReason = "not executed";
+  } else if (aFacts.m_unconfirmedRefusal) {
+    check.m_discardReason = "response reports a failure";
+  } else if (aForwarded != Forwarded::Nothing && !success) {
+    check.m_discardReason = "response reports a failure";
+  } else if (aForwarded != Forwarded::Nothing &&
+             check.m_isEventStream != (aForwarded == Forwarded::Events)) {
+    check.m_discardReason = "response does not go on with the stream";
+  }
+  return check;
+}
+
+} // namespace walnutwing::router
--- a/standin/stream_end_test.cc
+++ b/standin/stream_end_test.cc
@@ -223,7 +223,7 @@
 {
   RouterHarness harness(1);
   harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
-    aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+    aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
                      "Content-Type: application/json\r\n\r\n{\"a\":1}");
     aExchange->Close();
   });
@@ -232,6 +232,92 @@
   EXPECT_TRUE(Contains(answer, kLastChunk));
 }
 
+struct OddEnd
+{
+  const char* m_name;
+  std::string m_head; // after the status line, the id and the MAC
+  std::string m_status = "200 OK";
+};
+
+// Without it GoogleTest prints the bytes of the object.
+void
+PrintTo(const OddEnd& aEnd, std::ostream* aStream)
+{
+  *aStream << aEnd.m_name;
+}
+
+class ResumedStream : public testing::TestWithParam<OddEnd>
+{
+protected:
+  // The first upstream breaks the stream off after an event; all others give
+  // the odd answer.
+  ResumedStream()
+  {
+    for (std::size_t i = 0; i < m_harness.Upstreams(); ++i) {
+      m_harness.Upstream(i).SetHandler([this](const Exchange& aExchange) {
+        if (m_harness.CountExchanges() == 1) {
+          aExchange->Write(MakeStreamHead(aExchange->Request()) +
+                           MakeEventChunk(1));
+          aExchange->Reset();
+          return;
+        }
+        aExchange->Write("HTTP/1.1 " + GetParam().m_status +
+                         "\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n" +
+                         GetParam().m_head);
+      });
+    }
+  }
+
+  std::unique_ptr<CallerStandin> Ask(const std::string& aVersion)
+  {
+    auto caller = m_harness.Connect();
+    caller->Send("POST /resume/ HTTP/" + aVersion +
+                 "\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                 "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return caller->Ended(); }));
+    EXPECT_LT(1U, m_harness.CountExchanges());
+    const std::string& received = caller->Received();
+    EXPECT_TRUE(Contains(received, Event(1))) << received;
+    EXPECT_EQ(received.find("id: "), received.rfind("id: ")) << received;
+    return caller;
+  }
+
+  RouterHarness m_harness{ 3 };
+};
+
+// Guards against issue 44, ORDER: a stream that broke off ends as complete,
+// because the next upstream has nothing to say.
+TEST_P(ResumedStream, NeverLooksCompleteWithoutAFurtherEvent)
+{
+  EXPECT_FALSE(Contains(Ask("1.1")->Received(), kLastChunk));
+}
+
+// Guards against the same at a caller on HTTP/1.0, whose response ends with its
+// connection.
+TEST_P(ResumedStream, IsResetAtAnHttp10Caller)
+{
+  EXPECT_TRUE(Ask("1.0")->WasReset());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  OddEnds,
+  ResumedStream,
+  testing::Values(
+    OddEnd{ "NoContent", "\r\n", "204 No Content" },
+    OddEnd{ "ResetContent", "Content-Length: 0\r\n\r\n", "205 Reset Content" },
+    OddEnd{ "EmptyChunked",
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    OddEnd{ "EmptyLength",
+            "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n" },
+    OddEnd{ "EmptyUnstated", "Content-Length: 0\r\n\r\n" },
+    OddEnd{ "OnlyAComment",
+            "Content-Type: text/event-stream\r\n"
+            "Content-Length: 8\r\n\r\n: none\n\n" },
+    OddEnd{ "OtherType",
+            "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nid: " }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against a broken body that is no stream of events being continued by
 // another run's whole body.
 TEST(StreamEnd, BrokenBodyOfAnotherTypeIsNotResumed)
@@ -239,7 +325,7 @@
   RouterHarness harness(2);
   for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
     harness.Upstream(i).SetHandler([](const Exchange& aExchange) {
-      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
                        "Content-Type: application/json\r\n\r\n{\"a\"");
       aExchange->Reset();
     });
--- a/walnutwing/relay/body_end.cc
+++ b/walnutwing/relay/body_end.cc
@@ -28,7 +28,9 @@
   if (aEnd.m_partialEventBytes != 0) {
     return StreamEnd::InsideEvent;
   }
-  if (aEnd.m_framing == BodyFraming::UntilClose && aEnd.m_bytes == 0) {
+  const bool unframed =
+    aEnd.m_framing == BodyFraming::UntilClose && aEnd.m_bytes == 0;
+  if (unframed || aEnd.m_addsNothing) {
     return StreamEnd::WithoutEvents;
   }
   return StreamEnd::Complete;
--- a/walnutwing/relay/body_end.h
+++ b/walnutwing/relay/body_end.h
@@ -35,14 +35,18 @@
   std::uint64_t m_bytes = 0; // received
   // Of a stream of events: bytes after the last complete event.
   std::uint64_t m_partialEventBytes = 0;
+  // Of a stream of events that goes on with one that had begun: whether it has
+  // added no event.
+  bool m_addsNothing = false;
 };
 
 enum class StreamEnd
 {
   Complete,
   InsideEvent,
-  // There was neither an event nor framing, so nothing shows that the upstream
-  // had come further than its head.
+  // There was neither an event nor framing, or a stream that was to go on got no
+  // further event. Nothing shows that the upstream had come further than its
+  // head, or that the event before was the last one.
   WithoutEvents,
 };
 
--- a/walnutwing/relay/body_end_test.cc
+++ b/walnutwing/relay/body_end_test.cc
@@ -26,5 +26,19 @@
   }
 }
 
+// Guards against issue 44, ORDER: a stream that was to go on ends as complete
+// although nothing shows that its last event was sent.
+TEST(BodyEnd, StreamThatGoesOnWithoutAnEventIsIncompleteInAnyFraming)
+{
+  for (const BodyFraming framing :
+       { BodyFraming::None, BodyFraming::Length, BodyFraming::Chunked }) {
+    EXPECT_EQ(StreamEnd::WithoutEvents,
+              ClassifyStreamEnd({ framing, 0, 0, true }));
+    EXPECT_EQ(StreamEnd::WithoutEvents,
+              ClassifyStreamEnd({ framing, 13, 0, true }))
+      << "a comment is no event";
+  }
+}
+
 } // namespace
 } // namespace walnutwing
