--- a/router/response_check.cc
+++ b/router/response_check.cc
@@ -42,6 +42,8 @@
     check.m_discardReason = "not executed";
   } else if (aFacts.m_unconfirmedRefusal) {
     check.m_discardReason = "response reports a failure";
+  } else if (success && !aFacts.m_hasMac) {
+    check.m_discardReason = "success without a MAC";
   } else if (aForwarded != Forwarded::Nothing && !success) {
     check.m_discardReason = "response reports a failure";
   } else if (aForwarded != Forwarded::Nothing &&
--- a/router/response_check.h
+++ b/router/response_check.h
@@ -3,7 +3,8 @@
 
 // Decides by its head whether an upstream's response may reach the caller.
 //
-// A response that is to go on with a
+// A success without the engine's MAC is not the engine's answer, so it is never
+// passed on, but the request may have run. A response that is to go on with a
 // stream must be a stream of events itself: an error's text, another type or no
 // body at all would become a part, or the end, of what the caller reads.
 
--- a/router/response_check_test.cc
+++ b/router/response_check_test.cc
@@ -9,10 +9,30 @@
 Facts(platform::MediaType aType)
 {
   platform::ResponseFacts facts;
+  facts.m_hasMac = true;
   facts.m_mediaType = aType;
   return facts;
 }
 
+// Guards against issue 44, MIXED: a success that is not the engine's answer
+// reaches a caller.
+TEST(ResponseCheck, SuccessNeedsAMac)
+{
+  platform::ResponseFacts facts = Facts(platform::MediaType::Unstated);
+  facts.m_hasMac = false;
+  for (const RouteKind kind :
+       { RouteKind::Order, RouteKind::Lookup, RouteKind::Stream }) {
+    for (const unsigned status : { 200U, 201U, 204U, 206U }) {
+      EXPECT_EQ("success without a MAC",
+                CheckResponse(status, facts, kind, Forwarded::Nothing)
+                  .m_discardReason);
+    }
+    EXPECT_EQ("",
+              CheckResponse(404, facts, kind, Forwarded::Nothing)
+                .m_discardReason);
+  }
+}
+
 // Guards against issue 44, ORDER: an answer that is no stream of events ends,
 // or becomes a part of, a stream that has begun.
 TEST(ResponseCheck, OnlyEventsGoOnWithAStream)
--- a/standin/order_once_test.cc
+++ b/standin/order_once_test.cc
@@ -222,5 +222,72 @@
   EXPECT_EQ(0U, harness.CountExchanges());
 }
 
+struct OddAnswer
+{
+  const char* m_name;
+  std::string m_bytes; // after the status line and the id
+};
+
+// Without it GoogleTest prints the bytes of the object.
+void
+PrintTo(const OddAnswer& aAnswer, std::ostream* aStream)
+{
+  *aStream << aAnswer.m_name;
+}
+
+class WithoutMac : public testing::TestWithParam<OddAnswer>
+{
+protected:
+  static std::string Success()
+  {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n" + GetParam().m_bytes;
+  }
+};
+
+// Guards against issue 44, MIXED: a success without the engine's MAC reaches
+// the caller. The order may have run.
+TEST_P(WithoutMac, SuccessIsNoAnswerToAnOrderOrAStream)
+{
+  RouterHarness harness(1);
+  harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
+    aExchange->Write(Success());
+    aExchange->Close();
+  });
+  for (const std::string path : { "/order/", "/stream/", "/lookup/" }) {
+    const std::string answer = harness.Fetch("POST", path);
+    EXPECT_TRUE(Contains(answer, "HTTP/1.1 502")) << path << "\n" << answer;
+  }
+}
+
+TEST_P(WithoutMac, LookupIsRepeatedElsewhere)
+{
+  RouterHarness harness(2);
+  for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
+    harness.Upstream(i).SetHandler([&](const Exchange& aExchange) {
+      const bool first = harness.CountExchanges() == 1;
+      aExchange->Write(
+        first ? Success()
+              : MakeUpstreamResponse(aExchange->Request(), 200, "sound"));
+      aExchange->Close();
+    });
+  }
+  EXPECT_TRUE(harness.Fetch("GET", "/lookup/").ends_with("sound"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Bodies,
+  WithoutMac,
+  testing::Values(
+    OddAnswer{ "Length", "Content-Length: 4\r\n\r\ndone" },
+    OddAnswer{ "Chunked",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n" },
+    OddAnswer{ "UntilClose", "\r\ndone" },
+    OddAnswer{ "Events",
+               "Content-Type: text/event-stream\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n" +
+                 MakeEventChunk(1) + "0\r\n\r\n" },
+    OddAnswer{ "Empty", "Content-Length: 0\r\n\r\n" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 } // namespace
 } // namespace walnutwing::standin
--- a/standin/router_log_test.cc
+++ b/standin/router_log_test.cc
@@ -369,7 +369,8 @@
 // decide whether it was complete, so both are logged.
 TEST(RouterLogBodies, AnsweredLineSaysHowTheBodyEnded)
 {
-  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                           "X-Response-Seal: s\r\n";
   const std::pair<std::string, std::string> cases[] = {
     { head + "Content-Length: 4\r\n\r\ndone",
       R"("framing":"length","bytes":4,"partial_event_bytes":0)" },
--- a/standin/router_test.cc
+++ b/standin/router_test.cc
@@ -343,7 +343,7 @@
   for (const auto& one : cases) {
     harness.Upstream(0).SetHandler([&one](const Exchange& aExchange) {
       aExchange->Write("HTTP/1.1 " + std::to_string(one.m_upstreamStatus) +
-                       " Answer\r\nX-Attempt-Id: a1\r\n"
+                       " Answer\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
                        "Content-Type: text/event-stream\r\n\r\n");
       aExchange->Close();
     });
