--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -153,10 +153,11 @@
   }
 }
 
+// aKept: directory for the files of the run; "" for a temporary one.
 SoakResult
-RunOnce(SoakOptions aOptions, const FaultPlan& aPlan)
+RunOnce(SoakOptions aOptions, const FaultPlan& aPlan, const std::string& aKept)
 {
-  const Directory directory(FLAGS_keep);
+  const Directory directory(aKept);
   aOptions.m_directory = directory.Path();
   return RunSoak(aOptions, aPlan);
 }
@@ -171,8 +172,8 @@
       const auto begin = shorter.begin() + static_cast<std::ptrdiff_t>(from);
       const std::size_t count = std::min(part, shorter.size() - from);
       shorter.erase(begin, begin + static_cast<std::ptrdiff_t>(count));
-      const bool fails =
-        !shorter.empty() && !RunOnce(aOptions, shorter).m_violations.empty();
+      const bool fails = !shorter.empty() &&
+                         !RunOnce(aOptions, shorter, "").m_violations.empty();
       if (fails) {
         aPlan = std::move(shorter);
       } else {
@@ -206,6 +207,12 @@
   options.m_defect = RequireDefect(FLAGS_break);
   options.m_self = std::filesystem::canonical(aSelf).string();
   options.m_router = FLAGS_router;
+  // The records of two runs in one directory would count as those of one.
+  std::error_code missing; // it is created then
+  if (!FLAGS_keep.empty() && std::filesystem::exists(FLAGS_keep, missing) &&
+      !std::filesystem::is_empty(FLAGS_keep)) {
+    throw UsageError("--keep needs an empty directory: " + FLAGS_keep);
+  }
   FaultPlan plan = LoadOrMakePlan(options.m_plan);
   if (plan.empty()) {
     throw UsageError("the plan has no fault: more seconds are needed");
@@ -213,7 +220,7 @@
   if (FLAGS_shrink) {
     plan = Shrink(options, plan);
   }
-  const SoakResult result = RunOnce(options, plan);
+  const SoakResult result = RunOnce(options, plan, FLAGS_keep);
   std::cout << "seed " << FLAGS_seed << ", " << ToText(result);
   if (!result.m_violations.empty()) {
     std::cout << "plan:\n" << ToText(plan);
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -367,7 +367,7 @@
     m_completeStreak = 0;
     switch (aFault.m_kind) {
       case FaultKind::RouterKill:
-        StartRouter(aFault.m_target);
+        StartRouterIfDown(aFault.m_target);
         return;
       case FaultKind::AllRoutersKill:
         StartAllRouters();
@@ -408,9 +408,15 @@
   void StartAllRouters()
   {
     for (std::uint32_t i = 0; i < m_options.m_plan.m_routers; ++i) {
-      if (m_fleet.Router(i).ExitStatus()) {
-        StartRouter(i);
-      }
+      StartRouterIfDown(i);
+    }
+  }
+
+  // Kills of one router may overlap; the first one that ends starts it again.
+  void StartRouterIfDown(std::uint32_t aIndex)
+  {
+    if (m_fleet.Router(aIndex).ExitStatus()) {
+      StartRouter(aIndex);
     }
   }
 
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "standin/child_process.h"
 
@@ -109,6 +110,18 @@
   EXPECT_EQ(2, RunSoakProgram({ "--plan=/nowhere" }));
 }
 
+// Guards against orders that seem to have run twice, because the directory has
+// the records of an earlier run.
+TEST(Soak, DirectoryOfAnEarlierRunIsRefused)
+{
+  const std::filesystem::path directory =
+    std::filesystem::temp_directory_path() /
+    ("walnutwing-kept-" + std::to_string(getpid()));
+  std::filesystem::create_directories(directory / "earlier");
+  EXPECT_EQ(2, RunSoakProgram({ "--keep=" + directory.string() }));
+  std::filesystem::remove_all(directory);
+}
+
 // Plans that once found a violation must pass.
 TEST(Soak, RegressionPlansPass)
 {
