--- a/soak/roles.cc
+++ b/soak/roles.cc
@@ -42,6 +42,7 @@
 constexpr std::uint64_t kRefusedPercent = 3;
 constexpr std::uint64_t kUnframedPercent = 50;
 constexpr std::uint64_t kBrokenPercent = 60; // during kAnswerBreakTime
+constexpr std::uint64_t kOddPercent = 25;    // of requests, during the same
 
 // Without repeats each of them would fail a caller's request.
 std::uint64_t
@@ -209,6 +210,10 @@
       return;
     }
     WriteRecord(Now(), "run", id);
+    if (Now() < m_breakUntil && m_random() % 100 < kOddPercent) {
+      AnswerOddly(aExchange);
+      return;
+    }
     const std::string target(request.target());
     if (m_options.m_defect == Defect::Twice && target.starts_with("/order/")) {
       WriteRecord(Now(), "run", id);
@@ -229,6 +234,37 @@
                   [this, answer] { SendBody(answer); });
   }
 
+  // Gives an answer that looks sound to a request that runs. A stream that its
+  // caller takes up gets no empty rest: that is how a true end looks, too.
+  void AnswerOddly(const Exchange& aExchange)
+  {
+    const auto& request = aExchange->Request();
+    const bool resumedByRouter =
+      !request["Last-Event-Id"].empty() && request["Resumes"].empty();
+    const std::string id =
+      "X-Attempt-Id: " + std::string(request["X-Attempt-Id"]);
+    switch (m_random() % 3) {
+      case 0:
+        aExchange->Write("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        return;
+      case 1:
+        if (resumedByRouter) {
+          aExchange->Write("HTTP/1.1 204 None\r\n" + id +
+                           "\r\nX-Response-Seal: seal\r\n\r\n");
+          return;
+        }
+        break;
+      default:
+        if (resumedByRouter) {
+          aExchange->Write(standin::MakeStreamHead(request) + "0\r\n\r\n");
+          return;
+        }
+    }
+    aExchange->Write("HTTP/1.1 200 OK\r\n" + id +
+                     "\r\nContent-Length: 2\r\n\r\nno");
+  }
+
   // An orderly close completes a body without a length, so that one breaks with
   // a reset.
   void SendBody(const Answer& aAnswer)
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -258,6 +258,10 @@
   m_currentRequest.m_refusedForVersion =
     response.body().find(R"("code":2016)") != std::string::npos;
   const std::string before = std::exchange(m_taken, {});
+  if (response.result_int() == 200 && response["X-Response-Seal"].empty()) {
+    Finish(RequestOutcome::Wrong, m_parser->keep_alive());
+    return;
+  }
   Finish(ClassifyResponse(m_currentRequest,
                           response.result_int(),
                           response.result_int() == 200
