--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -563,7 +563,7 @@
   m_attempt.m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamStatements(
     m_context, m_record, m_attempt.m_choice, m_attempt.m_sentAt, aFacts);
-  const Forwarded forwarded = !m_forwarding       ? Forwarded::Nothing
+  const Forwarded forwarded = !m_forwarding      ? Forwarded::Nothing
                               : m_forwardsEvents ? Forwarded::Events
                                                  : Forwarded::Other;
   const ResponseCheck check =
@@ -583,8 +583,8 @@
   }
   m_firstByteAt = now;
   m_head = aHead;
-  if (m_route->m_kind == RouteKind::Stream &&
-      IsSuccess(aHead.result_int()) && m_caller != nullptr) {
+  if (m_route->m_kind == RouteKind::Stream && IsSuccess(aHead.result_int()) &&
+      m_caller != nullptr) {
     BeginForwarding();
   }
 }
@@ -696,8 +696,7 @@
   }
   std::string error = aResult.m_error;
   if (aResult.m_stage == SendStage::Complete) {
-    const bool judged =
-      m_attempt.m_isEventStream && !m_attempt.Discards();
+    const bool judged = m_attempt.m_isEventStream && !m_attempt.Discards();
     const StreamEnd end =
       judged ? ClassifyStreamEnd(m_attempt.m_bodyEnd) : StreamEnd::Complete;
     if (end == StreamEnd::Complete) {
--- a/router/response_check_test.cc
+++ b/router/response_check_test.cc
@@ -23,13 +23,12 @@
   for (const RouteKind kind :
        { RouteKind::Order, RouteKind::Lookup, RouteKind::Stream }) {
     for (const unsigned status : { 200U, 201U, 204U, 206U }) {
-      EXPECT_EQ("success without a MAC",
-                CheckResponse(status, facts, kind, Forwarded::Nothing)
-                  .m_discardReason);
+      EXPECT_EQ(
+        "success without a MAC",
+        CheckResponse(status, facts, kind, Forwarded::Nothing).m_discardReason);
     }
-    EXPECT_EQ("",
-              CheckResponse(404, facts, kind, Forwarded::Nothing)
-                .m_discardReason);
+    EXPECT_EQ(
+      "", CheckResponse(404, facts, kind, Forwarded::Nothing).m_discardReason);
   }
 }
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -382,8 +382,8 @@
 };
 
 // Runs a router. While the addresses are in use, as when the process that is
-// being replaced has not ended yet, waits for them as long as a planned stop may
-// take. Throws boost::system::system_error if they are in use after that.
+// being replaced has not ended yet, waits for them as long as a planned stop
+// may take. Throws boost::system::system_error if they are in use after that.
 int
 RunOnceAddressesAreFree(const std::string& aSettingsFile,
                         const std::string& aText,
--- a/router/stream_version_exchange.cc
+++ b/router/stream_version_exchange.cc
@@ -210,11 +210,8 @@
                                    Context::OnStreamVersion aOnAnswer)
 {
   ++m_context.m_metrics.Counter("stream_versions_asked_of_store_total");
-  m_askStore([this,
-              aStream,
-              aService,
-              aPoll,
-              onAnswer = std::move(aOnAnswer)](bool aFresh) {
+  m_askStore([this, aStream, aService, aPoll, onAnswer = std::move(aOnAnswer)](
+               bool aFresh) {
     const VersionOpinion opinion =
       m_context.m_streamVersions.Opinion(aStream, aService, aFresh, Now());
     std::optional<SoftwareVersion> version = VersionPoll(opinion, 0).Result();
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -9,8 +9,8 @@
 // skipped, as are interim responses, up to a limit of bytes for each request. A
 // "not executed" response without an id is believed on no connection: nothing
 // shows which request it is about, so the attempt fails as one that may have
-// run. A connection with bytes beyond the response is closed rather than reused,
-// and one with a refusal gets no request with the refused one's id.
+// run. A connection with bytes beyond the response is closed rather than
+// reused, and one with a refusal gets no request with the refused one's id.
 
 #include <functional>
 #include <memory>
--- a/standin/order_once_test.cc
+++ b/standin/order_once_test.cc
@@ -125,11 +125,10 @@
                  } },
     // Issue 44, REFUSED and TWICE: believed as the first answer on a new
     // connection, while the upstream ran the order.
-    OrderEnding{
-      "RefusalWithoutAnId",
-      [](const Exchange& aExchange) {
-        aExchange->Write(AnswerOf("", 503, "X-Not-Executed: 1\r\n"));
-      } },
+    OrderEnding{ "RefusalWithoutAnId",
+                 [](const Exchange& aExchange) {
+                   aExchange->Write(AnswerOf("", 503, "X-Not-Executed: 1\r\n"));
+                 } },
     OrderEnding{ "MisdirectedWithoutAnId",
                  [](const Exchange& aExchange) {
                    aExchange->Write(AnswerOf("", 421, ""));
--- a/standin/stream_end_test.cc
+++ b/standin/stream_end_test.cc
@@ -223,8 +223,9 @@
 {
   RouterHarness harness(1);
   harness.Upstream(0).SetHandler([](const Exchange& aExchange) {
-    aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
-                     "Content-Type: application/json\r\n\r\n{\"a\":1}");
+    aExchange->Write(
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
+      "Content-Type: application/json\r\n\r\n{\"a\":1}");
     aExchange->Close();
   });
   const std::string answer = harness.Fetch("POST", "/resume/");
@@ -325,8 +326,9 @@
   RouterHarness harness(2);
   for (std::size_t i = 0; i < harness.Upstreams(); ++i) {
     harness.Upstream(i).SetHandler([](const Exchange& aExchange) {
-      aExchange->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
-                       "Content-Type: application/json\r\n\r\n{\"a\"");
+      aExchange->Write(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
+        "Content-Type: application/json\r\n\r\n{\"a\"");
       aExchange->Reset();
     });
   }
--- a/standin/stream_version_test.cc
+++ b/standin/stream_version_test.cc
@@ -434,8 +434,8 @@
   EXPECT_EQ(kStreams - ofLeft, GoneOn());
 }
 
-// Guards against issue 44, LOST: a version joins while all routers are down, and
-// the streams that had begun are refused, as nobody could write them down.
+// Guards against issue 44, LOST: a version joins while all routers are down,
+// and the streams that had begun are refused, as nobody could write them down.
 TEST_F(OneVersion, IsKnownWhenAVersionJoinedWhileAllRoutersWereDown)
 {
   SetVersion(0, kEngines, "v1");
--- a/walnutwing/relay/body_end.h
+++ b/walnutwing/relay/body_end.h
@@ -44,8 +44,8 @@
 {
   Complete,
   InsideEvent,
-  // There was neither an event nor framing, or a stream that was to go on got no
-  // further event. Nothing shows that the upstream had come further than its
+  // There was neither an event nor framing, or a stream that was to go on got
+  // no further event. Nothing shows that the upstream had come further than its
   // head, or that the event before was the last one.
   WithoutEvents,
 };
--- a/walnutwing/routing/stream_versions.h
+++ b/walnutwing/routing/stream_versions.h
@@ -174,9 +174,9 @@
 
   // The same, as this daemon finds it at its start. If another version is
   // listed, that one has joined while no daemon was running, and streams that
-  // began before are of the version in the record; see VersionOpinion::m_before.
-  // Ignored if the record is younger than kStreamLifetime: it says nothing about
-  // streams that began earlier.
+  // began before are of the version in the record; see
+  // VersionOpinion::m_before. Ignored if the record is younger than
+  // kStreamLifetime: it says nothing about streams that began earlier.
   void OnOnlyVersionAtStart(const ServiceId& aService,
                             const OnlyVersion& aOnly,
                             Time aNow);
--- a/walnutwing/routing/stream_versions_test.cc
+++ b/walnutwing/routing/stream_versions_test.cc
@@ -346,7 +346,8 @@
 
 // Guards against a stream of the new version that goes on at the old one: the
 // daemons that had its record were lost, or have started since.
-TEST_F(StreamVersionsTest, VersionBeforeAnotherJoinedNeedsAllThatMayKnowOtherwise)
+TEST_F(StreamVersionsTest,
+       VersionBeforeAnotherJoinedNeedsAllThatMayKnowOtherwise)
 {
   MakeDaemons(6, 3);
   List({ kOne, kTwo });
@@ -371,8 +372,7 @@
   List({ kOne, kTwo });
   m_daemons["d0"]->OnOnlyVersionAtStart(
     kService, { kOne, m_now - kStreamLifetime + Duration(1) }, m_now);
-  EXPECT_FALSE(
-    m_daemons["d0"]->Opinion(5, kService, true, m_now).m_before);
+  EXPECT_FALSE(m_daemons["d0"]->Opinion(5, kService, true, m_now).m_before);
 }
 
 TEST_F(StreamVersionsTest, StreamsAreForgotten)
