--- a/router/response_check.cc
+++ b/router/response_check.cc
@@ -38,15 +38,14 @@
   ResponseCheck check;
   check.m_isEventStream = IsEventStream(aStatus, aFacts, aKind);
   const bool success = IsSuccess(aStatus);
+  const bool goesOn = aForwarded != Forwarded::Nothing;
   if (aFacts.m_notExecuted) {
     check.m_discardReason = "not executed";
-  } else if (aFacts.m_unconfirmedRefusal) {
+  } else if (aFacts.m_unconfirmedRefusal || (goesOn && !success)) {
     check.m_discardReason = "response reports a failure";
   } else if (success && !aFacts.m_hasMac) {
     check.m_discardReason = "success without a MAC";
-  } else if (aForwarded != Forwarded::Nothing && !success) {
-    check.m_discardReason = "response reports a failure";
-  } else if (aForwarded != Forwarded::Nothing &&
+  } else if (goesOn &&
              check.m_isEventStream != (aForwarded == Forwarded::Events)) {
     check.m_discardReason = "response does not go on with the stream";
   }
