--- a/router/router.cc
+++ b/router/router.cc
@@ -390,6 +390,7 @@
                         const RouterSettings& aSettings)
 {
   const Time end = Now() + aSettings.m_stopLimit;
+  bool waits = false;
   while (true) {
     try {
       return Router(aSettingsFile, aText, aSettings).Run();
@@ -397,6 +398,9 @@
       if (error.code() != asio::error::address_in_use || Now() >= end) {
         throw;
       }
+      if (!std::exchange(waits, true)) {
+        std::cerr << "waiting for an address: " << error.what() << "\n";
+      }
     }
     if (WaitForHeldStop(kBindRetryInterval)) {
       return 0;
--- a/standin/router_start_test.cc
+++ b/standin/router_start_test.cc
@@ -142,6 +142,7 @@
   ASSERT_TRUE(WaitUntilLogged("old.log", "\"started\""));
   const std::unique_ptr<ChildProcess> old = std::move(m_router);
   Start("r.ini", "new.log");
+  EXPECT_TRUE(WaitUntilLogged("new.log", "waiting for an address"));
   usleep(static_cast<useconds_t>(kShortTime.count() * 1000));
   EXPECT_FALSE(m_router->ExitStatus());
   old->Kill();
