--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "platform/config_codec.h"
-#include "router/member_record.h"
 #include "router/store_pace.h"
 
 namespace walnutwing::router {
@@ -16,19 +15,9 @@
 
 // Time within which a live upstream registers again after the store recovers.
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2300);
-// How often a daemon announces itself and reads the others' announcements. A
-// member without a new announcement for three intervals is no longer counted.
-constexpr Duration kMemberInterval = std::chrono::milliseconds(8000);
-constexpr Duration kMemberLifetime = 3 * kMemberInterval;
-constexpr Duration kFirstRosterReadDelay = std::chrono::milliseconds(1500);
-constexpr Duration kAnnounceRetryDelay = std::chrono::milliseconds(500);
-// A daemon that cannot announce itself for so long reads the members anyway.
-constexpr Duration kMaxUnannounced = std::chrono::milliseconds(8000);
-constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 // Fleet size assumed until the members are read. It is large, so that this
 // daemon's share of the budgets is small and cold upstreams get no requests.
 constexpr std::uint32_t kInitialFleetSize = 30;
-constexpr int kOkStatus = 200;
 
 FollowerOptions
 FollowerOptionsOf(const TopicTiming& aTiming)
@@ -53,7 +42,6 @@
   : m_context(aContext)
   , m_exchange(aExchange)
   , m_directory(kReregistrationTime)
-  , m_roster(kMemberLifetime)
   , m_operatorFeed(
       m_context,
       std::string(platform::kOperatorTopic),
@@ -66,16 +54,19 @@
       FollowerOptionsOf(UpstreamTopicTiming(m_context.m_settings)),
       [this](const TopicUpdate& aUpdate) { OnUpstreamUpdate(aUpdate); },
       [this](bool aAvailable) { OnStoreHealth(aAvailable); })
-  , m_memberFeed(
+  , m_members(
       m_context,
-      std::string(platform::kMemberTopic),
-      { Duration::zero(), kMemberInterval },
-      [this](const TopicUpdate& aUpdate) { OnMemberUpdate(aUpdate); },
-      [](bool) {})
-  , m_announceChannel(std::make_shared<StoreChannel>(
-      aContext.m_loop,
-      ParseEndpoint(aContext.m_settings.m_storeAddress).value()))
-  , m_peers(m_context, m_exchange, m_operatorFeed, m_upstreamFeed, m_memberFeed)
+      m_exchange,
+      [this](const platform::StoreRecord& aRecord) {
+        return m_traitBlocks.OnMemberRecord(aRecord) ||
+               m_streamVersionStore.OnMemberRecord(aRecord);
+      },
+      [this] { m_streamVersionStore.OnMemberSnapshot(); })
+  , m_peers(m_context,
+            m_exchange,
+            m_operatorFeed,
+            m_upstreamFeed,
+            m_members.Feed())
   , m_permits(
       m_context,
       m_exchange,
@@ -100,8 +91,6 @@
                    [this](const std::vector<platform::StoreRecord>& aRecords) {
                      NoteVersions(aRecords);
                    })
-  , m_announceTimer(aContext.m_loop.get_executor())
-  , m_memberReadTimer(aContext.m_loop.get_executor())
 {
   m_context.m_daemons = kInitialFleetSize;
 }
@@ -109,7 +98,8 @@
 void
 FleetState::Start()
 {
-  for (TopicFeed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_memberFeed }) {
+  for (TopicFeed* feed :
+       { &m_operatorFeed, &m_upstreamFeed, &m_members.Feed() }) {
     feed->SetEraHandler(
       [this](const std::string& aTopic, const EraChange& aChange) {
         OnStoreEra(aTopic, aChange);
@@ -155,7 +145,7 @@
     OnUpstreamLeaving(aId, aStartWallMs, aFrom.Value());
   });
   m_peers.Start();
-  Announce();
+  m_members.Start();
 }
 
 void
@@ -198,8 +188,7 @@
 FleetState::StoreCalls() const
 {
   return m_operatorFeed.Channel().Calls() + m_upstreamFeed.Channel().Calls() +
-         m_memberFeed.Channel().Calls() + m_announceChannel->Calls() +
-         m_traitBlocks.Channel().Calls() +
+         m_members.StoreCalls() + m_traitBlocks.Channel().Calls() +
          m_streamVersionStore.Channel().Calls() + m_streamJournal.StoreCalls() +
          m_upstreamTail.Channel().Calls();
 }
@@ -208,8 +197,7 @@
 FleetState::StoreBytesRead() const
 {
   return m_operatorFeed.Channel().BytesRead() +
-         m_upstreamFeed.Channel().BytesRead() +
-         m_memberFeed.Channel().BytesRead() + m_announceChannel->BytesRead() +
+         m_upstreamFeed.Channel().BytesRead() + m_members.StoreBytesRead() +
          m_traitBlocks.Channel().BytesRead() +
          m_streamVersionStore.Channel().BytesRead() +
          m_streamJournal.StoreBytesRead() +
@@ -246,7 +234,7 @@
   m_restoredZonesUntil = Now() + kReregistrationTime;
   m_operatorFeed.OnOtherEra();
   m_upstreamFeed.OnOtherEra();
-  AnnounceAgain();
+  m_members.AnnounceAgain();
   m_traitBlocks.OnStoreRestored();
   m_streamVersionStore.OnStoreRestored();
 }
@@ -518,119 +506,4 @@
   m_peers.OnUpstreamLeaving(aId, aStartWallMs);
 }
 
-RosterMember
-FleetState::MakeOwnRecord() const
-{
-  const RouterSettings& settings = m_context.m_settings;
-  return { settings.m_name,
-           settings.m_zone,
-           settings.m_peerListen,
-           settings.m_weight,
-           static_cast<std::uint64_t>(
-             SteadyClock().WallNow().time_since_epoch().count()) };
-}
-
-void
-FleetState::Announce()
-{
-  m_announcing = true;
-  m_announceChannel->Call(
-    platform::EncodePutRequest(platform::kMemberTopic,
-                               m_context.m_settings.m_name.Value(),
-                               EncodeMember(MakeOwnRecord())),
-    kStoreTimeout,
-    [this](const StoreResponse& aResponse) { OnAnnounced(aResponse); });
-}
-
-void
-FleetState::AnnounceAgain()
-{
-  if (m_announcing) {
-    m_announceAgain = true;
-    return;
-  }
-  m_announceTimer.cancel();
-  Announce();
-}
-
-void
-FleetState::OnAnnounced(const StoreResponse& aResponse)
-{
-  m_announcing = false;
-  m_announced = m_announced || aResponse.m_status == kOkStatus;
-  if (m_announced || Now() - m_startedAt >= kMaxUnannounced) {
-    ScheduleMemberReads();
-  }
-  m_context.m_metrics.Gauge("announced_status") = aResponse.m_status;
-  // The first announcement that fails is tried again soon, as nobody knows of
-  // this daemon yet; later ones are replaced by the next.
-  const Duration interval = m_announced ? kMemberInterval : kAnnounceRetryDelay;
-  const bool again = std::exchange(m_announceAgain, false);
-  m_announceTimer.expires_after(again ? Duration::zero() : interval);
-  m_announceTimer.async_wait([this](const error_code& aError) {
-    if (!aError && !m_context.m_stop.IsStopping()) {
-      Announce();
-    }
-  });
-}
-
-// Delays the first read of the members, so that all daemons of a fleet that
-// starts at once have announced themselves. Too low a count would make each
-// daemon's share of the budgets too large.
-void
-FleetState::ScheduleMemberReads()
-{
-  if (std::exchange(m_memberReadsScheduled, true)) {
-    return;
-  }
-  m_memberReadTimer.expires_after(kFirstRosterReadDelay);
-  m_memberReadTimer.async_wait([this](const error_code& aError) {
-    if (!aError) {
-      m_memberFeed.Start();
-    }
-  });
-}
-
-void
-FleetState::OnMemberUpdate(const TopicUpdate& aUpdate)
-{
-  for (const platform::StoreRecord& record : aUpdate.m_records) {
-    if (m_traitBlocks.OnMemberRecord(record) ||
-        m_streamVersionStore.OnMemberRecord(record)) {
-      continue;
-    }
-    const DaemonId name(record.m_key);
-    const auto member =
-      record.m_value ? DecodeMember(name, *record.m_value) : std::nullopt;
-    if (member) {
-      m_roster.OnAnnounced(*member, Now());
-    } else {
-      m_roster.OnDropped(name);
-    }
-  }
-  if (aUpdate.m_isSnapshot) {
-    m_streamVersionStore.OnMemberSnapshot();
-  }
-  std::vector<RosterMember> alive = m_roster.Alive(Now());
-  const auto daemons =
-    std::max<std::uint32_t>(1, static_cast<std::uint32_t>(alive.size()));
-  std::vector<DaemonId> names;
-  names.reserve(alive.size());
-  for (const RosterMember& member : alive) {
-    names.push_back(member.m_name);
-  }
-  m_context.m_traitBreaker.SetMembers(std::move(names));
-  m_context.m_sendLimiter.SetMembers(alive);
-  m_context.m_streamVersions.SetMembers(alive);
-  m_exchange.SetMembers(std::move(alive), Now());
-  if (daemons == m_context.m_daemons) {
-    return;
-  }
-  m_context.m_daemons = daemons;
-  LogLine(Event::FleetSizeChanged)
-    .Add("daemons", static_cast<std::int64_t>(daemons))
-    .Add("hub", m_exchange.Hub().Value());
-  m_context.m_metrics.Gauge("daemons") = daemons;
-}
-
 } // namespace walnutwing::router
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "router/context.h"
+#include "router/fleet_members.h"
 #include "router/peers.h"
 #include "router/send_permits.h"
 #include "router/standstill.h"
@@ -25,7 +26,6 @@
 #include "router/topic_feed.h"
 #include "router/topic_tail.h"
 #include "router/trait_block_store.h"
-#include "walnutwing/routing/fleet_roster.h"
 #include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/upstream_directory.h"
 
@@ -84,13 +84,6 @@
                          std::int64_t aStartWallMs,
                          std::string_view aFrom);
 
-  RosterMember MakeOwnRecord() const;
-  void Announce();
-  void AnnounceAgain();
-  void OnAnnounced(const StoreResponse& aResponse);
-  void ScheduleMemberReads();
-  void OnMemberUpdate(const TopicUpdate& aUpdate);
-
   EventLog::Line LogLine(Event aEvent)
   {
     return { m_context.m_log, aEvent, Now() };
@@ -99,11 +92,9 @@
   Context& m_context;
   LoadExchange& m_exchange;
   UpstreamDirectory m_directory;
-  FleetRoster m_roster;
   TopicFeed m_operatorFeed;
   TopicFeed m_upstreamFeed;
-  TopicFeed m_memberFeed;
-  std::shared_ptr<StoreChannel> m_announceChannel;
+  FleetMembers m_members;
   Peers m_peers;
   SendPermits m_permits;
   TraitBlockStore m_traitBlocks;
@@ -113,17 +104,10 @@
   TopicTail m_upstreamTail; // for questions about versions
   Standstill m_standstill;
   Time m_trustedFrom; // confirmations before it may have waited in a socket
-  Timer m_announceTimer;
-  Timer m_memberReadTimer;
   std::set<ZoneId> m_zonesOut;
   bool m_upstreamsChanged = false; // since UpdateVersions
-  Time m_startedAt = Now();
-  bool m_announced = false; // once at least
-  bool m_memberReadsScheduled = false;
-  bool m_announcing = false;    // a call is in flight
-  bool m_announceAgain = false; // once that call has ended
-  std::uint64_t m_storeEra = 0; // the newest that the store has stated
-  Time m_restoredZonesUntil;    // see OnOperatorUpdate
+  std::uint64_t m_storeEra = 0;    // the newest that the store has stated
+  Time m_restoredZonesUntil;       // see OnOperatorUpdate
 };
 
 } // namespace walnutwing::router
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -8,10 +8,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "platform/field_text.h"
 #include "router/response_check.h"
 #include "router/upstream_statements.h"
-#include "walnutwing/placement/rendezvous.h"
 #include "walnutwing/routing/request_fingerprint.h"
 
 namespace walnutwing::router {
@@ -53,12 +51,6 @@
 
 constexpr int kFirstServerErrorStatus = 500;
 
-std::string_view
-PathOf(std::string_view aTarget)
-{
-  return aTarget.substr(0, aTarget.find('?'));
-}
-
 } // namespace
 
 RequestFlow::RequestFlow(Context& aContext,
@@ -66,18 +58,16 @@
                          std::uint32_t aNumber,
                          ResponseWriter& aWriter)
   : m_context(aContext)
-  , m_routes(aContext.m_routes)
-  , m_request(std::move(aRequest))
-  , m_facts(platform::DecodeCaller(m_request))
-  , m_record(aContext, m_facts.m_attemptId, aNumber)
+  , m_request(aContext.m_routes, std::move(aRequest))
+  , m_record(aContext, m_request.Facts().m_attemptId, aNumber)
   , m_traitProbe(aContext)
-  , m_resumption(aContext, m_facts)
+  , m_resumption(aContext, m_request.Facts())
   , m_deadlineTimer(aContext.m_loop)
   , m_progressTimer(aContext.m_loop)
   , m_relay(aWriter)
 {
   ++m_context.m_requestsInProgress;
-  m_record.SetSharedParts(m_facts.m_sharedParts);
+  m_record.SetSharedParts(m_request.Facts().m_sharedParts);
 }
 
 RequestFlow::~RequestFlow()
@@ -88,29 +78,26 @@
 void
 RequestFlow::Start()
 {
-  if (m_routes == nullptr) {
-    Refuse(ResultCode::NoConfiguration, kRetryAfter);
+  if (!FindRoute()) {
     return;
   }
-  if (!FindRoute() || !CheckApiKey()) {
-    return;
-  }
-  const RequestTraits traits = Traits();
+  const RequestTraits traits = m_request.Traits();
   m_record.SetFingerprint(traits.m_traits.front());
   m_traitProbe.SetRequest(traits);
   if (!CheckTraits()) {
     return;
   }
-  m_resumption.SetRoute(*m_route, m_serviceId);
+  m_resumption.SetRoute(m_request.GetRoute(), m_request.Service());
   SetDeadline();
   if (!m_context.m_stop.MaySend(m_deadline, Now())) {
     Refuse(ResultCode::Stopping, kStoppingRetryAfter);
     return;
   }
-  m_context.RepeatBudgetOf(m_serviceId).OnRequest(m_record.ArrivedAt());
-  m_context.m_selector.OnRequest(
-    m_serviceId, m_facts.m_promptTokens, m_record.ArrivedAt());
-  if (m_resumption.IsTakenUp(*m_route)) {
+  m_context.RepeatBudgetOf(m_request.Service()).OnRequest(m_record.ArrivedAt());
+  m_context.m_selector.OnRequest(m_request.Service(),
+                                 m_request.Facts().m_promptTokens,
+                                 m_record.ArrivedAt());
+  if (m_resumption.IsTakenUp(m_request.GetRoute())) {
     FindStreamVersion();
     return;
   }
@@ -133,7 +120,8 @@
 RequestFlow::OnStreamVersion(const std::optional<SoftwareVersion>& aVersion)
 {
   const auto self = shared_from_this();
-  m_record.LogTakenUp(m_resumption.FirstAttemptId(*m_route), aVersion);
+  m_record.LogTakenUp(m_resumption.FirstAttemptId(m_request.GetRoute()),
+                      aVersion);
   if (!aVersion) {
     Refuse(ResultCode::StreamVersionUnknown, kRetryAfter);
     return;
@@ -181,58 +169,19 @@
 bool
 RequestFlow::FindRoute()
 {
-  const std::string_view host =
-    platform::View(m_request[boost::beast::http::field::host]);
-  m_route = m_routes->Find(host, PathOf(platform::View(m_request.target())));
-  if (m_route == nullptr) {
-    Refuse(ResultCode::NotFound, std::nullopt);
-    return false;
-  }
-  if (m_facts.m_attemptId.empty()) {
-    Refuse(ResultCode::BadRequest, std::nullopt);
-    return false;
+  std::optional<ResultCode> refusal = m_request.FindRoute(m_resumption);
+  if (!refusal) {
+    m_record.SetRoute(
+      m_request.GetRoute(), m_request.Service(), m_request.ConfigVersion());
+    refusal = m_request.FindCustomer();
   }
-  // A stream that is taken up goes to the service that began it.
-  const ServiceId* service = RouteTable::ServiceOf(
-    *m_route, StableHash(m_resumption.FirstAttemptId(*m_route)));
-  m_serviceId = service == nullptr ? ServiceId() : *service;
-  m_service = m_routes->Service(m_serviceId);
-  m_record.SetRoute(*m_route, m_serviceId, m_routes->Version());
-  return true;
-}
-
-bool
-RequestFlow::CheckApiKey()
-{
-  if (!m_routes->Config().m_keysRequired) {
+  if (!refusal) {
     return true;
   }
-  m_customer = m_routes->CustomerOf(m_facts.m_key);
-  if (m_customer == nullptr && !m_route->m_public) {
-    Refuse(ResultCode::Unauthorized, std::nullopt);
-    return false;
-  }
-  return true;
-}
-
-RequestTraits
-RequestFlow::Traits() const
-{
-  const TraitId fingerprint =
-    FingerprintOf({ platform::View(m_request.method_string()),
-                    platform::View(m_request.target()),
-                    Customer(),
-                    m_request.body(),
-                    platform::PromptOf(m_request) });
-  RequestTraits traits;
-  traits.m_requestHash = StableHash(fingerprint.Value()) ^ m_facts.m_promptHash;
-  traits.m_traits = { fingerprint };
-  traits.m_traits.insert(traits.m_traits.end(),
-                         m_facts.m_sharedParts.begin(),
-                         m_facts.m_sharedParts.end());
-  traits.m_customer = Customer();
-  traits.m_service = m_serviceId;
-  return traits;
+  Refuse(*refusal,
+         *refusal == ResultCode::NoConfiguration ? std::optional(kRetryAfter)
+                                                 : std::nullopt);
+  return false;
 }
 
 bool
@@ -253,7 +202,8 @@
 RequestFlow::SetDeadline()
 {
   const Duration timeLimit =
-    std::min(m_route->m_timeout, m_facts.m_deadline.value_or(Duration::max()));
+    std::min(m_request.GetRoute().m_timeout,
+             m_request.Facts().m_deadline.value_or(Duration::max()));
   m_deadline = m_record.ArrivedAt() + timeLimit;
   m_deadlineTimer.Start(timeLimit + kDeadlineGrace, [weak = weak_from_this()] {
     const auto self = weak.lock();
@@ -269,32 +219,12 @@
   return m_deadline - Now();
 }
 
-std::uint32_t
-RequestFlow::Priority() const
-{
-  return m_customer == nullptr
-           ? m_route->m_priority
-           : m_customer->m_priority.value_or(m_route->m_priority);
-}
-
-CustomerId
-RequestFlow::Customer() const
-{
-  return m_customer == nullptr ? CustomerId() : m_customer->m_id;
-}
-
 std::optional<Duration>
 RequestFlow::TimeLeftIfKnown() const
 {
   return m_deadline == Time() ? std::nullopt : std::optional(TimeLeft());
 }
 
-bool
-RequestFlow::IsRepeatable() const
-{
-  return m_route->m_kind == RouteKind::Lookup || m_route->m_resumable;
-}
-
 // An order that crosses the close of an idle connection may have run.
 ConnectionUse
 RequestFlow::UseOfConnections(const Choice& aChoice) const
@@ -302,30 +232,26 @@
   if (aChoice.m_silent) {
     return ConnectionUse::New;
   }
-  return IsRepeatable() ? ConnectionUse::Any : ConnectionUse::RecentlyUsed;
+  return m_request.IsRepeatable() ? ConnectionUse::Any
+                                  : ConnectionUse::RecentlyUsed;
 }
 
 SelectionRequest
 RequestFlow::MakeSelection() const
 {
-  SelectionRequest selection;
-  selection.m_service = m_serviceId;
-  selection.m_affinity = m_facts.m_sharedPrefixHash;
-  selection.m_promptTokens = m_facts.m_promptTokens;
+  SelectionRequest selection =
+    m_request.MakeSelection(m_context.m_settings.m_coldFactor);
   selection.m_daemons = m_context.m_daemons;
   selection.m_avoid = m_avoid;
   selection.m_avoid.insert(m_silent.begin(), m_silent.end());
   selection.m_version = m_resumption.Version();
-  if (m_route->m_kind == RouteKind::Stream && !selection.m_version) {
+  if (m_request.GetRoute().m_kind == RouteKind::Stream &&
+      !selection.m_version) {
     selection.m_newVersions =
-      m_context.m_streamVersions.NewVersions(m_serviceId, Now());
+      m_context.m_streamVersions.NewVersions(m_request.Service(), Now());
   }
   selection.m_excludeRefusing = m_refusedByUpstream;
   selection.m_excludeLimited = m_permitsAsked >= kMaxPermitsAsked;
-  if (m_service != nullptr) {
-    selection.m_coldPerSecond =
-      m_service->m_coldPerSecond * m_context.m_settings.m_coldFactor;
-  }
   return selection;
 }
 
@@ -393,13 +319,13 @@
     return true; // or the load from other daemons is unknown
   }
   AdmissionRequest request;
-  request.m_priority = Priority();
-  request.m_target = m_route->m_targetLatency;
-  request.m_customer = Customer();
+  request.m_priority = m_request.Priority();
+  request.m_target = m_request.GetRoute().m_targetLatency;
+  request.m_customer = m_request.Customer();
   request.m_load = aChoice.m_minLoad;
   request.m_slots = aChoice.m_slots;
   const AdmissionDecision decision =
-    m_context.AdmissionOf(m_serviceId).Decide(request);
+    m_context.AdmissionOf(m_request.Service()).Decide(request);
   if (decision.m_admitted) {
     m_admitted = true;
     return true;
@@ -449,35 +375,20 @@
 RequestFlow::SendTo(const Choice& aChoice)
 {
   m_relay.OnAttempt();
-  platform::UpstreamFacts facts;
-  facts.m_upstream = aChoice.m_upstream;
-  facts.m_dropKey = m_routes->Config().m_keysRequired;
-  facts.m_priority = Priority();
-  facts.m_customer = Customer();
-  facts.m_deadline = TimeLeft();
-  facts.m_resumeAfter = m_relay.LastEventId();
-  UpstreamRequest request;
-  request.m_head =
-    platform::EncodeUpstreamHead(m_request, facts, m_request.body().size());
-  request.m_body = m_request.body();
-  request.m_attemptId = m_facts.m_attemptId;
-  request.m_headOnly = m_request.method() == boost::beast::http::verb::head;
-  std::uint32_t maxConnections = 0;
-  if (m_service != nullptr && m_service->m_maxConnections != 0) {
-    maxConnections = std::max<std::uint32_t>(
-      1, m_service->m_maxConnections / m_context.m_daemons);
-  }
-  auto connection = m_context.m_pool.Send(aChoice.m_address,
-                                          std::move(request),
-                                          UseOfConnections(aChoice),
-                                          maxConnections,
-                                          *this);
+  const Duration timeLeft = TimeLeft();
+  auto connection = m_context.m_pool.Send(
+    aChoice.m_address,
+    m_request.MakeUpstreamRequest(
+      aChoice.m_upstream, timeLeft, m_relay.LastEventId()),
+    UseOfConnections(aChoice),
+    m_request.MaxConnections(m_context.m_daemons),
+    *this);
   if (connection == nullptr) {
     return;
   }
   const Time now = Now();
   m_context.m_selector.OnSent(aChoice, now);
-  m_context.AdmissionOf(m_serviceId).OnSent(Customer());
+  m_context.AdmissionOf(m_request.Service()).OnSent(m_request.Customer());
   m_attempt = {};
   m_attempt.m_choice = aChoice;
   m_attempt.m_sentAt = now;
@@ -489,15 +400,16 @@
   m_attempt.m_connection = std::move(connection);
   m_traitProbe.OnAttemptStarted();
   m_self = shared_from_this();
-  if (IsRepeatable() && m_evidence.Runs() < m_route->m_maxAttempts) {
-    m_progressTimer.Start(*m_route, [weak = weak_from_this()] {
+  if (m_request.IsRepeatable() &&
+      m_evidence.Runs() < m_request.GetRoute().m_maxAttempts) {
+    m_progressTimer.Start(m_request.GetRoute(), [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self != nullptr && !self->m_ended && self->m_evidence.InFlight()) {
         self->OnProgressTimeout();
       }
     });
   }
-  m_record.LogSent(aChoice, facts.m_deadline);
+  m_record.LogSent(aChoice, timeLeft);
 }
 
 void
@@ -571,13 +483,13 @@
                     const platform::ResponseFacts& aFacts)
 {
   const Time now = Now();
-  m_progressTimer.OnHead(*m_route);
+  m_progressTimer.OnHead(m_request.GetRoute());
   m_attempt.m_notExecuted = aFacts.m_notExecuted;
   m_attempt.m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamStatements(
     m_context, m_record, m_attempt.m_choice, m_attempt.m_sentAt, aFacts);
-  const ResponseCheck check =
-    CheckResponse(aHead.result_int(), aFacts, m_route->m_kind, m_relay.State());
+  const ResponseCheck check = CheckResponse(
+    aHead.result_int(), aFacts, m_request.GetRoute().m_kind, m_relay.State());
   m_attempt.m_isEventStream = check.m_isEventStream;
   m_attempt.m_discardReason = check.m_discardReason;
   if (m_attempt.Discards() && m_attempt.m_isEventStream &&
@@ -592,7 +504,7 @@
     return;
   }
   m_relay.OnHead(aHead,
-                 m_route->m_kind == RouteKind::Stream,
+                 m_request.GetRoute().m_kind == RouteKind::Stream,
                  m_attempt.m_isEventStream,
                  now);
   if (m_relay.ForwardsEvents()) {
@@ -766,8 +678,10 @@
 RequestFlow::MayRunAgain() const
 {
   const bool intact =
-    !m_relay.HasBegun() || (m_route->m_resumable && m_relay.ForwardsEvents());
-  return IsRepeatable() && intact && m_evidence.Runs() < m_route->m_maxAttempts;
+    !m_relay.HasBegun() ||
+    (m_request.GetRoute().m_resumable && m_relay.ForwardsEvents());
+  return m_request.IsRepeatable() && intact &&
+         m_evidence.Runs() < m_request.GetRoute().m_maxAttempts;
 }
 
 RepeatResult
@@ -805,7 +719,7 @@
   if (aChoice.m_failure != SelectionFailure::None) {
     return RepeatResult::NoUpstream;
   }
-  return m_context.RepeatBudgetOf(m_serviceId)
+  return m_context.RepeatBudgetOf(m_request.Service())
              .TryRepeat(m_context.m_daemons, Now())
            ? RepeatResult::Allowed
            : RepeatResult::NoBudget;
@@ -832,8 +746,8 @@
     m_attempt.m_choice.m_upstream, aOutcome, m_attempt.m_reusedConnection);
   const Time now = Now();
   m_attempt.m_choice.m_tracker->OnEnded(aOutcome, now);
-  AdmissionControl& admission = m_context.AdmissionOf(m_serviceId);
-  admission.OnEnded(Customer());
+  AdmissionControl& admission = m_context.AdmissionOf(m_request.Service());
+  admission.OnEnded(m_request.Customer());
   if (aOutcome == SendOutcome::Answered) {
     admission.OnServed(m_relay.FirstByteAt().value_or(now) - m_attempt.m_sentAt,
                        now - m_attempt.m_sentAt,
@@ -866,7 +780,8 @@
     return;
   }
   m_record.LogCallerGone(m_evidence.InFlight());
-  if (m_evidence.InFlight() && m_route->m_kind == RouteKind::Order) {
+  if (m_evidence.InFlight() &&
+      m_request.GetRoute().m_kind == RouteKind::Order) {
     return; // an order runs to its end; its response is discarded
   }
   if (m_evidence.InFlight()) {
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -16,16 +16,13 @@
 #include <string>
 #include <string_view>
 
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
-
-#include "platform/request_codec.h"
 #include "router/context.h"
 #include "router/limit_timer.h"
 #include "router/progress_timer.h"
 #include "router/request_record.h"
 #include "router/response_relay.h"
 #include "router/response_writer.h"
+#include "router/routed_request.h"
 #include "router/stream_resumption.h"
 #include "router/trait_probe.h"
 #include "router/upstream_connection.h"
@@ -34,9 +31,6 @@
 
 namespace walnutwing::router {
 
-using CallerRequest =
-  boost::beast::http::request<boost::beast::http::string_body>;
-
 class RequestFlow
   : public ResponseReceiver
   , public std::enable_shared_from_this<RequestFlow>
@@ -63,7 +57,7 @@
   // Fails the request, because the process stops.
   void Terminate();
 
-  const std::string& AttemptId() const { return m_facts.m_attemptId; }
+  const std::string& AttemptId() const { return m_request.Facts().m_attemptId; }
 
   void OnHead(const platform::HttpResponseHead& aHead,
               const platform::ResponseFacts& aFacts) override;
@@ -93,8 +87,6 @@
 
   // These return false if they have ended the request with a refusal.
   bool FindRoute();
-  bool CheckApiKey();
-  RequestTraits Traits() const;
   bool CheckTraits();
   void FindStreamVersion();
   void OnStreamVersion(const std::optional<SoftwareVersion>& aVersion);
@@ -136,22 +128,13 @@
   void Fail(ResultCode aCode);
   void Finish();
   Duration TimeLeft() const;
-  std::uint32_t Priority() const;
-  CustomerId Customer() const;                     // empty if unknown
   std::optional<Duration> TimeLeftIfKnown() const; // nullopt before SetDeadline
-  bool IsRepeatable() const;
 
   Context& m_context;
-  std::shared_ptr<const RouteTable> m_routes; // the version in force at arrival
-  CallerRequest m_request;
-  platform::CallerFacts m_facts;
+  RoutedRequest m_request;
   RequestRecord m_record;
   TraitProbe m_traitProbe;
   StreamResumption m_resumption;
-  const Route* m_route = nullptr;
-  const RoutingCustomer* m_customer = nullptr;
-  const ServiceConfig* m_service = nullptr;
-  ServiceId m_serviceId;
   Time m_deadline;
   LimitTimer m_deadlineTimer;
   ProgressTimer m_progressTimer;
