--- a/walnutwing/rollout/rollout_types.h
+++ b/walnutwing/rollout/rollout_types.h
@@ -157,6 +157,8 @@
   std::uint32_t m_newWarmSlots = 0;
   std::uint32_t m_oldSlots = 0;
   std::size_t m_newUpstreams = 0;
+  // Their ids, so that the bad answers of each are known to every router.
+  std::vector<UpstreamId> m_newUpstreamIds;
   std::size_t m_oldUpstreams = 0;
   Duration m_maxTimeout{}; // the longest timeout of a route to the service
   bool m_fresh = false;    // the sums of all routers are known now
--- a/walnutwing/rollout/rollouts.h
+++ b/walnutwing/rollout/rollouts.h
@@ -18,11 +18,15 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "walnutwing/base/clock.h"
 #include "walnutwing/base/id.h"
+#include "walnutwing/rollout/answer_pace.h"
+#include "walnutwing/rollout/recent_sends.h"
 #include "walnutwing/rollout/rollout_types.h"
+#include "walnutwing/rollout/service_rollout.h"
 #include "walnutwing/routing/load_exchange.h"
 
 namespace walnutwing {
@@ -109,8 +113,20 @@
   std::vector<RolloutChange> TakeChanges();
 
 private:
+  ServiceRollout* Find(const ServiceId& aService);
+  const ServiceRollout* Find(const ServiceId& aService) const;
+  void Start(const RolloutOrder& aOrder, Time aNow);
+  void CollectChanges(ServiceRollout& aRollout);
+
   RolloutOptions m_options;
   const LoadExchange& m_exchange;
+  bool m_statusesRead = false;
+  std::map<ServiceId, ServiceRollout> m_rollouts; // the newest of each service
+  // Statuses of orders that were not read yet.
+  std::map<ServiceId, std::pair<RolloutStatus, StatusSource>> m_early;
+  AnswerPace m_pace;
+  RecentSends m_sends;
+  std::vector<RolloutChange> m_changes;
 };
 
 } // namespace walnutwing
