--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -77,6 +77,9 @@
     m_routers.push_back({ "d" + std::to_string(i + 1),
                           "z" + std::to_string(i % 2 + 1),
                           i == 0 ? m_ip : NextIp(),
+                          aOptions.m_ownStoreAddresses
+                            ? m_store->AddressAt(m_store->AddAddress(m_ip))
+                            : m_store->Address(),
                           nullptr });
   }
   WriteSettings();
@@ -132,7 +135,7 @@
       << "\nready_listen = " << router.m_ip << ":" << kReadyPort
       << "\npeer_listen = " << router.m_ip << ":" << kPeerPort
       << "\nmetrics_port = " << kMetricsPort
-      << "\n[platform]\naddress = " << m_store->Address()
+      << "\n[platform]\naddress = " << router.m_store
       << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds << "\n"
       << m_options.m_extraBounds << aExtra;
   }
@@ -237,6 +240,13 @@
   m_versions[aIndex] = aVersion;
 }
 
+void
+RouterHarness::AddUpstream(const std::string& aVersion)
+{
+  m_upstreams.push_back(std::make_unique<UpstreamStandin>(m_loop, m_ip));
+  SetUpstreamVersion(m_upstreams.size() - 1, aVersion);
+}
+
 std::unique_ptr<CallerStandin>
 RouterHarness::ConnectOnceItListens()
 {
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -36,6 +36,9 @@
   bool m_waitUntilReady = true; // see the constructor
   std::string m_extraBounds{};  // more lines of [bounds] in the settings
   std::string m_version{};      // of the upstreams at first; "": not stated
+  // Each router uses an address of the store of its own: the one with the
+  // number of the router + 1.
+  bool m_ownStoreAddresses = false;
 };
 
 class RouterHarness
@@ -74,6 +77,9 @@
   // next; "": none.
   void SetUpstreamVersion(std::size_t aIndex, const std::string& aVersion);
 
+  // Starts another upstream of a version, without registering it.
+  void AddUpstream(const std::string& aVersion);
+
   std::unique_ptr<CallerStandin> Connect(std::size_t aRouter = 0);
   // Connects to the router's readiness page.
   std::unique_ptr<CallerStandin> ConnectToReadyPage();
@@ -95,6 +101,7 @@
   std::string MetricsText(std::size_t aRouter = 0);
 
   StoreStandin& Store() { return *m_store; }
+  const StoreStandin& Store() const { return *m_store; }
   UpstreamStandin& Upstream(std::size_t aIndex)
   {
     return *m_upstreams.at(aIndex);
@@ -120,6 +127,7 @@
     std::string m_name;
     std::string m_zone;
     std::string m_ip;
+    std::string m_store; // address of the store
     std::unique_ptr<ChildProcess> m_process;
   };
 
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -67,8 +67,9 @@
   : public std::enable_shared_from_this<StoreStandin::Connection>
 {
 public:
-  Connection(StoreStandin& aStore, Tcp::socket aSocket)
+  Connection(StoreStandin& aStore, std::size_t aDoor, Tcp::socket aSocket)
     : m_store(aStore)
+    , m_door(aDoor)
     , m_socket(std::move(aSocket))
     , m_longPollTimer(aStore.m_loop)
     , m_pieceTimer(aStore.m_loop)
@@ -92,6 +93,9 @@
 private:
   void OnRequest()
   {
+    if (m_store.m_doors[m_door].m_cut) {
+      return;
+    }
     if (m_store.m_outage) {
       if (*m_store.m_outage != 0) {
         SendResponse(*m_store.m_outage, "");
@@ -109,11 +113,7 @@
       ++m_store.m_newestRequests[m_query["topic"]];
       SendResponse(200, EncodeNewest(topic));
     } else if (target.starts_with("/api/log-append")) {
-      const std::string record = m_request.body().substr(4);
-      ++m_store.m_appends[m_query["topic"]];
-      ++m_store.m_appendsOfKeys[{ m_query["topic"], KeyOf(record) }];
-      Append(topic, record);
-      SendResponse(200, "{}");
+      RespondToAppend(topic);
     } else {
       m_longPollTimer.expires_after(
         std::chrono::milliseconds(std::stoul(m_query["waitMs"])));
@@ -128,6 +128,23 @@
     }
   }
 
+  void RespondToAppend(Topic& aTopic)
+  {
+    const std::string record = m_request.body().substr(4);
+    ++m_store.m_appends[m_query["topic"]];
+    ++m_store.m_appendsOfKeys[{ m_query["topic"], KeyOf(record) }];
+    const std::uint64_t offset = EndOf(aTopic);
+    if (m_query.contains("at") && std::stoull(m_query["at"]) != offset) {
+      SendResponse(412, R"({"endOffset":)" + std::to_string(offset) + "}");
+      return;
+    }
+    Append(aTopic, record);
+    m_store.m_lastAppendedAt[m_query["topic"]] = m_door;
+    SendResponse(200,
+                 R"({"offset":)" + std::to_string(offset) + R"(,"endOffset":)" +
+                   std::to_string(offset + 1) + "}");
+  }
+
   void AnswerEndlessly()
   {
     error_code ignored; // the write that follows reports a closed connection
@@ -164,9 +181,8 @@
       items += R"({"key":")" + key + R"(","value":")" + Base64(value.first) +
                R"(","offset":)" + std::to_string(value.second) + "}";
     }
-    const std::uint64_t end = aTopic.m_firstOffset + aTopic.m_records.size();
     return R"({"items":[)" + items + R"(],"hasMore":false,"endOffset":)" +
-           std::to_string(end) + "}";
+           std::to_string(EndOf(aTopic)) + "}";
   }
 
   void RespondToRead(bool aAllowEmpty)
@@ -176,7 +192,7 @@
     }
     Topic& topic = m_store.m_topics[m_query["topic"]];
     const std::uint64_t from = std::stoull(m_query["from"]);
-    const std::uint64_t end = topic.m_firstOffset + topic.m_records.size();
+    const std::uint64_t end = EndOf(topic);
     if (from < topic.m_firstOffset || from > end) {
       SendResponse(
         410, R"({"firstOffset":)" + std::to_string(topic.m_firstOffset) + "}");
@@ -237,6 +253,7 @@
   }
 
   StoreStandin& m_store;
+  std::size_t m_door;
   Tcp::socket m_socket;
   asio::steady_timer m_longPollTimer;
   asio::steady_timer m_pieceTimer;
@@ -252,19 +269,39 @@
                            const std::string& aIp,
                            std::uint16_t aPort)
   : m_loop(aLoop)
-  , m_acceptor(Listen(aLoop, aIp, aPort))
 {
-  Accept();
+  m_doors.push_back({ Listen(aLoop, aIp, aPort) });
+  Accept(0);
+}
+
+std::size_t
+StoreStandin::AddAddress(const std::string& aIp)
+{
+  m_doors.push_back({ Listen(m_loop, aIp, 0) });
+  Accept(m_doors.size() - 1);
+  return m_doors.size() - 1;
+}
+
+std::string
+StoreStandin::AddressAt(std::size_t aNumber) const
+{
+  return AddressOf(m_doors.at(aNumber).m_acceptor);
 }
 
 void
-StoreStandin::Accept()
+StoreStandin::SetCut(std::size_t aNumber, bool aCut)
 {
-  m_acceptor.async_accept(
-    [this](const error_code& aError, Tcp::socket aSocket) {
+  m_doors.at(aNumber).m_cut = aCut;
+}
+
+void
+StoreStandin::Accept(std::size_t aDoor)
+{
+  m_doors[aDoor].m_acceptor.async_accept(
+    [this, aDoor](const error_code& aError, Tcp::socket aSocket) {
       if (!aError) {
-        std::make_shared<Connection>(*this, std::move(aSocket))->Read();
-        Accept();
+        std::make_shared<Connection>(*this, aDoor, std::move(aSocket))->Read();
+        Accept(aDoor);
       }
     });
 }
@@ -276,7 +313,7 @@
 {
   const std::string key = KeyOf(aRecord);
   const std::string value = aRecord.substr(1 + key.size());
-  const std::uint64_t offset = aTopic.m_firstOffset + aTopic.m_records.size();
+  const std::uint64_t offset = EndOf(aTopic);
   aTopic.m_records.push_back(aRecord);
   if (value.empty()) {
     aTopic.m_newest.erase(key);
@@ -300,6 +337,22 @@
   Append(m_topics[aTopic], record);
 }
 
+std::vector<std::string>
+StoreStandin::ValuesOf(const std::string& aTopic, const std::string& aKey) const
+{
+  std::vector<std::string> values;
+  const auto topic = m_topics.find(aTopic);
+  if (topic == m_topics.end()) {
+    return values;
+  }
+  for (const std::string& record : topic->second.m_records) {
+    if (KeyOf(record) == aKey) {
+      values.push_back(record.substr(1 + aKey.size()));
+    }
+  }
+  return values;
+}
+
 void
 StoreStandin::DropKeysOlderThan(const std::string& aTopic, Duration aAge)
 {
@@ -348,10 +401,4 @@
   m_outage = aStatus;
 }
 
-std::string
-StoreStandin::Address() const
-{
-  return AddressOf(m_acceptor);
-}
-
 } // namespace walnutwing::standin
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -3,6 +3,7 @@
 
 // A stand-in for the platform's store, without its limits and prices.
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -30,6 +31,17 @@
            const std::string& aKey,
            const std::optional<std::string>& aValue);
 
+  // All values that a key was set to, oldest first, as far as the log has them.
+  std::vector<std::string> ValuesOf(const std::string& aTopic,
+                                    const std::string& aKey) const;
+
+  // Opens another address of the store, at which it can be cut off from those
+  // that use it. Returns its number, from 1; the first address has 0.
+  std::size_t AddAddress(const std::string& aIp);
+  std::string AddressAt(std::size_t aNumber) const;
+  // While an address is cut, its requests get no response.
+  void SetCut(std::size_t aNumber, bool aCut);
+
   // Drops all records of the log; the newest value of each key stays.
   void DropHistory(const std::string& aTopic);
 
@@ -71,7 +83,7 @@
     return m_endlessAnswerEnded.value_or(false);
   }
 
-  std::string Address() const;
+  std::string Address() const { return AddressAt(0); }
   // Number of requests for the newest records of a topic.
   std::size_t CountNewestRequests(const std::string& aTopic) const
   {
@@ -86,6 +98,14 @@
     return found == m_appends.end() ? 0 : found->second;
   }
 
+  // The address at which the last record of a topic was appended.
+  std::optional<std::size_t> LastAppendedAt(const std::string& aTopic) const
+  {
+    const auto found = m_lastAppendedAt.find(aTopic);
+    return found == m_lastAppendedAt.end() ? std::nullopt
+                                           : std::optional(found->second);
+  }
+
   // Number of requests to append a record of a key.
   std::size_t CountAppends(const std::string& aTopic,
                            const std::string& aKey) const
@@ -104,18 +124,28 @@
     std::vector<std::function<void()>> m_waitingReads;
   };
   class Connection;
+  struct Door
+  {
+    Tcp::acceptor m_acceptor;
+    bool m_cut = false;
+  };
 
-  void Accept();
+  void Accept(std::size_t aDoor);
+  static std::uint64_t EndOf(const Topic& aTopic)
+  {
+    return aTopic.m_firstOffset + aTopic.m_records.size();
+  }
   static void Append(Topic& aTopic, const std::string& aRecord);
 
   asio::io_context& m_loop;
-  Tcp::acceptor m_acceptor;
+  std::deque<Door> m_doors; // accepting ones don't move
   std::map<std::string, Topic> m_topics;
   std::map<std::string, Topic> m_copy; // of TakeCopy
   std::uint64_t m_era = 0;
   std::optional<int> m_outage;
   std::map<std::string, std::size_t> m_newestRequests; // by topic
   std::map<std::string, std::size_t> m_appends;        // by topic
+  std::map<std::string, std::size_t> m_lastAppendedAt; // by topic
   // By topic and key.
   std::map<std::pair<std::string, std::string>, std::size_t> m_appendsOfKeys;
   std::size_t m_pieces = 1;
