--- a/walnutwing/base/result_code.h
+++ b/walnutwing/base/result_code.h
@@ -62,6 +62,10 @@
   ConfigUnauthorized = 4004,
   ConfigNotInForce = 4005,
   PlatformUnavailable = 4006,
+  RolloutUnreadable = 4007,
+  RolloutInvalid = 4008,
+  RolloutServiceUnknown = 4009,
+  RolloutStatusForeign = 4010,
 
   SettingsFileMissing = 5001,
   SettingsSyntax = 5002,
