--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -163,12 +163,60 @@
                                   NeedsSparePermit(aUpstream, aRequest));
 }
 
+bool
+UpstreamSelector::VersionLimits::Allows(const Upstream& aUpstream) const
+{
+  if (m_rule == nullptr) {
+    return true;
+  }
+  const SoftwareVersion& version = aUpstream.m_entry.m_version;
+  if (!m_ignoresExclude && m_rule->m_exclude.contains(version)) {
+    return false;
+  }
+  return m_rule->m_only.empty() || (m_rule->m_only.contains(version) &&
+                                    aUpstream.m_node.m_hash <= m_maxHash);
+}
+
+UpstreamSelector::VersionLimits
+UpstreamSelector::FindVersionLimits(const SelectionRequest& aRequest) const
+{
+  const VersionRule& rule = aRequest.m_versionRule;
+  VersionLimits limits;
+  if (rule.m_only.empty() && rule.m_exclude.empty()) {
+    return limits;
+  }
+  limits.m_rule = &rule;
+  limits.m_ignoresExclude = !rule.m_strict;
+  std::vector<std::uint64_t> hashes; // of the nodes of m_only
+  for (const auto& [id, upstream] : m_upstreams) {
+    const UpstreamEntry& entry = upstream.m_entry;
+    if (entry.m_service != aRequest.m_service || entry.m_draining ||
+        m_zonesOut.contains(entry.m_zone)) {
+      continue;
+    }
+    if (!rule.m_exclude.contains(entry.m_version)) {
+      limits.m_ignoresExclude = false;
+    }
+    if (rule.m_only.contains(entry.m_version)) {
+      hashes.push_back(upstream.m_node.m_hash);
+    }
+  }
+  if (rule.m_focus != 0 && rule.m_focus < hashes.size()) {
+    const auto last =
+      hashes.begin() + static_cast<std::ptrdiff_t>(rule.m_focus - 1);
+    std::nth_element(hashes.begin(), last, hashes.end());
+    limits.m_maxHash = *last;
+  }
+  return limits;
+}
+
 UpstreamSelector::CandidateSet
 UpstreamSelector::FindCandidates(const SelectionRequest& aRequest,
                                  Reach aReach,
                                  Time aNow)
 {
   const std::set<ZoneId> partitionedZones = PartitionedZones(aNow);
+  const VersionLimits versions = FindVersionLimits(aRequest);
   CandidateSet candidateSet;
   bool hasVersion = !aRequest.m_version;
   for (auto& [id, upstream] : m_upstreams) {
@@ -182,6 +230,13 @@
       continue;
     }
     hasVersion = true;
+    if (!versions.Allows(upstream)) {
+      const std::uint32_t own = upstream.m_tracker->InFlight();
+      candidateSet.m_otherVersionsLoad +=
+        own +
+        m_exchange.OtherDaemonsLoad(upstream.m_loadKey, own, aNow).value_or(0);
+      continue;
+    }
     if (aRequest.m_avoid.contains(id)) {
       continue;
     }
@@ -253,9 +308,10 @@
   const std::size_t listed =
     aCandidateSet.m_listed - (allLimited ? 0 : limited);
   const double mean = sum / static_cast<double>(counted);
-  const double maxLoad =
-    m_options.m_loadFactor * sum / static_cast<double>(listed) +
-    m_options.m_loadFactorSlack;
+  const double maxLoad = m_options.m_loadFactor *
+                           (sum + aCandidateSet.m_otherVersionsLoad) /
+                           static_cast<double>(listed) +
+                         m_options.m_loadFactorSlack;
   aCandidateSet.m_meanLoad = mean;
   aCandidateSet.m_bound = std::min(m_options.m_affinityLoadFactor * mean +
                                      m_options.m_affinityLoadSlack,
@@ -451,6 +507,8 @@
   }
   Pick pick;
   pick.m_leastLoaded = leastLoaded;
+  pick.m_overBound =
+    withinBound == nullptr && spill == nullptr && cold == nullptr;
   for (const Candidate* choice :
        { withinBound, spill, cold, leastLoaded, lastResort }) {
     if (choice != nullptr) {
@@ -461,8 +519,28 @@
   return pick;
 }
 
+// If none of the versions that are asked for can take the request now, another
+// one gets it.
 Choice
 UpstreamSelector::Choose(const SelectionRequest& aRequest, Time aNow)
+{
+  Choice choice = ChooseWithin(aRequest, aNow);
+  const VersionRule& rule = aRequest.m_versionRule;
+  const bool takes =
+    choice.m_failure == SelectionFailure::None && !choice.m_overBound;
+  if (takes || rule.m_only.empty() || rule.m_strict) {
+    return choice;
+  }
+  SelectionRequest relaxed = aRequest;
+  relaxed.m_versionRule.m_exclude.insert(rule.m_only.begin(),
+                                         rule.m_only.end());
+  relaxed.m_versionRule.m_only.clear();
+  Choice other = ChooseWithin(relaxed, aNow);
+  return other.m_failure == SelectionFailure::None ? other : choice;
+}
+
+Choice
+UpstreamSelector::ChooseWithin(const SelectionRequest& aRequest, Time aNow)
 {
   Choice choice;
   if (aRequest.m_affinity != 0) {
@@ -496,8 +574,9 @@
   ComputeBound(candidateSet);
   choice.m_meanLoad = candidateSet.m_meanLoad;
 
-  const auto [chosen, leastLoaded] =
+  const auto [chosen, overBound, leastLoaded] =
     PickCandidate(candidateSet, aRequest, aNow);
+  choice.m_overBound = overBound;
   if (chosen == nullptr) {
     if (choice.m_failure != SelectionFailure::Limited) {
       choice.m_failure = SelectionFailure::Cold;
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "walnutwing/placement/rendezvous.h"
+#include "walnutwing/rollout/rollout_types.h"
 #include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/send_limiter.h"
 #include "walnutwing/routing/service_demand.h"
@@ -77,6 +78,8 @@
   // Versions that get the request only if no upstream of another one has a free
   // slot.
   std::set<SoftwareVersion> m_newVersions{};
+  // During a roll-out: which versions the request may go to.
+  VersionRule m_versionRule{};
   // Also skip upstreams that refused a request recently, because one has
   // already refused this one.
   bool m_excludeRefusing = false;
@@ -139,6 +142,7 @@
   double m_meanLoad = 0;     // of the candidates
   std::uint32_t m_slots = 1; // requests that it runs at once
   double m_minLoad = 0;      // of the least loaded warm upstream
+  bool m_overBound = false;  // no candidate was within the load bound
   // Age of the other daemons' loads; -1 ms: not known, so that the upstreams'
   // own load reports were used.
   Duration m_loadAge{ -1 };
@@ -218,10 +222,23 @@
   // requests arrive later than they are sent, by varying delays.
   static constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
 
+  // Which upstreams the version rule of a request leaves.
+  struct VersionLimits
+  {
+    const VersionRule* m_rule = nullptr;  // null: all
+    bool m_ignoresExclude = false;        // nothing else is listed
+    std::uint64_t m_maxHash = UINT64_MAX; // of the nodes within the focus
+
+    bool Allows(const Upstream& aUpstream) const;
+  };
+
   // The upstreams of a service that may get a request.
   struct CandidateSet
   {
     std::vector<Candidate> m_candidates;
+    // At upstreams that are left out by the version rule, which count for the
+    // limit on the load.
+    double m_otherVersionsLoad = 0;
     std::size_t m_listed = 0; // upstreams of the service, candidates or not
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
     // The earliest end of a backoff, or of a time without permits.
@@ -241,6 +258,7 @@
                                const SelectionRequest& aRequest);
   Time ExhaustedUntil(const Upstream& aUpstream,
                       const SelectionRequest& aRequest) const;
+  VersionLimits FindVersionLimits(const SelectionRequest& aRequest) const;
   CandidateSet FindCandidates(const SelectionRequest& aRequest,
                               Reach aReach,
                               Time aNow);
@@ -261,11 +279,14 @@
   struct Pick
   {
     const Candidate* m_chosen = nullptr;
+    bool m_overBound = false; // no candidate is within the load bound
     const Candidate* m_leastLoaded = nullptr; // of the warm ones
   };
   Pick PickCandidate(const CandidateSet& aCandidateSet,
                      const SelectionRequest& aRequest,
                      Time aNow) const;
+  // Chooses by the version rule as it is.
+  Choice ChooseWithin(const SelectionRequest& aRequest, Time aNow);
   bool MaySendCold(Upstream& aUpstream,
                    const SelectionRequest& aRequest,
                    Time aNow) const;
--- a/walnutwing/routing/upstream_selector_test.cc
+++ b/walnutwing/routing/upstream_selector_test.cc
@@ -646,5 +646,133 @@
             selector.Choose(request, now).m_failure);
 }
 
+// Four upstreams each of the versions v1 and v2, and one selector.
+class VersionRules : public testing::Test
+{
+protected:
+  VersionRules()
+  {
+    for (std::size_t i = 0; i < 8; ++i) {
+      Register(i, Duration(0));
+    }
+    m_request.m_service = ServiceId("s");
+  }
+
+  void Register(std::size_t aIndex, Duration aColdTime, bool aDraining = false)
+  {
+    UpstreamEntry entry;
+    entry.m_id = UpstreamId("e" + std::to_string(aIndex));
+    entry.m_service = ServiceId("s");
+    entry.m_address = "10.0.0.1:" + std::to_string(aIndex);
+    entry.m_version = aIndex < 4 ? m_old : m_new;
+    entry.m_slots = kTestSlots;
+    entry.m_coldRemaining = aColdTime;
+    entry.m_draining = aDraining;
+    m_selector.OnUpstream(
+      m_directory, entry.m_id, m_directory.OnEntry(entry, m_now));
+  }
+
+  // Sends a request of each of many parts and counts the upstreams by version.
+  std::map<SoftwareVersion, std::set<UpstreamId>> Spread(bool aSend = false)
+  {
+    std::map<SoftwareVersion, std::set<UpstreamId>> chosen;
+    for (m_request.m_affinity = 1; m_request.m_affinity < 60;
+         ++m_request.m_affinity) {
+      const Choice choice = m_selector.Choose(m_request, m_now);
+      if (choice.m_failure == SelectionFailure::None) {
+        chosen[choice.m_version].insert(choice.m_upstream);
+      }
+      if (aSend && choice.m_failure == SelectionFailure::None) {
+        m_selector.OnSent(choice, m_now);
+      }
+    }
+    return chosen;
+  }
+
+  const SoftwareVersion m_old{ "v1" };
+  const SoftwareVersion m_new{ "v2" };
+  const Time m_now{ std::chrono::hours(1) };
+  const LoadExchange m_exchange{ DaemonId("d"), ZoneId("z0"), {} };
+  const SendLimiter m_limiter{ DaemonId("d") };
+  UpstreamSelector m_selector{ ZoneId("z0"), {}, m_exchange, m_limiter };
+  UpstreamDirectory m_directory{ Duration(1000) };
+  SelectionRequest m_request;
+};
+
+// Guards against a version that gets requests which a roll-out keeps from it.
+TEST_F(VersionRules, OnlyAndExcludedVersionsHold)
+{
+  EXPECT_EQ(2U, Spread().size());
+  m_request.m_versionRule.m_only = { m_new };
+  EXPECT_EQ(4U, Spread()[m_new].size());
+  EXPECT_EQ(1U, Spread().size());
+  m_request.m_versionRule = { {}, { m_new } };
+  EXPECT_EQ(4U, Spread()[m_old].size());
+  EXPECT_EQ(1U, Spread().size());
+}
+
+// Guards against a focus that differs between daemons, whose sum is then no
+// load.
+TEST_F(VersionRules, FocusIsTheFirstInTheOrderOfHashes)
+{
+  m_request.m_versionRule.m_only = { m_new };
+  m_request.m_versionRule.m_focus = 2;
+  std::map<std::uint64_t, UpstreamId> byHash;
+  for (std::size_t i = 4; i < 8; ++i) {
+    const UpstreamId id("e" + std::to_string(i));
+    byHash[StableHash(id.Value())] = id;
+  }
+  const std::set<UpstreamId> first{ byHash.begin()->second,
+                                    std::next(byHash.begin())->second };
+  EXPECT_EQ(first, Spread()[m_new]);
+}
+
+// Guards against requests that find no upstream because of a roll-out, and
+// against a strict rule that is not kept.
+TEST_F(VersionRules, AnotherVersionTakesThemUnlessTheRuleIsStrict)
+{
+  for (std::size_t i = 4; i < 8; ++i) {
+    Register(i, Duration(0), true);
+  }
+  m_request.m_versionRule.m_only = { m_new };
+  EXPECT_EQ(4U, Spread()[m_old].size());
+  m_request.m_versionRule.m_strict = true;
+  EXPECT_TRUE(Spread().empty());
+  m_request.m_versionRule = { {}, { m_old } };
+  EXPECT_EQ(4U, Spread()[m_old].size());
+  m_request.m_versionRule.m_strict = true;
+  EXPECT_TRUE(Spread().empty());
+}
+
+// Guards against cold upstreams that get more than they bear because they are
+// new, and against an overload of a few new ones.
+TEST_F(VersionRules, WhatTheNewVersionCannotTakeGoesToTheOldOne)
+{
+  m_request.m_versionRule.m_only = { m_new };
+  m_request.m_versionRule.m_focus = 1;
+  EXPECT_EQ(2U, Spread(true).size());
+  for (std::size_t i = 4; i < 8; ++i) {
+    Register(i, Duration(5000));
+  }
+  m_request.m_versionRule.m_focus = 0;
+  m_request.m_coldPerSecond = 4;
+  m_request.m_daemons = 10;
+  EXPECT_EQ(0U, Spread()[m_new].size());
+}
+
+// Guards against a limit on the load that ignores the old version's load, so
+// that the new one's upstreams get less than they may.
+TEST_F(VersionRules, LoadOfTheOtherVersionCountsForTheLimit)
+{
+  m_request.m_versionRule.m_exclude = { m_new };
+  for (int i = 0; i < 10; ++i) {
+    Spread(true);
+  }
+  m_request.m_versionRule = { { m_new }, {} };
+  const Choice choice = m_selector.Choose(m_request, m_now);
+  EXPECT_EQ(m_new, choice.m_version);
+  EXPECT_FALSE(choice.m_overBound);
+}
+
 } // namespace
 } // namespace walnutwing
