--- a/router/context.h
+++ b/router/context.h
@@ -16,6 +16,7 @@
 #include "router/router_settings.h"
 #include "router/upstream_pool.h"
 #include "walnutwing/base/metrics.h"
+#include "walnutwing/rollout/rollouts.h"
 #include "walnutwing/routing/admission.h"
 #include "walnutwing/routing/planned_stop.h"
 #include "walnutwing/routing/repeat_budget.h"
@@ -38,6 +39,7 @@
   SendLimiter& m_sendLimiter;
   TraitBreaker& m_traitBreaker;
   StreamVersions& m_streamVersions;
+  Rollouts& m_rollouts;
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes; // null before the first version
   std::map<ServiceId, RepeatBudget> m_repeatBudgets;
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -55,6 +55,11 @@
   RequestBlocked = 221,
   RequestUnblocked = 222,
   ItemsUnreadable = 223,
+  RolloutOrdered = 224,
+  RolloutRefused = 225,
+  RolloutStageChanged = 226,
+  RolloutHeld = 227,
+  RolloutWritten = 228,
 
   RequestSent = 301,
   RequestAnswered = 302,
--- a/router/fleet_state.cc
+++ b/router/fleet_state.cc
@@ -85,6 +85,10 @@
       })
   , m_streamVersionStore(m_context, m_exchange)
   , m_streamJournal(m_context)
+  , m_rollouts(m_context,
+               m_exchange,
+               m_directory,
+               [this] { m_peers.SendSoon(); })
   , m_upstreamTail(m_context,
                    std::string(platform::kUpstreamTopic),
                    TopicGap::FailRead,
@@ -160,6 +164,7 @@
   m_traitBlocks.Tick(aNow);
   m_streamVersionStore.Tick(aNow);
   m_streamJournal.Tick(m_exchange.IsHub(), aNow);
+  m_rollouts.Tick(m_zonesOut, aNow);
   if (m_context.m_traitBreaker.TakeHasNews()) {
     m_peers.SendSoon();
   }
@@ -190,7 +195,7 @@
   return m_operatorFeed.Channel().Calls() + m_upstreamFeed.Channel().Calls() +
          m_members.StoreCalls() + m_traitBlocks.Channel().Calls() +
          m_streamVersionStore.Channel().Calls() + m_streamJournal.StoreCalls() +
-         m_upstreamTail.Channel().Calls();
+         m_rollouts.Channel().Calls() + m_upstreamTail.Channel().Calls();
 }
 
 std::uint64_t
@@ -200,7 +205,7 @@
          m_upstreamFeed.Channel().BytesRead() + m_members.StoreBytesRead() +
          m_traitBlocks.Channel().BytesRead() +
          m_streamVersionStore.Channel().BytesRead() +
-         m_streamJournal.StoreBytesRead() +
+         m_streamJournal.StoreBytesRead() + m_rollouts.Channel().BytesRead() +
          m_upstreamTail.Channel().BytesRead();
 }
 
@@ -237,15 +242,18 @@
   m_members.AnnounceAgain();
   m_traitBlocks.OnStoreRestored();
   m_streamVersionStore.OnStoreRestored();
+  m_rollouts.OnStoreRestored();
 }
 
-// Just after the store was restored, a zone that its list lacks stays out: the
-// operators' record may not be written again yet.
+// Just after the store was restored, a zone that its list lacks stays out, and
+// a roll-out goes on: the operators' record may not be written again yet.
 void
 FleetState::OnOperatorUpdate(const TopicUpdate& aUpdate)
 {
   ApplyNewestConfig(aUpdate.m_records);
   const bool complete = aUpdate.m_isSnapshot && m_restoredZonesUntil == Time();
+  m_rollouts.OnOperatorUpdate(
+    aUpdate, m_operatorFeed.Follower().Era().value_or(0), complete);
   std::set<ZoneId> zonesOut = complete ? std::set<ZoneId>() : m_zonesOut;
   for (const platform::StoreRecord& record : aUpdate.m_records) {
     if (!record.m_key.starts_with(platform::kZoneOutPrefix)) {
--- a/router/fleet_state.h
+++ b/router/fleet_state.h
@@ -17,6 +17,7 @@
 #include "router/context.h"
 #include "router/fleet_members.h"
 #include "router/peers.h"
+#include "router/rollout_keeper.h"
 #include "router/send_permits.h"
 #include "router/standstill.h"
 #include "router/store_channel.h"
@@ -101,6 +102,7 @@
   StreamVersionExchange m_streamExchange;
   StreamVersionStore m_streamVersionStore;
   StreamJournal m_streamJournal;
+  RolloutKeeper m_rollouts;
   TopicTail m_upstreamTail; // for questions about versions
   Standstill m_standstill;
   Time m_trustedFrom; // confirmations before it may have waited in a socket
--- a/router/peers.cc
+++ b/router/peers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "router/input_guard.h"
+#include "router/rollout_news_codec.h"
 #include "router/store_pace.h"
 #include "router/trait_news_codec.h"
 
@@ -106,6 +107,7 @@
     SendSoon();
   }
   ReadRequestLimits(aMessage, now);
+  ApplyRolloutNews(aMessage, now, m_context.m_rollouts);
   UpstreamLoads loads;
   for (const proto::LoadAt& load : aMessage.loads()) {
     loads[load.upstream()] = load.requests();
@@ -129,8 +131,7 @@
                     std::to_string(m_sender.port()));
       return;
     case proto::RouterPeerMessage::DIGEST:
-      if (m_exchange.OnDigest(
-            from, std::move(loads), m_context.m_selector.OwnLoads(), now)) {
+      if (m_exchange.OnDigest(from, std::move(loads), OwnLoads(), now)) {
         OnTopicStates(aMessage);
       }
       return;
@@ -237,6 +238,14 @@
   m_upstreamFeed.OnForwardedRecords(update, aState.next());
 }
 
+UpstreamLoads
+Peers::OwnLoads() const
+{
+  UpstreamLoads loads = m_context.m_selector.OwnLoads();
+  m_context.m_rollouts.AddTo(loads);
+  return loads;
+}
+
 void
 Peers::SendPeriodically()
 {
@@ -255,8 +264,7 @@
   DropExpiredChanges();
   const Time now = Now();
   m_traitNews = m_context.m_traitBreaker.News(m_exchange.IsHub(), now);
-  for (const LoadMessage& message :
-       m_exchange.OnPeriod(m_context.m_selector.OwnLoads(), now)) {
+  for (const LoadMessage& message : m_exchange.OnPeriod(OwnLoads(), now)) {
     Send(message);
   }
 }
@@ -346,6 +354,7 @@
   AddLeaving(message);
   AddRequestLimits(message);
   EncodeTraitNews(m_traitNews, Now(), message);
+  EncodeRolloutNews(m_context.m_rollouts, Now(), message);
   if (aLoads.m_kind == LoadMessageKind::Digest) {
     message.set_roster(m_exchange.RosterHash());
     AddTopicStates(message);
--- a/router/peers.h
+++ b/router/peers.h
@@ -114,6 +114,7 @@
   void AddRequestLimits(proto::RouterPeerMessage& aMessage) const;
   void OnTopicStates(const proto::RouterPeerMessage& aMessage);
   void OnUpstreamTopic(const proto::TopicState& aState);
+  UpstreamLoads OwnLoads() const;
   void SendPeriodically();
   void SendMessages();
   void Send(const LoadMessage& aLoads);
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -10,6 +10,7 @@
 
 #include "router/response_check.h"
 #include "router/upstream_statements.h"
+#include "walnutwing/relay/event_splitter.h"
 #include "walnutwing/routing/request_fingerprint.h"
 
 namespace walnutwing::router {
@@ -236,6 +237,14 @@
                                   : ConnectionUse::RecentlyUsed;
 }
 
+RolloutRequest
+RequestFlow::MakeRolloutRequest() const
+{
+  return { m_request.Service(),
+           m_request.Facts().m_sharedPrefixHash,
+           m_resumption.Version() };
+}
+
 SelectionRequest
 RequestFlow::MakeSelection() const
 {
@@ -245,8 +254,11 @@
   selection.m_avoid = m_avoid;
   selection.m_avoid.insert(m_silent.begin(), m_silent.end());
   selection.m_version = m_resumption.Version();
-  if (m_request.GetRoute().m_kind == RouteKind::Stream &&
-      !selection.m_version) {
+  if (m_context.m_rollouts.IsActive(m_request.Service())) {
+    selection.m_versionRule =
+      m_context.m_rollouts.RuleForRepeat(MakeRolloutRequest(), Now());
+  } else if (m_request.GetRoute().m_kind == RouteKind::Stream &&
+             !selection.m_version) {
     selection.m_newVersions =
       m_context.m_streamVersions.NewVersions(m_request.Service(), Now());
   }
@@ -275,6 +287,11 @@
     return;
   }
   SelectionRequest selection = MakeSelection();
+  if (!std::exchange(m_counted, true) &&
+      m_context.m_rollouts.IsActive(m_request.Service())) {
+    selection.m_versionRule = m_context.m_rollouts.RuleFor(
+      MakeRolloutRequest(), m_context.m_daemons, Now());
+  }
   // Once: what can't be connected to is refused soon.
   selection.m_allowSilent = m_tries == 0;
   SendNext(m_context.m_selector.Choose(selection, Now()));
@@ -389,6 +406,11 @@
   const Time now = Now();
   m_context.m_selector.OnSent(aChoice, now);
   m_context.AdmissionOf(m_request.Service()).OnSent(m_request.Customer());
+  m_context.m_rollouts.OnSent(m_request.Service(),
+                              aChoice.m_version,
+                              aChoice.m_upstream,
+                              m_request.Facts().m_sharedPrefixHash,
+                              now);
   m_attempt = {};
   m_attempt.m_choice = aChoice;
   m_attempt.m_sentAt = now;
@@ -535,6 +557,9 @@
   }
   if (!complete->empty()) {
     m_progressTimer.OnProgress();
+    m_attempt.m_events +=
+      m_attempt.m_isEventStream ? CountEvents(*complete) : 0;
+    m_attempt.m_firstByteAt = m_attempt.m_firstByteAt.value_or(now);
     m_traitProbe.OnEvent(now);
     m_resumption.OnEvent();
   }
@@ -754,9 +779,38 @@
                        m_attempt.m_choice.m_load,
                        m_attempt.m_choice.m_slots);
   }
+  ReportToRollout(aOutcome, now);
   m_self.reset();
 }
 
+// An attempt whose caller has left, or whose deadline has passed, counts as a
+// failure: callers leave slow versions. What did not run says nothing of one.
+void
+RequestFlow::ReportToRollout(SendOutcome aOutcome, Time aNow)
+{
+  const bool ran = aOutcome == SendOutcome::Answered ||
+                   aOutcome == SendOutcome::Failed ||
+                   aOutcome == SendOutcome::Abandoned;
+  if (!ran || m_context.m_stop.IsStopping()) {
+    return;
+  }
+  RolloutAnswer answer;
+  answer.m_service = m_request.Service();
+  answer.m_route = m_request.GetRoute().m_name;
+  answer.m_promptClass = PromptClassOf(m_request.Facts().m_promptTokens);
+  answer.m_upstream = m_attempt.m_choice.m_upstream;
+  answer.m_version = m_attempt.m_choice.m_version;
+  answer.m_affinity = m_request.Facts().m_sharedPrefixHash;
+  answer.m_failed = aOutcome != SendOutcome::Answered;
+  answer.m_cold = m_attempt.m_choice.m_cold;
+  if (m_attempt.m_firstByteAt) {
+    answer.m_firstByte = *m_attempt.m_firstByteAt - m_attempt.m_sentAt;
+  }
+  answer.m_total = aNow - m_attempt.m_sentAt;
+  answer.m_events = m_attempt.m_events;
+  m_context.m_rollouts.OnAnswer(answer, aNow);
+}
+
 // Closes the connection, so that the upstream stops working on the request. The
 // attempt counts as one that may have run.
 void
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -81,6 +81,9 @@
     // If it goes on with a stream: the id of the last event before it.
     std::optional<std::string> m_resumedAfter{};
     BodyEnd m_bodyEnd;
+    // When its response began; that of a stream, with its first event.
+    std::optional<Time> m_firstByteAt{};
+    std::uint32_t m_events = 0; // of a stream
 
     bool Discards() const { return !m_discardReason.empty(); }
   };
@@ -93,6 +96,7 @@
   bool MayRun();
   void OnSuspectPermit(bool aGranted);
   void SetDeadline();
+  RolloutRequest MakeRolloutRequest() const;
   SelectionRequest MakeSelection() const;
   SelectionRequest MakeFallbackSelection() const;
   ConnectionUse UseOfConnections(const Choice& aChoice) const;
@@ -119,6 +123,7 @@
                              Choice& aChoice);
   void SendRepeat(const char* aWhy, const Choice& aChoice);
   void EndAttempt(SendOutcome aOutcome);
+  void ReportToRollout(SendOutcome aOutcome, Time aNow);
   void CancelAttempt(SendOutcome aOutcome);
 
   // aChoice: the selector's result, if it is the reason for the refusal.
@@ -147,6 +152,7 @@
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
   std::uint32_t m_tries = 0; // including attempts that reached no upstream
   bool m_admitted = false;
+  bool m_counted = false; // by the service's roll-out, if there is one
   std::uint32_t m_permitsAsked = 0;
   std::optional<Choice> m_permitChoice; // waits for a permit
   bool m_permitGranted = false;         // for the choice that is sent next
--- a/router/router.cc
+++ b/router/router.cc
@@ -62,6 +62,7 @@
                  m_sendLimiter)
     , m_traitBreaker(aSettings.m_name)
     , m_streamVersions(aSettings.m_name, aSettings.m_zone)
+    , m_rollouts(RolloutOptionsOf(aSettings), m_exchange)
     , m_context{ m_loop,
                  aSettings,
                  m_log,
@@ -71,6 +72,7 @@
                  m_sendLimiter,
                  m_traitBreaker,
                  m_streamVersions,
+                 m_rollouts,
                  std::mt19937_64(std::random_device{}()),
                  {},
                  {} }
@@ -128,6 +130,11 @@
     return options;
   }
 
+  static RolloutOptions RolloutOptionsOf(const RouterSettings& aSettings)
+  {
+    return { aSettings.m_exposureShare, aSettings.m_exposureAllowance };
+  }
+
   EventLog::Line LogLine(Event aEvent) { return { m_log, aEvent, Now() }; }
 
   void CountAcceptFailure() { ++m_metrics.Counter("accept_failures_total"); }
@@ -367,6 +374,7 @@
   UpstreamSelector m_selector;
   TraitBreaker m_traitBreaker;
   StreamVersions m_streamVersions;
+  Rollouts m_rollouts;
   Context m_context;
   FleetState m_state;
   StateChangeLog m_stateChanges;
--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -173,6 +173,19 @@
       "2",
       &RouterSettings::m_loadFactor,
       "maximum load of an upstream, as a multiple of its service's mean"),
+    RealSetting("bounds",
+                "exposure_share",
+                "",
+                "0.1",
+                &RouterSettings::m_exposureShare,
+                "share of a service's requests that a new version may get in a "
+                "roll-out until it is judged, over the fleet"),
+    RealSetting("bounds",
+                "exposure_allowance",
+                "requests",
+                "50",
+                &RouterSettings::m_exposureAllowance,
+                "requests that it may get in addition to the share"),
   };
   return kTable;
 }
@@ -284,6 +297,8 @@
   settings.m_metricsPort = aInForce.m_metricsPort;
   settings.m_storeAddress = aInForce.m_storeAddress;
   settings.m_repeatWindow = aInForce.m_repeatWindow;
+  settings.m_exposureShare = aInForce.m_exposureShare;
+  settings.m_exposureAllowance = aInForce.m_exposureAllowance;
   return settings;
 }
 
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -34,6 +34,10 @@
   Duration m_repeatWindow{};    // in which repeats are counted
   double m_repeatAllowance = 0; // repeats per window, in addition to the ratio
   double m_loadFactor = 0; // max load of an upstream, as a multiple of the mean
+  // Requests that a version may get until it is judged: a share of all requests
+  // of its service, and as many in addition.
+  double m_exposureShare = 0;
+  double m_exposureAllowance = 0;
   std::uint64_t m_logBytesPerSecond = 0; // of lines of successful requests
 };
 
--- a/walnutwing/relay/event_splitter.cc
+++ b/walnutwing/relay/event_splitter.cc
@@ -84,4 +84,25 @@
   }
 }
 
+// An event ends with an empty line.
+std::uint32_t
+CountEvents(std::string_view aEvents)
+{
+  std::uint32_t events = 0;
+  bool lineIsEmpty = false;
+  for (std::size_t i = 0; i < aEvents.size(); ++i) {
+    const char c = aEvents[i];
+    if (c != '\n' && c != '\r') {
+      lineIsEmpty = false;
+      continue;
+    }
+    if (c == '\n' && i > 0 && aEvents[i - 1] == '\r') {
+      continue; // the second half of a line end
+    }
+    events += lineIsEmpty ? 1 : 0;
+    lineIsEmpty = true;
+  }
+  return events;
+}
+
 } // namespace walnutwing
--- a/walnutwing/relay/event_splitter.h
+++ b/walnutwing/relay/event_splitter.h
@@ -5,6 +5,7 @@
 // that a stream can be ended or resumed after the last complete event that was
 // forwarded. Reads only the events' ids. Lines end with LF, CR LF or CR.
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,10 @@
   std::string m_lastId;
 };
 
+// How many events there are in text that Feed has returned.
+std::uint32_t
+CountEvents(std::string_view aEvents);
+
 } // namespace walnutwing
 
 #endif // WALNUTWING_RELAY_EVENT_SPLITTER_H_
--- a/walnutwing/relay/event_splitter_test.cc
+++ b/walnutwing/relay/event_splitter_test.cc
@@ -79,5 +79,14 @@
   }
 }
 
+// Guards against a pace of streams that depends on how pieces arrive.
+TEST(EventSplitter, EventsAreCountedWhateverTheirLineEnds)
+{
+  EXPECT_EQ(0U, CountEvents(""));
+  EXPECT_EQ(1U, CountEvents("id: 1\ndata: x\n\n"));
+  EXPECT_EQ(2U, CountEvents("data: x\r\n\r\ndata: y\r\n\r\n"));
+  EXPECT_EQ(3U, CountEvents("data: x\n\ndata: y\r\rdata: z\n\n"));
+}
+
 } // namespace
 } // namespace walnutwing
--- a/walnutwing/routing/load_exchange.cc
+++ b/walnutwing/routing/load_exchange.cc
@@ -109,6 +109,24 @@
     });
 }
 
+std::optional<std::uint32_t>
+LoadExchange::RankAmongHubs(std::size_t aPerZone) const
+{
+  std::set<ZoneId> zones;
+  for (const RosterMember& member : m_members) {
+    zones.insert(member.m_zone);
+  }
+  const auto zone = static_cast<std::size_t>(
+    std::distance(zones.begin(), zones.lower_bound(m_zone)));
+  const std::size_t candidates = m_hubCandidates.size();
+  for (std::size_t i = 0; i < std::min(aPerZone, candidates); ++i) {
+    if (m_hubCandidates[(m_hubIndex + i) % candidates].m_name == m_self) {
+      return static_cast<std::uint32_t>(i * zones.size() + zone);
+    }
+  }
+  return std::nullopt;
+}
+
 Duration
 LoadExchange::Period() const
 {
--- a/walnutwing/routing/load_exchange.h
+++ b/walnutwing/routing/load_exchange.h
@@ -116,6 +116,12 @@
   DaemonId Hub() const;
   bool IsHub() const { return Hub() == m_self; }
 
+  // This daemon's rank among those that act for the fleet if the ones before
+  // them don't: the hubs in the order of their zones, then the daemons that
+  // would follow them as hubs, aPerZone daemons of each zone in total. nullopt
+  // for any other daemon.
+  std::optional<std::uint32_t> RankAmongHubs(std::size_t aPerZone) const;
+
   // Whether a known member has that name.
   bool HasMember(const DaemonId& aName) const;
 
