--- a/walnutwing/rollout/rollout_schedule.cc
+++ b/walnutwing/rollout/rollout_schedule.cc
@@ -8,8 +8,8 @@
 
 // The reserve at the end lasts a request's longest time and this, within
 // fractions of the duration.
-constexpr Duration kReserveSlack = std::chrono::seconds(3);
-constexpr double kMinReserve = 0.2;
+constexpr Duration kReserveSlack = std::chrono::milliseconds(2500);
+constexpr double kMinReserve = 0.15;
 constexpr double kMaxReserve = 0.4;
 constexpr double kSwitchFraction = 0.15;
 constexpr double kSurgeFraction = 0.1;
@@ -41,9 +41,9 @@
 } // namespace
 
 RolloutTimes
-PlanRollout(Duration aDuration, Duration aMaxTimeout)
+PlanRollout(Duration aDuration, Duration aLongest)
 {
-  const Duration reserve = std::clamp(aMaxTimeout + kReserveSlack,
+  const Duration reserve = std::clamp(aLongest + kReserveSlack,
                                       PartOf(aDuration, kMinReserve),
                                       PartOf(aDuration, kMaxReserve));
   RolloutTimes times;
--- a/walnutwing/rollout/rollout_schedule.h
+++ b/walnutwing/rollout/rollout_schedule.h
@@ -26,9 +26,9 @@
   Duration m_evidence{};
 };
 
-// aMaxTimeout: the longest that a request may be in flight.
+// aLongest: how long requests at the old version take at most, lately.
 RolloutTimes
-PlanRollout(Duration aDuration, Duration aMaxTimeout);
+PlanRollout(Duration aDuration, Duration aLongest);
 
 // The time that a router spends in a stage at least, whatever other machines'
 // clocks say.
--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -19,7 +19,7 @@
 // The old version's requests must be 0 for over two periods of the loads.
 constexpr Duration kEmptyTime = std::chrono::milliseconds(700);
 // By then every router in touch has heard of Drain.
-constexpr Duration kDrainSpread = std::chrono::seconds(2);
+constexpr Duration kDrainSpread = std::chrono::seconds(1);
 
 constexpr std::uint64_t kMinAnswers = 30;
 constexpr std::uint64_t kMinAnswersOfRoute = 4;
@@ -330,6 +330,9 @@
   if (!IsFinal(m_stage) && (isNew || IsOld(aAnswer.m_version))) {
     m_evidence.OnAnswer(aAnswer, isNew, aSlow);
   }
+  if (!isNew && m_stage < RolloutStage::Surge) {
+    m_longest = std::max(m_longest, aAnswer.m_total.value_or(Duration(0)));
+  }
 }
 
 void
@@ -343,7 +346,7 @@
 RolloutTimes
 ServiceRollout::Times() const
 {
-  return PlanRollout(m_order.m_duration, m_view.m_maxTimeout);
+  return PlanRollout(m_order.m_duration, m_longest);
 }
 
 double
@@ -427,7 +430,8 @@
 ServiceRollout::Judge(Time aNow)
 {
   m_sums = m_evidence.Sums(m_exchange, aNow);
-  const auto bad = m_judge.Update(m_sums, m_view.m_newUpstreams, aNow);
+  const bool moving = m_stage >= RolloutStage::Switch;
+  const auto bad = m_judge.Update(m_sums, m_view.m_newUpstreams, moving, aNow);
   if (bad) {
     m_bad = true;
     Enter(RolloutStage::RolledBack, bad->m_why, bad->m_route, aNow);
--- a/walnutwing/rollout/service_rollout.h
+++ b/walnutwing/rollout/service_rollout.h
@@ -146,6 +146,8 @@
   VersionJudge m_judge;
   EvidenceSums m_sums;
   RolloutFleetView m_view;
+  // Of the requests of this router to the old version, in Trial.
+  Duration m_longest{};
   std::optional<Time> m_freshAt;    // when the fleet's sums were known last
   std::optional<Time> m_emptySince; // nothing in flight at the old version
   RolloutHold m_heldBy = RolloutHold::None;
--- a/walnutwing/rollout/version_judge.cc
+++ b/walnutwing/rollout/version_judge.cc
@@ -6,12 +6,15 @@
 namespace walnutwing {
 namespace {
 
-// A test finds a good version bad once in about so many judgements.
-constexpr double kOddsOfGood = 1000;
+// All tests together find a good version bad once in so many answers at most.
+constexpr double kOddsOfGood = 100000;
 // By how much a bad version's share of bad answers exceeds the old one's.
 constexpr double kBadExcess = 0.15;
 constexpr double kMaxBadShare = 0.95;
-constexpr double kMinBaseShare = 0.01;
+constexpr double kMinFailedShare = 0.01;
+constexpr double kMinSlowShare = 0.03;
+// While most requests move, caches fill and queues form for a while.
+constexpr double kMinSlowShareMoving = 0.35;
 constexpr double kMaxBaseShare = 0.85; // above, nothing can be told
 // Without any answers of the old version, and at least without recent ones, as
 // then nothing shows what fails both versions.
@@ -36,7 +39,7 @@
 constexpr std::uint64_t kMaxAtOne = 20;
 // Above every threshold. A score that the worst upstream has raised falls again
 // soon after it gets nothing more.
-constexpr double kMaxScore = 16;
+constexpr double kMaxScore = 24;
 // Fraction of the threshold from which on a version is doubted.
 constexpr double kDoubtFraction = 0.5;
 
@@ -102,7 +105,7 @@
     }
     const double share = (static_cast<double>(old.m_bad) + kPriorBad) /
                          (static_cast<double>(old.m_answers) + kPriorAnswers);
-    largest = std::max(largest.value_or(kMinBaseShare), share);
+    largest = std::max(largest.value_or(0), share);
   }
   if (largest) {
     m_baseShare = largest;
@@ -113,14 +116,18 @@
 }
 
 void
-VersionJudge::Test::Update(const Tally& aOld, const Tally& aNew, Time aNow)
+VersionJudge::Test::Update(const Tally& aOld,
+                           const Tally& aNew,
+                           double aMinShare,
+                           Time aNow)
 {
   DropBefore(m_old, aNow - kOldWindows.back());
   if (aOld.m_answers != 0) {
     m_old.push_back({ aOld, aNow });
   }
   UpdateBaseShare(aNow);
-  const double good = m_baseShare.value_or(kUnknownBaseShare);
+  const double good =
+    std::max(m_baseShare.value_or(kUnknownBaseShare), aMinShare);
   if (aNew.m_answers == 0 || good > kMaxBaseShare) {
     return;
   }
@@ -135,6 +142,7 @@
 void
 VersionJudge::UpdateRoute(Route& aRoute,
                           const RolloutEvidence& aSums,
+                          bool aMoving,
                           Time aNow)
 {
   const auto growth = aRoute.m_growth.Next({ aSums.m_old.m_answers,
@@ -147,9 +155,11 @@
                                              aSums.m_new.m_slow },
                                            aNow);
   aRoute.m_failed.Update(
-    { growth[0], growth[1] }, { growth[4], growth[5] }, aNow);
-  aRoute.m_slow.Update(
-    { growth[2], growth[3] }, { growth[6], growth[7] }, aNow);
+    { growth[0], growth[1] }, { growth[4], growth[5] }, kMinFailedShare, aNow);
+  aRoute.m_slow.Update({ growth[2], growth[3] },
+                       { growth[6], growth[7] },
+                       aMoving ? kMinSlowShareMoving : kMinSlowShare,
+                       aNow);
 }
 
 void
@@ -204,11 +214,12 @@
 std::optional<JudgedBad>
 VersionJudge::Update(const EvidenceSums& aSums,
                      std::size_t aNewUpstreams,
+                     bool aMoving,
                      Time aNow)
 {
   UpdateUpstreams(aSums, aNow);
   for (const auto& [name, sums] : aSums.m_routes) {
-    UpdateRoute(m_routes[name], sums, aNow);
+    UpdateRoute(m_routes[name], sums, aMoving, aNow);
   }
   m_newUpstreams = aNewUpstreams;
   if (!IsWidespread()) {
--- a/walnutwing/rollout/version_judge.h
+++ b/walnutwing/rollout/version_judge.h
@@ -38,8 +38,10 @@
 {
 public:
   // To be called several times a second. aNewUpstreams: of the new version.
+  // aMoving: most requests move to it, so that its caches are empty.
   std::optional<JudgedBad> Update(const EvidenceSums& aSums,
                                   std::size_t aNewUpstreams,
+                                  bool aMoving,
                                   Time aNow);
 
   // Whether a test is on its way to find the version bad.
@@ -76,7 +78,11 @@
   class Test
   {
   public:
-    void Update(const Tally& aOld, const Tally& aNew, Time aNow);
+    // aMinShare: of bad answers that a good version may have anyway.
+    void Update(const Tally& aOld,
+                const Tally& aNew,
+                double aMinShare,
+                Time aNow);
     double Score() const { return m_score; }
 
   private:
@@ -84,7 +90,7 @@
     Tally OldSince(Time aStart) const;
 
     std::deque<TimedTally> m_old;
-    // Bad answers that a good version may have.
+    // Of bad answers, as the old version has.
     std::optional<double> m_baseShare;
     double m_score = 0;
   };
@@ -103,6 +109,7 @@
 
   static void UpdateRoute(Route& aRoute,
                           const RolloutEvidence& aSums,
+                          bool aMoving,
                           Time aNow);
   void UpdateUpstreams(const EvidenceSums& aSums, Time aNow);
   bool IsWidespread() const;
