--- a/walnutwing/rollout/fake_rollout_fleet.h
+++ b/walnutwing/rollout/fake_rollout_fleet.h
@@ -51,7 +51,6 @@
 {
   bool m_up = true;
   bool m_losesAnswers = false;
-  std::uint64_t m_end = 0; // offset
   std::vector<RolloutStatus> m_statuses;
 };
 
@@ -70,6 +69,7 @@
     Faults m_faults;
     Duration m_duration = std::chrono::seconds(20);
     std::uint32_t m_seed = 1;
+    bool m_oneRank = false; // the two writers do not wait for each other
   };
 
   explicit FakeRolloutFleet(Options aOptions)
@@ -317,6 +317,12 @@
   // Exchanges counts, statuses and verdicts, and uses the store.
   void Talk()
   {
+    const std::size_t end = m_store.m_statuses.size();
+    for (Router& router : m_routers) {
+      if (router.m_alive && !router.m_cut) {
+        ReadStore(router);
+      }
+    }
     UpstreamLoads all;
     for (const Router& router : m_routers) {
       for (const auto& [key, count] : LoadsOf(router)) {
@@ -336,15 +342,15 @@
         }
         router.m_exchange->OnDigest(DaemonId("hub"), others, own, Now());
         HearOthers(router);
-        ReadStore(router);
       }
-      router.m_rollouts->Tick(
-        kService,
-        ViewOf(router),
-        i < 2 && !router.m_cut ? std::optional(std::uint32_t(i)) : std::nullopt,
-        Now());
-      if (!router.m_cut) {
-        Write(router);
+      const std::uint32_t rank = m_options.m_oneRank ? 0 : i;
+      const bool writes = i < 2 && !router.m_cut;
+      router.m_rollouts->Tick(kService,
+                              ViewOf(router),
+                              writes ? std::optional(rank) : std::nullopt,
+                              Now());
+      if (writes) {
+        Write(router, end);
       }
     }
   }
@@ -385,19 +391,21 @@
     aRouter.m_rollouts->OnStatusesRead(Now());
   }
 
-  void Write(Router& aRouter)
+  // aEnd: of the store when the router read it.
+  void Write(Router& aRouter, std::size_t aEnd)
   {
     const auto status = aRouter.m_rollouts->StatusToWrite(kService, Now());
     if (!status) {
       return;
     }
-    if (m_store.m_up) {
+    const bool accepted = m_store.m_up && m_store.m_statuses.size() == aEnd;
+    if (accepted) {
       m_store.m_statuses.push_back(*status);
       if (status->m_stage == RolloutStage::Completed) {
         m_oldRequestsAtCompleted = OldRequests();
       }
     }
-    if (m_store.m_up && !m_store.m_losesAnswers) {
+    if (accepted && !m_store.m_losesAnswers) {
       aRouter.m_rollouts->OnWritten(*status, Now());
       return;
     }
--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -11,7 +11,8 @@
 // After the end of a roll-out, its rules are strict and its end is told to
 // other routers for this long.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
-// Writers of later ranks wait for this long per rank.
+// Writers of later ranks wait for this long per rank, but for the one that
+// wrote last, as those before it seem to be dead.
 constexpr Duration kRankDelay = std::chrono::milliseconds(700);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
 // A write whose outcome was never reported.
@@ -141,6 +142,7 @@
   if (IsFinal(m_stage) || aStage <= m_stage) {
     return;
   }
+  m_wroteLast = false;
   m_bad = aStage == RolloutStage::RolledBack;
   Enter(aStage,
         m_next == aStage ? RolloutReason::Due : RolloutReason::Told,
@@ -576,7 +578,10 @@
   // The verdict may have come since the last Tick.
   const std::optional<RolloutStage> target = StageToWrite();
   if (!target || target != m_target || !m_rank || m_writingSince ||
-      aNow < m_retryAt || aNow - m_targetAt < *m_rank * kRankDelay) {
+      aNow < m_retryAt) {
+    return std::nullopt;
+  }
+  if (!m_wroteLast && aNow - m_targetAt < *m_rank * kRankDelay) {
     return std::nullopt;
   }
   m_writingSince = aNow;
@@ -588,6 +593,7 @@
 {
   m_writingSince.reset();
   OnStatus(aStatus, StatusSource::Store, aNow);
+  m_wroteLast = true;
 }
 
 void
--- a/walnutwing/rollout/service_rollout.h
+++ b/walnutwing/rollout/service_rollout.h
@@ -137,6 +137,7 @@
   std::optional<RolloutStage> m_target; // to be written
   Time m_targetAt;                      // since when
   std::optional<std::uint32_t> m_rank;
+  bool m_wroteLast = false; // this router wrote the newest known stage
   std::optional<Time> m_writingSince;
   Time m_retryAt;
 
