--- a/walnutwing/rollout/rollout_types.h
+++ b/walnutwing/rollout/rollout_types.h
@@ -19,9 +19,8 @@
 
 namespace walnutwing {
 
-// Identifies an order: the era of the store and the offset of the order's
-// record. A store that was restored has another era; the record at the same
-// offset with the same version is then still the same order.
+// Identifies an order: the era of the store, which changes when it is restored,
+// and the offset of the order's record.
 struct RolloutOrderId
 {
   std::uint64_t m_era = 0;
--- a/walnutwing/rollout/rollouts.cc
+++ b/walnutwing/rollout/rollouts.cc
@@ -15,6 +15,19 @@
           aOrder.m_id.m_offset < aKnown.m_id.m_offset);
 }
 
+// Whether the records are one order. After the store was restored, operators
+// write their records again, at other offsets.
+bool
+IsSameOrder(const RolloutOrder& aOrder, const RolloutOrder& aKnown)
+{
+  if (aOrder.m_to != aKnown.m_to) {
+    return false;
+  }
+  return aOrder.m_id.m_era == aKnown.m_id.m_era
+           ? aOrder.m_id.m_offset == aKnown.m_id.m_offset
+           : aOrder.m_duration == aKnown.m_duration;
+}
+
 } // namespace
 
 Rollouts::Rollouts(RolloutOptions aOptions, const LoadExchange& aExchange)
@@ -77,10 +90,9 @@
   if (IsOlder(aOrder, order)) {
     return;
   }
-  const bool sameVersion = aOrder.m_to == order.m_to;
-  const bool sameRecord = aOrder.m_id.m_offset == order.m_id.m_offset;
-  if (sameVersion && (sameRecord || !IsFinal(known->Stage()))) {
-    known->OnRepeated(aOrder);
+  if (IsSameOrder(aOrder, order) ||
+      (aOrder.m_to == order.m_to && !IsFinal(known->Stage()))) {
+    known->OnRepeated(aOrder, aNow);
     return;
   }
   Start(aOrder, aNow);
--- a/walnutwing/rollout/rollouts.h
+++ b/walnutwing/rollout/rollouts.h
@@ -67,8 +67,8 @@
                       std::uint32_t aDaemons,
                       Time aNow);
 
-  // For later attempts of a request. Until the version is judged, these do not
-  // go to it.
+  // For later attempts of a request, and for one that has waited since RuleFor.
+  // Until the version is judged, these do not go to it.
   VersionRule RuleForRepeat(const RolloutRequest& aRequest, Time aNow) const;
 
   // A request, or an attempt of one, is about to be sent.
--- a/walnutwing/rollout/rollouts_test.cc
+++ b/walnutwing/rollout/rollouts_test.cc
@@ -218,13 +218,14 @@
   Start();
   GoTo(RolloutStage::Completed);
   EXPECT_FALSE(NextStatus(seconds(2)));
-  m_rollouts.OnStatusesRead(Now()); // had the status
-  m_rollouts.OnStatusesRead(Now()); // has none
+  m_rollouts.OnStatusesRead(Now());     // had the status
+  m_rollouts.OnStatusesRead(Now());     // has none
+  EXPECT_FALSE(NextStatus(seconds(1))); // others may know more
   const auto again = NextStatus(seconds(1));
   ASSERT_TRUE(again);
   EXPECT_EQ(again->m_stage, RolloutStage::Completed);
-  // The order's record has another era now, and is still the same.
-  RolloutOrder order = MakeOrder(seconds(20));
+  // The operator writes its order again, into another era.
+  RolloutOrder order = MakeOrder(seconds(20), 3);
   order.m_id.m_era = 2;
   m_rollouts.OnOrder(order, Now());
   EXPECT_EQ(Stage(), RolloutStage::Completed);
--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -8,13 +8,17 @@
 
 // Without the fleet's sums for longer, nothing goes to an unjudged version.
 constexpr Duration kMaxSumsAge = std::chrono::milliseconds(1500);
-// After the end of a roll-out, its rules are strict and its end is told to
-// other routers for this long.
+// The end of a roll-out is told to other routers for this long, and a bad
+// version gets nothing, if there is no other.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
+// The old version's upstreams stop, but are listed for a while.
+constexpr Duration kStopTime = std::chrono::seconds(10);
 // Writers of later ranks wait for this long per rank, but for the one that
 // wrote last, as those before it seem to be dead.
 constexpr Duration kRankDelay = std::chrono::milliseconds(700);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
+// After the store came back older: until what the others know was heard.
+constexpr Duration kRestoreWait = std::chrono::milliseconds(1500);
 // A write whose outcome was never reported.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 // The old version's requests must be 0 for over two periods of the loads.
@@ -88,8 +92,11 @@
 }
 
 void
-ServiceRollout::OnRepeated(const RolloutOrder& aOrder)
+ServiceRollout::OnRepeated(const RolloutOrder& aOrder, Time aNow)
 {
+  if (aOrder.m_id.m_era != m_order.m_id.m_era) {
+    m_retryAt = aNow + kRestoreWait;
+  }
   if (aOrder.m_id.m_offset != m_order.m_id.m_offset) {
     m_stored.reset();
   }
@@ -125,7 +132,8 @@
   m_emptySince.reset();
   m_settled = false;
   if (IsFinal(aStage)) {
-    m_strictUntil = aNow + kSettleTime;
+    m_strictUntil =
+      aNow + (aStage == RolloutStage::Completed ? kStopTime : kSettleTime);
   }
 }
 
@@ -172,6 +180,9 @@
   }
   AdoptStage(aStatus.m_stage, aNow);
   if (aSource == StatusSource::Store) {
+    if (m_stored > aStatus.m_stage) {
+      m_retryAt = aNow + kRestoreWait;
+    }
     m_stored = aStatus.m_stage;
     m_storedSeen = true;
   }
@@ -184,8 +195,9 @@
     m_known = true;
     m_stageAt = aNow;
   }
-  if (!m_storedSeen) {
+  if (!m_storedSeen && m_stored) {
     m_stored.reset();
+    m_retryAt = aNow + kRestoreWait;
   }
   m_storedSeen = false;
 }
@@ -413,7 +425,8 @@
   if (aView.m_fresh) {
     m_freshAt = aNow;
   }
-  m_settled = IsFinal(m_stage) && aNow - m_stageAt > kSettleTime;
+  m_settled =
+    IsFinal(m_stage) && m_stored == m_stage && aNow - m_stageAt > kSettleTime;
   if (m_writingSince && aNow - *m_writingSince > kWriteTimeout) {
     OnWriteFailed(aNow);
   }
--- a/walnutwing/rollout/service_rollout.h
+++ b/walnutwing/rollout/service_rollout.h
@@ -45,7 +45,7 @@
   void Replace(const ServiceRollout& aFormer, Time aNow);
   // The same order was read again, or the operator ordered the same version
   // again while this is in progress, which goes on.
-  void OnRepeated(const RolloutOrder& aOrder);
+  void OnRepeated(const RolloutOrder& aOrder, Time aNow);
   void OnWithdrawn(Time aNow);
 
   void OnStatus(const RolloutStatus& aStatus, StatusSource aSource, Time aNow);
@@ -53,7 +53,7 @@
   void OnBadVerdict(const RolloutOrderId& aOrder, Time aNow);
 
   bool IsActive() const { return !IsSettled() || IsRolledBack(); }
-  bool NeedsTicks() const { return !IsSettled() || m_stored != m_stage; }
+  bool NeedsTicks() const { return !IsSettled(); }
   bool IsRolledBack() const { return m_stage == RolloutStage::RolledBack; }
 
   VersionRule RuleFor(const RolloutRequest& aRequest,
