--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -8,18 +8,23 @@
 
 // Without the fleet's sums for longer, nothing goes to an unjudged version.
 constexpr Duration kMaxSumsAge = std::chrono::milliseconds(1500);
-// After the end of a roll-out, its rules are strict and its end is told to
-// other routers for this long.
+// The end of a roll-out is told to other routers for this long, and a bad
+// version gets nothing, if there is no other.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
-// Writers of later ranks wait for this long per rank.
+// The old version's upstreams stop, but are listed for a while.
+constexpr Duration kStopTime = std::chrono::seconds(10);
+// Writers of later ranks wait for this long per rank, but for the one that
+// wrote last, as those before it seem to be dead.
 constexpr Duration kRankDelay = std::chrono::milliseconds(700);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
+// After the store came back older: until what the others know was heard.
+constexpr Duration kRestoreWait = std::chrono::milliseconds(1500);
 // A write whose outcome was never reported.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 // The old version's requests must be 0 for over two periods of the loads.
 constexpr Duration kEmptyTime = std::chrono::milliseconds(700);
 // By then every router in touch has heard of Drain.
-constexpr Duration kDrainSpread = std::chrono::seconds(2);
+constexpr Duration kDrainSpread = std::chrono::seconds(1);
 
 constexpr std::uint64_t kMinAnswers = 30;
 constexpr std::uint64_t kMinAnswersOfRoute = 4;
@@ -87,8 +92,11 @@
 }
 
 void
-ServiceRollout::OnRepeated(const RolloutOrder& aOrder)
+ServiceRollout::OnRepeated(const RolloutOrder& aOrder, Time aNow)
 {
+  if (aOrder.m_id.m_era != m_order.m_id.m_era) {
+    m_retryAt = aNow + kRestoreWait;
+  }
   if (aOrder.m_id.m_offset != m_order.m_id.m_offset) {
     m_stored.reset();
   }
@@ -124,7 +132,8 @@
   m_emptySince.reset();
   m_settled = false;
   if (IsFinal(aStage)) {
-    m_strictUntil = aNow + kSettleTime;
+    m_strictUntil =
+      aNow + (aStage == RolloutStage::Completed ? kStopTime : kSettleTime);
   }
 }
 
@@ -141,6 +150,7 @@
   if (IsFinal(m_stage) || aStage <= m_stage) {
     return;
   }
+  m_wroteLast = false;
   m_bad = aStage == RolloutStage::RolledBack;
   Enter(aStage,
         m_next == aStage ? RolloutReason::Due : RolloutReason::Told,
@@ -170,6 +180,9 @@
   }
   AdoptStage(aStatus.m_stage, aNow);
   if (aSource == StatusSource::Store) {
+    if (m_stored > aStatus.m_stage) {
+      m_retryAt = aNow + kRestoreWait;
+    }
     m_stored = aStatus.m_stage;
     m_storedSeen = true;
   }
@@ -182,8 +195,9 @@
     m_known = true;
     m_stageAt = aNow;
   }
-  if (!m_storedSeen) {
+  if (!m_storedSeen && m_stored) {
     m_stored.reset();
+    m_retryAt = aNow + kRestoreWait;
   }
   m_storedSeen = false;
 }
@@ -330,6 +344,9 @@
   if (!IsFinal(m_stage) && (isNew || IsOld(aAnswer.m_version))) {
     m_evidence.OnAnswer(aAnswer, isNew, aSlow);
   }
+  if (!isNew && m_stage < RolloutStage::Surge) {
+    m_longest = std::max(m_longest, aAnswer.m_total.value_or(Duration(0)));
+  }
 }
 
 void
@@ -343,7 +360,7 @@
 RolloutTimes
 ServiceRollout::Times() const
 {
-  return PlanRollout(m_order.m_duration, m_view.m_maxTimeout);
+  return PlanRollout(m_order.m_duration, m_longest);
 }
 
 double
@@ -408,7 +425,8 @@
   if (aView.m_fresh) {
     m_freshAt = aNow;
   }
-  m_settled = IsFinal(m_stage) && aNow - m_stageAt > kSettleTime;
+  m_settled =
+    IsFinal(m_stage) && m_stored == m_stage && aNow - m_stageAt > kSettleTime;
   if (m_writingSince && aNow - *m_writingSince > kWriteTimeout) {
     OnWriteFailed(aNow);
   }
@@ -427,7 +445,8 @@
 ServiceRollout::Judge(Time aNow)
 {
   m_sums = m_evidence.Sums(m_exchange, aNow);
-  const auto bad = m_judge.Update(m_sums, m_view.m_newUpstreams, aNow);
+  const bool moving = m_stage >= RolloutStage::Switch;
+  const auto bad = m_judge.Update(m_sums, m_view.m_newUpstreams, moving, aNow);
   if (bad) {
     m_bad = true;
     Enter(RolloutStage::RolledBack, bad->m_why, bad->m_route, aNow);
@@ -572,7 +591,10 @@
   // The verdict may have come since the last Tick.
   const std::optional<RolloutStage> target = StageToWrite();
   if (!target || target != m_target || !m_rank || m_writingSince ||
-      aNow < m_retryAt || aNow - m_targetAt < *m_rank * kRankDelay) {
+      aNow < m_retryAt) {
+    return std::nullopt;
+  }
+  if (!m_wroteLast && aNow - m_targetAt < *m_rank * kRankDelay) {
     return std::nullopt;
   }
   m_writingSince = aNow;
@@ -584,6 +606,7 @@
 {
   m_writingSince.reset();
   OnStatus(aStatus, StatusSource::Store, aNow);
+  m_wroteLast = true;
 }
 
 void
--- a/walnutwing/rollout/service_rollout.h
+++ b/walnutwing/rollout/service_rollout.h
@@ -45,7 +45,7 @@
   void Replace(const ServiceRollout& aFormer, Time aNow);
   // The same order was read again, or the operator ordered the same version
   // again while this is in progress, which goes on.
-  void OnRepeated(const RolloutOrder& aOrder);
+  void OnRepeated(const RolloutOrder& aOrder, Time aNow);
   void OnWithdrawn(Time aNow);
 
   void OnStatus(const RolloutStatus& aStatus, StatusSource aSource, Time aNow);
@@ -53,7 +53,7 @@
   void OnBadVerdict(const RolloutOrderId& aOrder, Time aNow);
 
   bool IsActive() const { return !IsSettled() || IsRolledBack(); }
-  bool NeedsTicks() const { return !IsSettled() || m_stored != m_stage; }
+  bool NeedsTicks() const { return !IsSettled(); }
   bool IsRolledBack() const { return m_stage == RolloutStage::RolledBack; }
 
   VersionRule RuleFor(const RolloutRequest& aRequest,
@@ -137,6 +137,7 @@
   std::optional<RolloutStage> m_target; // to be written
   Time m_targetAt;                      // since when
   std::optional<std::uint32_t> m_rank;
+  bool m_wroteLast = false; // this router wrote the newest known stage
   std::optional<Time> m_writingSince;
   Time m_retryAt;
 
@@ -146,6 +147,8 @@
   VersionJudge m_judge;
   EvidenceSums m_sums;
   RolloutFleetView m_view;
+  // Of the requests of this router to the old version, in Trial.
+  Duration m_longest{};
   std::optional<Time> m_freshAt;    // when the fleet's sums were known last
   std::optional<Time> m_emptySince; // nothing in flight at the old version
   RolloutHold m_heldBy = RolloutHold::None;
