--- a/standin/rollout_test.cc
+++ b/standin/rollout_test.cc
@@ -305,5 +305,157 @@
   ExpectNoReturn();
 }
 
+// What is right for a bad version, whatever its fault.
+class BadVersion : public Rollout
+{
+protected:
+  static constexpr double kExposureShare = 0.1; // the defaults
+  static constexpr double kExposureAllowance = 50;
+
+  void ExpectRollBack()
+  {
+    Order();
+    RegisterNew();
+    ASSERT_TRUE(RunToState("rolled_back")) << LogsOfAll();
+    EXPECT_LE(m_sentToNew, kExposureShare * m_requests + kExposureAllowance);
+    RunFor(Duration(500)); // until all routers know
+    const std::size_t sent = m_sentToNew;
+    RunFor(Duration(1500));
+    EXPECT_EQ(sent, m_sentToNew);
+    ExpectNoReturn();
+  }
+};
+
+// Guards against a version that fails and goes on getting requests.
+TEST_F(BadVersion, ThatFailsIsRolledBack)
+{
+  m_badShare = 0.5;
+  m_newAnswer.m_failed = true;
+  ExpectRollBack();
+}
+
+// Guards against a version that is slow and goes on getting requests.
+TEST_F(BadVersion, ThatIsSlowIsRolledBack)
+{
+  m_badShare = 1;
+  m_newAnswer.m_slower = 6;
+  ExpectRollBack();
+}
+
+// The router that decides drops out half-way.
+class LostDecider : public BadVersion
+{
+protected:
+  // Orders a roll-out and waits until a router has begun it.
+  std::size_t Begin()
+  {
+    Order();
+    RegisterNew();
+    EXPECT_TRUE(RunToState("in_progress")) << LogsOfAll();
+    RunFor(Duration(1000));
+    return Decider();
+  }
+
+  void ExpectCompletion()
+  {
+    ASSERT_TRUE(RunToState("completed")) << LogsOfAll();
+    EXPECT_EQ(0U, InFlightAtOld());
+    RunFor(Duration(1000));
+    ExpectNoReturn();
+  }
+};
+
+// Guards against a roll-out that ends with the router that decides.
+TEST_F(LostDecider, WasKilledAndTheRollOutIsCompleted)
+{
+  m_harness.Router(Begin()).Kill();
+  ExpectCompletion();
+}
+
+// Guards against the same where the version is bad.
+TEST_F(LostDecider, WasKilledAndABadVersionIsRolledBack)
+{
+  m_harness.Router(Begin()).Kill();
+  m_badShare = 0.5;
+  m_newAnswer.m_failed = true;
+  ASSERT_TRUE(RunToState("rolled_back")) << LogsOfAll();
+  RunFor(Duration(1000));
+  ExpectNoReturn();
+}
+
+// Guards against a router that writes what it knew before it stood still.
+TEST_F(LostDecider, StoodStillAndTheStatusDoesNotGoBack)
+{
+  const std::size_t decider = Begin();
+  m_harness.Router(decider).Signal(SIGSTOP);
+  RunFor(Duration(4000));
+  m_harness.Router(decider).Signal(SIGCONT);
+  ExpectCompletion();
+}
+
+// Guards against a hub that cannot reach the store and keeps the others from
+// writing.
+TEST_F(LostDecider, IsCutFromTheStoreAndTheRollOutIsCompleted)
+{
+  m_harness.Store().SetCut(Begin() + 1, true);
+  ExpectCompletion();
+}
+
+// Guards against a router that starts in a roll-out and begins it anew.
+TEST_F(LostDecider, AndAllOthersWereKilledAndStartAgain)
+{
+  Begin();
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    m_harness.StartRouter(i);
+  }
+  ExpectCompletion();
+}
+
+// Guards against traffic that is moved by bad input, and against input that is
+// refused without a word.
+TEST_F(Rollout, IsNotBegunByABadOrder)
+{
+  RegisterNew();
+  for (const char* order : { "{",
+                             R"({"service":"s","to":"","durationS":12})",
+                             R"({"service":"s","to":"v2","durationS":0})",
+                             R"({"service":"s","to":"v2","durationS":1e9})",
+                             R"({"service":"t","to":"v2","durationS":12})" }) {
+    Order(order);
+    RunFor(Duration(400));
+  }
+  m_harness.Store().Put(kOperatorTopic,
+                        "rollout/unknown",
+                        R"({"service":"unknown","to":"v2","durationS":12})");
+  RunFor(Duration(1500));
+  EXPECT_EQ(0U, m_harness.Store().CountAppends(kStatusTopic));
+  EXPECT_EQ(0U, m_harness.Store().CountNewestRequests(kStatusTopic));
+  EXPECT_NE(std::string::npos, LogsOfAll().find(R"("code":4007)"));
+  EXPECT_NE(std::string::npos, LogsOfAll().find(R"("code":4008)"));
+  EXPECT_NE(std::string::npos, LogsOfAll().find(R"("code":4009)"));
+}
+
+// Guards against a roll-out that goes on though the operators took it back.
+TEST_F(Rollout, ThatIsWithdrawnGoesBack)
+{
+  Order();
+  RegisterNew();
+  ASSERT_TRUE(RunToState("in_progress")) << LogsOfAll();
+  m_harness.Store().Put(kOperatorTopic, kKey, std::nullopt);
+  ASSERT_TRUE(RunToState("rolled_back")) << LogsOfAll();
+  ExpectNoReturn();
+}
+
+// Guards against calls and choices that fleets without an order pay for.
+TEST_F(Rollout, CostsNothingWithoutAnOrder)
+{
+  RegisterNew();
+  RunFor(Duration(1500));
+  EXPECT_EQ(0U, m_harness.Store().CountNewestRequests(kStatusTopic));
+  EXPECT_EQ(0U, m_harness.Store().CountAppends(kStatusTopic));
+  EXPECT_GT(m_sentToNew, 0U);
+  EXPECT_EQ(std::string::npos, LogsOfAll().find("rollout"));
+}
+
 } // namespace
 } // namespace walnutwing::standin
