--- a/walnutwing/rollout/rollouts_test.cc
+++ b/walnutwing/rollout/rollouts_test.cc
@@ -277,6 +277,20 @@
   EXPECT_FALSE(m_rollouts.StatusToWrite(kService, Now()));
 }
 
+// What others know to be written costs no calls to the store.
+TEST_F(RolloutsTest, AStageThatIsHeardOfIsNotWrittenAgain)
+{
+  Start();
+  m_rollouts.OnStatus(
+    Status(RolloutStage::Switch), Now(), StatusSource::Router);
+  EXPECT_EQ(Stage(), RolloutStage::Switch);
+  EXPECT_FALSE(NextStatus(milliseconds(500)));
+  // A verdict may be known before the store has it.
+  m_rollouts.OnStatus(
+    Status(RolloutStage::RolledBack), Now(), StatusSource::Router);
+  EXPECT_TRUE(NextStatus(milliseconds(500)));
+}
+
 TEST_F(RolloutsTest, TheSameOrderReadTwiceChangesNothing)
 {
   Start();
--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -130,7 +130,8 @@
   m_stageAt = aNow;
   m_next.reset();
   m_emptySince.reset();
-  m_settled = false;
+  m_settled = IsFinal(m_stage) && (m_stored == m_stage || !m_rank) &&
+              aNow - m_stageAt > kSettleTime;
   if (IsFinal(aStage)) {
     m_strictUntil =
       aNow + (aStage == RolloutStage::Completed ? kStopTime : kSettleTime);
@@ -178,7 +179,12 @@
   if (!m_sawStart) {
     m_startedAt = std::min(m_startedAt, aStatus.m_startedAt);
   }
+  const RolloutStage before = m_stage;
   AdoptStage(aStatus.m_stage, aNow);
+  if (aSource == StatusSource::Router && m_stage != before &&
+      m_stage != RolloutStage::RolledBack) {
+    m_stored = m_stage; // others know these only from the store
+  }
   if (aSource == StatusSource::Store) {
     if (m_stored > aStatus.m_stage) {
       m_retryAt = aNow + kRestoreWait;
@@ -230,8 +236,7 @@
     case RolloutStage::Completed:
       return aNow < m_strictUntil;
     case RolloutStage::RolledBack:
-      return m_bad &&
-             (aNow < m_strictUntil || m_stored != RolloutStage::RolledBack);
+      return m_bad && aNow < m_strictUntil;
     default:
       return aNow < m_strictUntil; // of a bad version that was replaced
   }
