--- a/router/rollout_keeper.cc
+++ b/router/rollout_keeper.cc
@@ -134,15 +134,15 @@
 void
 RolloutKeeper::ReleaseOrders()
 {
-  const auto waiting = m_waiting;
-  for (const auto& [service, order] : waiting) {
+  std::erase_if(m_waiting, [this](const auto& aWaiting) {
+    const auto& [service, order] = aWaiting;
     if (!IsKnown(service)) {
-      continue;
+      return false;
     }
-    m_waiting.erase(service);
     m_ordered.insert(service);
     m_context.m_rollouts.OnOrder(order, Now());
-  }
+    return true;
+  });
 }
 
 bool
@@ -177,12 +177,11 @@
 void
 RolloutKeeper::Tick(const std::set<ZoneId>& aZonesOut, Time aNow)
 {
-  if (m_ordered.empty() && m_waiting.empty() &&
-      m_context.m_rollouts.Active().empty()) {
-    return;
-  }
   ReleaseOrders();
   const std::vector<ServiceId> active = m_context.m_rollouts.Active();
+  if (m_ordered.empty() && active.empty()) {
+    return;
+  }
   if (!active.empty()) {
     const UpstreamLoads own = m_context.m_selector.OwnLoads();
     const auto rank = m_exchange.RankAmongHubs(kWritersPerZone);
--- a/standin/rollout_test.cc
+++ b/standin/rollout_test.cc
@@ -446,6 +446,22 @@
   ExpectNoReturn();
 }
 
+// Guards against a status that stays as an older copy of the store has it.
+TEST_F(Rollout, OutlivesAStoreThatComesBackOlder)
+{
+  m_harness.Store().SetEra(1);
+  Order();
+  RegisterNew();
+  ASSERT_TRUE(RunToState("in_progress")) << LogsOfAll();
+  m_harness.Store().TakeCopy();
+  ASSERT_TRUE(RunUntil([&] { return Statuses().size() > 1; })) << LogsOfAll();
+  m_harness.Store().RestoreCopy();
+  ASSERT_TRUE(RunToState("completed")) << LogsOfAll();
+  EXPECT_EQ(0U, InFlightAtOld());
+  RunFor(Duration(1000));
+  ExpectNoReturn();
+}
+
 // Guards against calls and choices that fleets without an order pay for.
 TEST_F(Rollout, CostsNothingWithoutAnOrder)
 {
