--- a/walnutwing/rollout/rollouts_test.cc
+++ b/walnutwing/rollout/rollouts_test.cc
@@ -43,7 +43,7 @@
   {
     for (const Time end = Now() + aTime; Now() < end;) {
       Tick();
-      if (const auto status = m_rollouts.StatusToWrite(kService, Now())) {
+      if (auto status = m_rollouts.StatusToWrite(kService, Now())) {
         return status;
       }
     }
