--- a/walnutwing/rollout/exposure_differential_test.cc
+++ b/walnutwing/rollout/exposure_differential_test.cc
@@ -31,6 +31,8 @@
 };
 constexpr int kKinds = 40;
 constexpr std::size_t kRouters = 4;
+// A small allowance is used up soon.
+constexpr RolloutOptions kOptions{ 0.1, 10 };
 
 class Fleet
 {
@@ -75,14 +77,17 @@
     }
   }
 
-  bool Holds() const { return m_sent <= 0.1 * m_requests + 50; }
+  bool Holds() const
+  {
+    return m_sent <=
+           kOptions.m_exposureShare * m_requests + kOptions.m_exposureAllowance;
+  }
   double Sent() const { return m_sent; }
 
 private:
   void RestartAt(std::size_t aRouter)
   {
-    m_rollouts[aRouter] =
-      std::make_unique<Rollouts>(RolloutOptions(), m_exchange);
+    m_rollouts[aRouter] = std::make_unique<Rollouts>(kOptions, m_exchange);
     m_rollouts[aRouter]->OnStatusesRead(m_clock.Now());
     m_rollouts[aRouter]->OnOrder(MakeOrder(std::chrono::seconds(60)),
                                  m_clock.Now());
--- a/walnutwing/rollout/version_judge_test.cc
+++ b/walnutwing/rollout/version_judge_test.cc
@@ -80,12 +80,12 @@
     EXPECT_FALSE(IsBad());
   }
   New(4, 2, "n1");
-  New(4, 1, "n2");
+  New(4, 2, "n2");
   EXPECT_FALSE(IsBad());
   for (int i = 0; i < 20; ++i) {
     const EvidenceSums all = m_sums;
     m_sums.m_routes[""].m_new.m_answers -= 8;
-    m_sums.m_routes[""].m_new.m_failed -= 3;
+    m_sums.m_routes[""].m_new.m_failed -= 4;
     EXPECT_FALSE(IsBad());
     m_sums = all;
     EXPECT_FALSE(IsBad());
