--- a/standin/rollout_test.cc
+++ b/standin/rollout_test.cc
@@ -1,7 +1,7 @@
 // Tests of version roll-outs with router processes: a store in the test's
 // process, and upstreams of an old and of a new version beside each other.
-// Callers send lookups without a pause. The tests check what came of a
-// roll-out, and not when.
+// Callers send lookups and orders without a pause. The tests check what came of
+// a roll-out, and not when.
 
 #include "standin/router_harness.h"
 
@@ -52,12 +52,14 @@
   return { text("state"), text("to"), text("stage") };
 }
 
-// One caller, which sends the next request once the last one was answered.
+// One caller of lookups or of orders, which sends the next request once the
+// last one was answered.
 class LoopingCaller
 {
 public:
-  explicit LoopingCaller(std::size_t aRouter)
+  LoopingCaller(std::size_t aRouter, bool aOrders)
     : m_router(aRouter)
+    , m_orders(aOrders)
   {
   }
 
@@ -66,6 +68,9 @@
     if (m_connection != nullptr && !m_connection->Ended() && !IsAnswered()) {
       return;
     }
+    if (m_connection != nullptr) {
+      m_failures += Received().starts_with("HTTP/1.1 200") ? 0 : 1;
+    }
     try {
       if (m_connection == nullptr || m_connection->Ended()) {
         m_connection = aHarness.Connect(m_router);
@@ -75,16 +80,26 @@
       return;
     }
     m_seen = m_connection->Received().size();
-    m_connection->Send("GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n"
-                       "X-Attempt-Id: a" +
-                       std::to_string(aNumber) +
-                       "\r\nAuthorization: Bearer k1\r\n\r\n");
+    m_connection->Send(
+      std::string(m_orders ? "POST /order/x" : "GET /lookup/x") +
+      " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a" +
+      std::to_string(aNumber) +
+      "\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n");
   }
 
+  // Requests without a good answer.
+  std::size_t Failures() const { return m_failures; }
+
 private:
+  // Of the last response, as far as it has come.
+  std::string Received() const
+  {
+    return m_connection->Received().substr(m_seen);
+  }
+
   bool IsAnswered() const
   {
-    const std::string received = m_connection->Received().substr(m_seen);
+    const std::string received = Received();
     const std::size_t head = received.find("\r\n\r\n");
     const std::size_t length = received.find("Content-Length: ");
     return head != std::string::npos && length < head &&
@@ -93,6 +108,8 @@
   }
 
   std::size_t m_router;
+  bool m_orders;
+  std::size_t m_failures = 0;
   std::unique_ptr<CallerStandin> m_connection;
   std::size_t m_seen = 0;
 };
@@ -119,7 +136,7 @@
         return m_harness.LogText(i).find(R"("daemons":3)") != std::string::npos;
       }));
       for (std::size_t j = 0; j < kCallersPerRouter; ++j) {
-        m_callers.emplace_back(i);
+        m_callers.emplace_back(i, j % 2 == 1);
       }
     }
   }
@@ -227,6 +244,23 @@
     }
   }
 
+  std::size_t Failures() const
+  {
+    std::size_t failures = 0;
+    for (const LoopingCaller& caller : m_callers) {
+      failures += caller.Failures();
+    }
+    return failures;
+  }
+
+  // They are gone at once, without a word.
+  void StopOld()
+  {
+    for (std::size_t i = 0; i < kOldUpstreams; ++i) {
+      m_harness.Upstream(i).Crash();
+    }
+  }
+
   std::size_t InFlightAtOld() const
   {
     return static_cast<std::size_t>(std::count_if(
@@ -300,8 +334,10 @@
   ASSERT_TRUE(RunToState("completed")) << LogsOfAll();
   EXPECT_EQ(0U, InFlightAtOld());
   const std::size_t before = m_requests - m_sentToNew;
+  StopOld();
   RunFor(Duration(1000));
   EXPECT_EQ(before, m_requests - m_sentToNew);
+  EXPECT_EQ(0U, Failures());
   ExpectNoReturn();
 }
 
--- a/walnutwing/routing/load_exchange_test.cc
+++ b/walnutwing/routing/load_exchange_test.cc
@@ -1,6 +1,9 @@
 #include "walnutwing/routing/load_exchange.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -200,5 +203,30 @@
   EXPECT_EQ("b", roster.Alive(clock.Now())[0].m_address);
 }
 
+// Guards against two daemons that act for the fleet at once, and against none
+// that does.
+TEST(LoadExchange, RanksOfThoseThatActForTheFleetDiffer)
+{
+  TestFleet fleet(9, 1);
+  for (const std::size_t perZone : { 1U, 2U }) {
+    std::multiset<std::uint32_t> ranks;
+    std::set<std::uint32_t> ranksOfHubs;
+    for (std::size_t i = 0; i < 9; ++i) {
+      const LoadExchange& exchange = fleet.Daemon(i).m_exchange;
+      const auto rank = exchange.RankAmongHubs(perZone);
+      if (rank) {
+        ranks.insert(*rank);
+      }
+      if (exchange.IsHub()) {
+        ranksOfHubs.insert(rank.value_or(UINT32_MAX));
+      }
+    }
+    const std::multiset<std::uint32_t> all{ 0, 1, 2, 3, 4, 5 };
+    const auto end = std::next(all.begin(), 3 * static_cast<int>(perZone));
+    EXPECT_EQ(std::multiset<std::uint32_t>(all.begin(), end), ranks);
+    EXPECT_EQ((std::set<std::uint32_t>{ 0, 1, 2 }), ranksOfHubs);
+  }
+}
+
 } // namespace
 } // namespace walnutwing
