--- a/walnutwing/routing/load_exchange_test.cc
+++ b/walnutwing/routing/load_exchange_test.cc
@@ -1,6 +1,7 @@
 #include "walnutwing/routing/load_exchange.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <iterator>
 #include <set>
@@ -222,7 +223,8 @@
       }
     }
     const std::multiset<std::uint32_t> all{ 0, 1, 2, 3, 4, 5 };
-    const auto end = std::next(all.begin(), 3 * static_cast<int>(perZone));
+    const auto end =
+      std::next(all.begin(), static_cast<std::ptrdiff_t>(3 * perZone));
     EXPECT_EQ(std::multiset<std::uint32_t>(all.begin(), end), ranks);
     EXPECT_EQ((std::set<std::uint32_t>{ 0, 1, 2 }), ranksOfHubs);
   }
