--- a/walnutwing/rollout/exposure_differential_test.cc
+++ b/walnutwing/rollout/exposure_differential_test.cc
@@ -29,10 +29,10 @@
   Repeat,   // of a request at the new version
   Requests, // and all above
 };
-constexpr int kKinds = 40;
+constexpr int kKinds = 150;
 constexpr std::size_t kRouters = 4;
 // A small allowance is used up soon.
-constexpr RolloutOptions kOptions{ 0.1, 10 };
+constexpr RolloutOptions kOptions{ 0.1, 20 };
 
 class Fleet
 {
