--- /dev/null
+++ b/walnutwing/routing/upstream_pace.cc
@@ -0,0 +1,32 @@
+#include "walnutwing/routing/upstream_pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace walnutwing {
+
+void
+UpstreamPace::OnStated(double aPace, Time aNow)
+{
+  m_stated = std::clamp(aPace, 1 / kMaxFactor, kMaxFactor);
+  m_statedAt = aNow;
+}
+
+bool
+UpstreamPace::IsStated(Time aNow) const
+{
+  return m_statedAt && aNow - *m_statedAt <= kLifetime;
+}
+
+double
+UpstreamPace::Value(Time aNow) const
+{
+  if (!IsStated(aNow)) {
+    return 1;
+  }
+  const std::chrono::duration<double> age = aNow - *m_statedAt;
+  const std::chrono::duration<double> halfLife = kHalfLife;
+  return 1 + (m_stated - 1) * std::exp2(-age / halfLife);
+}
+
+} // namespace walnutwing
--- /dev/null
+++ b/walnutwing/routing/upstream_pace_test.cc
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -228,43 +228,15 @@
   return candidateSet;
 }
 
-// Sets the mean load and the load bound: a request goes to the first candidate
-// in its order whose load is below it. Upstreams with a request limit do not
-// count unless all have one, as the others have to take what they do not.
 void
 UpstreamSelector::ComputeBound(CandidateSet& aCandidateSet) const
 {
-  const auto limited = static_cast<std::size_t>(
-    std::count_if(aCandidateSet.m_candidates.begin(),
-                  aCandidateSet.m_candidates.end(),
-                  [](const auto& aCandidate) { return aCandidate.m_limited; }));
-  const bool allLimited = limited == aCandidateSet.m_candidates.size();
-  double sum = 0;
-  double sumOfAll = 0;
-  std::size_t counted = 0;
+  std::vector<CandidateLoad> loads;
   for (const Candidate& candidate : aCandidateSet.m_candidates) {
-    sumOfAll += candidate.m_load;
-    if (candidate.m_limited && !allLimited) {
-      continue;
-    }
-    sum += candidate.m_load;
-    ++counted;
-  }
-  const std::size_t listed =
-    aCandidateSet.m_listed - (allLimited ? 0 : limited);
-  const double mean = sum / static_cast<double>(counted);
-  const double maxLoad =
-    m_options.m_loadFactor * sum / static_cast<double>(listed) +
-    m_options.m_loadFactorSlack;
-  aCandidateSet.m_meanLoad = mean;
-  aCandidateSet.m_bound = std::min(m_options.m_affinityLoadFactor * mean +
-                                     m_options.m_affinityLoadSlack,
-                                   m_options.m_usedLoadFraction * maxLoad);
-  const double meanOfAll =
-    sumOfAll / static_cast<double>(aCandidateSet.m_candidates.size());
-  aCandidateSet.m_bound = std::min(aCandidateSet.m_bound,
-                                   m_options.m_unlimitedLoadFactor * meanOfAll +
-                                     m_options.m_affinityLoadSlack);
+    loads.push_back({ candidate.m_load, candidate.m_limited });
+  }
+  aCandidateSet.m_loadBound =
+    ComputeLoadBound(m_options, loads, aCandidateSet.m_listed);
 }
 
 // Sets the loads of the candidates and the distances by which they are sorted.
@@ -416,7 +388,7 @@
                                 Time aNow) const
 {
   const std::vector<Candidate>& candidates = aCandidateSet.m_candidates;
-  const double bound = aCandidateSet.m_bound;
+  const double bound = aCandidateSet.m_loadBound.m_bound;
   const Candidate* withinBound = nullptr;
   const Candidate* leastLoaded = nullptr;
   const Candidate* cold = nullptr;
@@ -494,7 +466,7 @@
              std::pair(aRight.m_distance, aRight.m_upstream->m_node.m_hash);
     });
   ComputeBound(candidateSet);
-  choice.m_meanLoad = candidateSet.m_meanLoad;
+  choice.m_meanLoad = candidateSet.m_loadBound.m_meanLoad;
 
   const auto [chosen, leastLoaded] =
     PickCandidate(candidateSet, aRequest, aNow);
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "walnutwing/placement/rendezvous.h"
+#include "walnutwing/routing/load_bound.h"
 #include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/send_limiter.h"
 #include "walnutwing/routing/service_demand.h"
@@ -38,22 +39,8 @@
 
 namespace walnutwing {
 
-struct SelectorOptions
+struct SelectorOptions : LoadBoundOptions
 {
-  // Load bound for the engine that a request prefers: this multiple of the mean
-  // load of the candidates plus a slack in requests, because means are small.
-  double m_affinityLoadFactor = 1.8;
-  double m_affinityLoadSlack = 3.0;
-  // The same where the load bound depends on a part of the upstreams only, as
-  // the others state request limits: this multiple of the mean of all.
-  double m_unlimitedLoadFactor = 4.0;
-  // Limit on the load of an upstream: this multiple of the mean over all listed
-  // upstreams of the service, including those that are skipped, plus a slack in
-  // requests. Only m_usedLoadFraction of the limit is used, because loads are
-  // known with a delay.
-  double m_loadFactor = 2.0;
-  double m_loadFactorSlack = 3.0;
-  double m_usedLoadFraction = 0.85;
   // An upstream is skipped if its failure rate exceeds the median of the
   // candidates by more than this.
   double m_failureMargin = 0.25;
@@ -226,8 +213,7 @@
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
     // The earliest end of a backoff, or of a time without permits.
     Time m_backoffUntil = Time::max();
-    double m_meanLoad = 0; // see ComputeBound
-    double m_bound = 0;
+    LoadBound m_loadBound;
   };
 
   // Which upstreams are candidates.
