--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -79,6 +79,7 @@
     .Add("load", aChoice.m_load)
     .Add("mean_load", aChoice.m_meanLoad)
     .Add("load_age_ms", ToMilliseconds(aChoice.m_loadAge))
+    .Add("pace", aChoice.m_pace)
     .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
     .Add("left_ms", ToMilliseconds(aTimeLeft));
   ++m_context.m_metrics.Counter("attempts_total",
--- a/router/router.cc
+++ b/router/router.cc
@@ -59,7 +59,8 @@
     , m_selector(aSettings.m_zone,
                  SelectorOptionsOf(aSettings),
                  m_exchange,
-                 m_sendLimiter)
+                 m_sendLimiter,
+                 std::random_device{}())
     , m_traitBreaker(aSettings.m_name)
     , m_streamVersions(aSettings.m_name, aSettings.m_zone)
     , m_context{ m_loop,
--- a/walnutwing/routing/pace_model.h
+++ b/walnutwing/routing/pace_model.h
@@ -18,7 +18,8 @@
 enum class Chooser
 {
   Today, // the selector, upstreams do not state their pace
-  Paced, // the selector, upstreams state it
+  Drawn, // the selector, all state that their pace is as usual
+  Paced, // the selector, all state their pace
   Naive, // knows each upstream's queue and pace at this moment
 };
 
@@ -132,8 +133,9 @@
     LoadReport report{ std::min(load, kSlots),
                        load - std::min(load, kSlots),
                        kSlots };
-    if (m_options.m_chooser == Chooser::Paced) {
-      report.m_pace = aServer.m_pace;
+    if (m_options.m_chooser != Chooser::Today) {
+      report.m_pace =
+        m_options.m_chooser == Chooser::Paced ? aServer.m_pace : 1;
     }
     aJob.m_tracker->OnBytesReceived(Now());
     aJob.m_tracker->OnLoadReport(report, Now());
--- a/walnutwing/routing/selector_fixture.h
+++ b/walnutwing/routing/selector_fixture.h
@@ -24,7 +24,7 @@
     , m_zone("z" + std::to_string(aIndex % kTestZones))
     , m_exchange(m_name, m_zone, {})
     , m_limiter(m_name)
-    , m_selector(m_zone, aOptions, m_exchange, m_limiter)
+    , m_selector(m_zone, aOptions, m_exchange, m_limiter, aIndex)
   {
   }
 
--- a/walnutwing/routing/stale_load_draw.cc
+++ b/walnutwing/routing/stale_load_draw.cc
@@ -1,61 +1,67 @@
 #include "walnutwing/routing/stale_load_draw.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <random>
 
 namespace walnutwing {
 namespace {
 
+constexpr double kGoldenRatio = std::numbers::phi - 1;
+
 // The level up to which the places are filled.
 double
-LevelOf(const std::vector<DrawPlace>& aPlaces, double aArrivals)
+FilledLevel(const std::vector<double>& aLevels, double aArrivals)
 {
-  double perLevel = 0; // requests that raise the level by 1
   double sum = aArrivals;
-  double level = 0;
-  for (const DrawPlace& place : aPlaces) {
-    if (perLevel > 0 && level <= place.m_end) {
+  double filled = 0;
+  for (std::size_t i = 0; i < aLevels.size(); ++i) {
+    if (i > 0 && filled <= aLevels[i]) {
       break;
     }
-    perLevel += 1 / place.m_step;
-    sum += place.m_end / place.m_step;
-    level = sum / perLevel;
+    sum += aLevels[i];
+    filled = sum / static_cast<double>(i + 1);
   }
-  return level;
+  return filled;
 }
 
 } // namespace
 
 std::vector<double>
-SharesOfArrivals(const std::vector<DrawPlace>& aPlaces, double aArrivals)
+SharesOfArrivals(const std::vector<double>& aLevels, double aArrivals)
 {
-  std::vector<double> shares(aPlaces.size());
+  std::vector<double> shares(aLevels.size());
   if (aArrivals <= 0) {
     shares.front() = 1;
     return shares;
   }
-  const double level = LevelOf(aPlaces, aArrivals);
-  for (std::size_t i = 0; i < aPlaces.size(); ++i) {
-    const double requests =
-      std::max(0.0, level - aPlaces[i].m_end) / aPlaces[i].m_step;
-    shares[i] = requests / aArrivals;
+  const double filled = FilledLevel(aLevels, aArrivals);
+  for (std::size_t i = 0; i < aLevels.size(); ++i) {
+    shares[i] = std::max(0.0, filled - aLevels[i]) / aArrivals;
   }
   return shares;
 }
 
+StaleLoadDraw::StaleLoadDraw(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  m_position = std::uniform_real_distribution<double>()(random);
+}
+
 std::size_t
-Draw(const std::vector<DrawPlace>& aPlaces,
-     double aArrivals,
-     std::mt19937_64& aRandom)
+StaleLoadDraw::Draw(const std::vector<double>& aLevels, double aArrivals)
 {
-  const std::vector<double> shares = SharesOfArrivals(aPlaces, aArrivals);
-  double left = std::uniform_real_distribution<double>()(aRandom);
+  m_position = std::fmod(m_position + kGoldenRatio, 1.0);
+  const std::vector<double> shares = SharesOfArrivals(aLevels, aArrivals);
+  double left = m_position;
   for (std::size_t i = 0; i < shares.size(); ++i) {
     left -= shares[i];
     if (left < 0) {
       return i;
     }
   }
-  return 0; // rounding
+  return 0; // the shares' sum is a rounding error below 1
 }
 
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_pace.cc
+++ b/walnutwing/routing/upstream_pace.cc
@@ -4,6 +4,12 @@
 #include <cmath>
 
 namespace walnutwing {
+namespace {
+
+// Part of a request's work that is expected to be done at the present pace.
+constexpr double kPresentPart = 0.5;
+
+} // namespace
 
 void
 UpstreamPace::OnStated(double aPace, Time aNow)
@@ -29,4 +35,10 @@
   return 1 + (m_stated - 1) * std::exp2(-age / halfLife);
 }
 
+double
+PacePenalty(double aPace, std::uint32_t aSlots)
+{
+  return kPresentPart * (aPace - 1) * aSlots;
+}
+
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_pace.h
+++ b/walnutwing/routing/upstream_pace.h
@@ -12,6 +12,7 @@
 // times of its answers depend on their sizes and on the queue, and are known
 // only after the pace has changed again.
 
+#include <cstdint>
 #include <optional>
 
 #include "walnutwing/base/clock.h"
@@ -43,6 +44,13 @@
   std::optional<Time> m_statedAt;
 };
 
+// What a pace adds to the time until a request would end there, in requests
+// that wait for an upstream with aSlots. A part of the request's own work is
+// expected to be done at that pace; the rest, like those that wait before it,
+// once the pace is as usual again.
+double
+PacePenalty(double aPace, std::uint32_t aSlots);
+
 } // namespace walnutwing
 
 #endif // WALNUTWING_ROUTING_UPSTREAM_PACE_H_
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -20,6 +20,8 @@
 // Limited engines, the first of the order, to which the requests with a part
 // may go: each of them reads the part once.
 constexpr std::size_t kMaxLimitedSpill = 3;
+// Age of the loads while those of the other daemons are not known.
+constexpr Duration kUnknownLoadAge = std::chrono::seconds(1);
 // Requests are planned for a limited engine if their weight there is not less.
 constexpr double kMinPlannedWeight = 0.1;
 
@@ -72,12 +74,14 @@
 UpstreamSelector::UpstreamSelector(ZoneId aZone,
                                    SelectorOptions aOptions,
                                    const LoadExchange& aExchange,
-                                   const SendLimiter& aLimiter)
+                                   const SendLimiter& aLimiter,
+                                   std::uint64_t aSeed)
   : m_zone(std::move(aZone))
   , m_options(aOptions)
   , m_exchange(aExchange)
   , m_limiter(aLimiter)
   , m_demand(aExchange)
+  , m_draw(aSeed)
 {
 }
 
@@ -260,12 +264,15 @@
       m_exchange.OtherDaemonsLoad(upstream.m_loadKey, own, aNow);
     candidate.m_load =
       others ? own + *others : upstream.m_tracker->Load(meanOtherLoad, aNow);
+    candidate.m_pace = upstream.m_tracker->Pace().Value(aNow);
     const double zonePenalty =
       upstream.m_entry.m_zone == m_zone ? 0 : kOtherZonePenaltyRequests;
+    const double pacePenalty =
+      PacePenalty(candidate.m_pace, upstream.m_entry.m_slots);
     candidate.m_distance =
       aRequest.m_affinity != 0
         ? RendezvousDistance(aRequest.m_affinity, upstream.m_node)
-        : candidate.m_load + zonePenalty;
+        : candidate.m_load + zonePenalty + pacePenalty;
   }
 }
 
@@ -433,6 +440,57 @@
   return pick;
 }
 
+// Requests of the fleet that have probably arrived since the loads of the other
+// daemons were counted.
+double
+UpstreamSelector::ArrivalsSinceCount(const SelectionRequest& aRequest,
+                                     Time aNow)
+{
+  const auto received = m_exchange.OtherLoadsAge(aNow);
+  // On average a count waits for half a period until a hub sends it on.
+  const std::chrono::duration<double> age =
+    received ? *received + m_exchange.Period() / 2 : kUnknownLoadAge;
+  const auto perSecond =
+    m_demand.PerSecond(aRequest.m_service, aRequest.m_daemons, aNow);
+  const double others = 1 - 1.0 / std::max(1U, aRequest.m_daemons);
+  return others * perSecond[PromptClassOf(0)] * age.count();
+}
+
+// Where upstreams state their pace, the first in the order is drawn from those
+// that may get the request.
+void
+UpstreamSelector::MoveDrawnToFront(CandidateSet& aCandidateSet,
+                                   const SelectionRequest& aRequest,
+                                   Time aNow)
+{
+  std::vector<Candidate>& candidates = aCandidateSet.m_candidates;
+  const auto statesPace = [&](const Candidate& aCandidate) {
+    return aCandidate.m_upstream->m_tracker->Pace().IsStated(aNow);
+  };
+  if (aRequest.m_affinity != 0 ||
+      std::none_of(candidates.begin(), candidates.end(), statesPace)) {
+    return;
+  }
+  std::vector<double> levels;
+  std::vector<std::ptrdiff_t> indexes; // of the candidates of these levels
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    if (candidate.m_exhausted || aNow < candidate.m_upstream->m_coldUntil ||
+        candidate.m_load >= aCandidateSet.m_loadBound.m_bound) {
+      continue;
+    }
+    levels.push_back(candidate.m_distance);
+    indexes.push_back(static_cast<std::ptrdiff_t>(i));
+  }
+  if (levels.empty()) {
+    return;
+  }
+  const std::size_t drawn =
+    m_draw.Draw(levels, ArrivalsSinceCount(aRequest, aNow));
+  const auto chosen = candidates.begin() + indexes[drawn];
+  std::rotate(candidates.begin(), chosen, chosen + 1);
+}
+
 Choice
 UpstreamSelector::Choose(const SelectionRequest& aRequest, Time aNow)
 {
@@ -466,6 +524,7 @@
              std::pair(aRight.m_distance, aRight.m_upstream->m_node.m_hash);
     });
   ComputeBound(candidateSet);
+  MoveDrawnToFront(candidateSet, aRequest, aNow);
   choice.m_meanLoad = candidateSet.m_loadBound.m_meanLoad;
 
   const auto [chosen, leastLoaded] =
@@ -485,6 +544,7 @@
   choice.m_version = upstream.m_entry.m_version;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
+  choice.m_pace = chosen->m_pace;
   choice.m_minLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
   choice.m_slots = std::max(1U, upstream.m_entry.m_slots);
   choice.m_loadAge = m_exchange.OtherLoadsAge(aNow).value_or(Duration(-1));
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -8,10 +8,13 @@
 // the first engine whose load is within the load bound, so requests that share
 // a part find it in the engine's cache, and a part with many requests spreads
 // over the next engines in its order. Any other request goes to the least
-// loaded upstream. Draining upstreams and those that cannot be reached, fail
-// more often than their service or are in a zone that operators have taken out
-// are skipped. Cold upstreams are used only if no warm one is within the load
-// bound, and only up to this daemon's share of their request rate.
+// loaded upstream, or, where upstreams state their pace (upstream_pace.h), to
+// one where it is expected to end first, drawn so that not all daemons choose
+// the same one (stale_load_draw.h). Draining upstreams and those that cannot be
+// reached, fail more often than their service or are in a zone that operators
+// have taken out are skipped. Cold upstreams are used only if no warm one is
+// within the load bound, and only up to this daemon's share of their request
+// rate.
 //
 // An upstream that states a request limit is skipped while it is known that
 // there are no permits for it (send_limiter.h). As an engine it is the first in
@@ -34,6 +37,7 @@
 #include "walnutwing/routing/send_limiter.h"
 #include "walnutwing/routing/service_demand.h"
 #include "walnutwing/routing/sliding_window_counter.h"
+#include "walnutwing/routing/stale_load_draw.h"
 #include "walnutwing/routing/upstream_directory.h"
 #include "walnutwing/routing/upstream_tracker.h"
 
@@ -123,6 +127,7 @@
   // Not shared with the upstream's state after a restart.
   std::shared_ptr<UpstreamTracker> m_tracker;
   double m_load = 0;         // its load before this request
+  double m_pace = 1;         // as a multiple of the usual
   double m_meanLoad = 0;     // of the candidates
   std::uint32_t m_slots = 1; // requests that it runs at once
   double m_minLoad = 0;      // of the least loaded warm upstream
@@ -138,11 +143,13 @@
 public:
   // aExchange provides the requests of other daemons; the upstreams' own load
   // reports are used while it has none. aLimiter knows the upstreams' request
-  // limits. Both must outlive this object.
+  // limits. Both must outlive this object. aSeed: of the draws, different at
+  // each daemon.
   UpstreamSelector(ZoneId aZone,
                    SelectorOptions aOptions,
                    const LoadExchange& aExchange,
-                   const SendLimiter& aLimiter);
+                   const SendLimiter& aLimiter,
+                   std::uint64_t aSeed = 0);
 
   void SetOptions(SelectorOptions aOptions) { m_options = aOptions; }
 
@@ -195,6 +202,7 @@
   {
     Upstream* m_upstream = nullptr;
     double m_load = 0;
+    double m_pace = 1;
     double m_distance = 0;
     bool m_limited = false;   // states a request limit
     bool m_exhausted = false; // and there is no permit now
@@ -242,6 +250,10 @@
   void ComputeLoads(std::vector<Candidate>& aCandidates,
                     const SelectionRequest& aRequest,
                     Time aNow) const;
+  void MoveDrawnToFront(CandidateSet& aCandidateSet,
+                        const SelectionRequest& aRequest,
+                        Time aNow);
+  double ArrivalsSinceCount(const SelectionRequest& aRequest, Time aNow);
   // Sets the nodes' weights by the request limits of the service's upstreams.
   void UpdateWeights(const SelectionRequest& aRequest, Time aNow);
   struct Pick
@@ -264,6 +276,7 @@
   bool m_weighted = false; // nodes may have other weights than 1
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
+  StaleLoadDraw m_draw;
 };
 
 } // namespace walnutwing
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -137,6 +137,9 @@
   const double carried = aReport.m_running + aReport.m_waiting;
   m_otherDaemonsLoad = std::max(0.0, carried - m_inFlight);
   m_reportedAt = aNow;
+  if (aReport.m_pace) {
+    m_pace.OnStated(*aReport.m_pace, aNow);
+  }
 }
 
 std::optional<double>
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -1,8 +1,8 @@
 #ifndef WALNUTWING_ROUTING_UPSTREAM_TRACKER_H_
 #define WALNUTWING_ROUTING_UPSTREAM_TRACKER_H_
 
-// The state of one upstream as observed by this daemon: its load, whether it
-// can be reached, whether it responds and how often it fails.
+// The state of one upstream as observed by this daemon: its load and pace,
+// whether it can be reached, whether it responds and how often it fails.
 //
 // The load is this daemon's requests in flight plus the other daemons' requests
 // from the upstream's last load report; the weight of a report decays with its
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "walnutwing/base/clock.h"
+#include "walnutwing/routing/upstream_pace.h"
 
 namespace walnutwing {
 
@@ -23,6 +24,9 @@
   std::uint32_t m_running = 0;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_slots = 0;
+  // How long work takes there now, as a multiple of the usual; not all
+  // upstreams state it.
+  std::optional<double> m_pace{};
 };
 
 // How a request ended, as far as it says something about the upstream.
@@ -61,6 +65,9 @@
   // OtherDaemonsLoad over its service, replaces the report as it ages.
   double Load(double aMeanOtherLoad, Time aNow) const;
 
+  // How long work takes there now, by what it states.
+  const UpstreamPace& Pace() const { return m_pace; }
+
   // Whether it may get new requests: it is not silent, and not in backoff after
   // a failed connection.
   bool Reachable(Time aNow) const;
@@ -96,6 +103,7 @@
   Time m_lastByteAt; // or when a request was sent while none was in flight
   double m_otherDaemonsLoad = 0; // of other daemons, by the last report
   std::optional<Time> m_reportedAt;
+  UpstreamPace m_pace;
   double m_failureRate = 0;
   Time m_failureRateAt;
   std::uint32_t m_connectFailures = 0;
