--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -341,4 +341,13 @@
   }
 }
 
+void
+UpdatePaceGauges(Context& aContext, Time aNow)
+{
+  for (const auto& [service, pace] : aContext.m_selector.MeanPaces(aNow)) {
+    aContext.m_metrics.Gauge("upstream_pace",
+                             FormatLabel("service", service.Value())) = pace;
+  }
+}
+
 } // namespace walnutwing::router
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -160,6 +160,10 @@
 void
 UpdateRepeatBudgetGauges(Context& aContext, Time aNow);
 
+// Sets the gauges of the upstreams' mean pace, by service.
+void
+UpdatePaceGauges(Context& aContext, Time aNow);
+
 } // namespace walnutwing::router
 
 #endif // WALNUTWING_ROUTER_REQUEST_RECORD_H_
--- a/router/router.cc
+++ b/router/router.cc
@@ -186,6 +186,7 @@
     m_metrics.Counter("store_calls_total") = m_state.StoreCalls();
     m_metrics.Counter("store_bytes_read_total") = m_state.StoreBytesRead();
     UpdateRepeatBudgetGauges(m_context, Now());
+    UpdatePaceGauges(m_context, Now());
     return { 200, "text/plain; version=0.0.4", m_metrics.PrometheusText() };
   }
 
--- a/walnutwing/routing/selector_pace_test.cc
+++ b/walnutwing/routing/selector_pace_test.cc
@@ -126,6 +126,18 @@
   EXPECT_NEAR(1, Choose().m_pace, 1e-5);
 }
 
+TEST_F(OneDaemon, MeanPaceIsOfThoseThatStateIt)
+{
+  const Time now = m_fleet.m_clock.Now();
+  const UpstreamSelector& selector = m_fleet.Daemon(0).m_selector;
+  EXPECT_TRUE(selector.MeanPaces(now).empty());
+  const std::vector<Choice> all = All();
+  all[0].m_tracker->OnLoadReport({ 0, 0, kTestSlots, 2.5 }, now);
+  all[1].m_tracker->OnLoadReport({ 0, 0, kTestSlots, 0.5 }, now);
+  all[2].m_tracker->OnLoadReport({ 0, 0, kTestSlots }, now);
+  EXPECT_DOUBLE_EQ(1.5, selector.MeanPaces(now).at(ServiceId("s")));
+}
+
 // Guards against a pace for which an upstream gets more than the load bound.
 TEST_F(OneDaemon, LoadBoundWinsOverThePace)
 {
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -26,13 +26,13 @@
 constexpr double kMinPlannedWeight = 0.1;
 
 double
-MeanLoad(const std::vector<double>& aLoads)
+Mean(const std::vector<double>& aValues)
 {
   double sum = 0;
-  for (const double load : aLoads) {
-    sum += load;
+  for (const double value : aValues) {
+    sum += value;
   }
-  return aLoads.empty() ? 0 : sum / static_cast<double>(aLoads.size());
+  return aValues.empty() ? 0 : sum / static_cast<double>(aValues.size());
 }
 
 } // namespace
@@ -256,7 +256,7 @@
       reported.push_back(*load);
     }
   }
-  const double meanOtherLoad = MeanLoad(reported);
+  const double meanOtherLoad = Mean(reported);
   for (Candidate& candidate : aCandidates) {
     const Upstream& upstream = *candidate.m_upstream;
     const std::uint32_t own = upstream.m_tracker->InFlight();
@@ -583,6 +583,23 @@
   return lost;
 }
 
+std::map<ServiceId, double>
+UpstreamSelector::MeanPaces(Time aNow) const
+{
+  std::map<ServiceId, std::vector<double>> paces;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const UpstreamPace& pace = upstream.m_tracker->Pace();
+    if (pace.IsStated(aNow)) {
+      paces[upstream.m_entry.m_service].push_back(pace.Value(aNow));
+    }
+  }
+  std::map<ServiceId, double> means;
+  for (const auto& [service, values] : paces) {
+    means[service] = Mean(values);
+  }
+  return means;
+}
+
 UpstreamLoads
 UpstreamSelector::OwnLoads() const
 {
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -182,6 +182,9 @@
   // Upstreams that are silent or unreachable for this daemon.
   std::map<UpstreamId, LostCause> LostUpstreams(Time aNow) const;
 
+  // The mean pace of the upstreams that state theirs, by service.
+  std::map<ServiceId, double> MeanPaces(Time aNow) const;
+
   // This daemon's own requests in flight, and its counts of requests by
   // service.
   UpstreamLoads OwnLoads() const;
