--- a/walnutwing/routing/stale_load_draw_test.cc
+++ b/walnutwing/routing/stale_load_draw_test.cc
@@ -24,9 +24,9 @@
   for (int i = 0; i < 10'000; ++i) {
     ++drawn[draw.Draw({ 0, 2, 4 }, 24)]; // 10, 8 and 6 of 24
   }
-  EXPECT_NEAR(10'000 * 10 / 24, drawn[0], 20);
-  EXPECT_NEAR(10'000 * 8 / 24, drawn[1], 20);
-  EXPECT_NEAR(10'000 * 6 / 24, drawn[2], 20);
+  EXPECT_NEAR(10'000 * 10.0 / 24, drawn[0], 20);
+  EXPECT_NEAR(10'000 * 8.0 / 24, drawn[1], 20);
+  EXPECT_NEAR(10'000 * 6.0 / 24, drawn[2], 20);
   EXPECT_EQ(0U, draw.Draw({ 0, 2, 4 }, 0));
 }
 
