--- a/router/router.cc
+++ b/router/router.cc
@@ -59,7 +59,8 @@
     , m_selector(aSettings.m_zone,
                  SelectorOptionsOf(aSettings),
                  m_exchange,
-                 m_sendLimiter)
+                 m_sendLimiter,
+                 std::random_device{}())
     , m_traitBreaker(aSettings.m_name)
     , m_streamVersions(aSettings.m_name, aSettings.m_zone)
     , m_rollouts(RolloutOptionsOf(aSettings), m_exchange)
@@ -192,6 +193,7 @@
     m_metrics.Counter("store_calls_total") = m_state.StoreCalls();
     m_metrics.Counter("store_bytes_read_total") = m_state.StoreBytesRead();
     UpdateRepeatBudgetGauges(m_context, Now());
+    UpdatePaceGauges(m_context, Now());
     return { 200, "text/plain; version=0.0.4", m_metrics.PrometheusText() };
   }
 
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -20,17 +20,19 @@
 // Limited engines, the first of the order, to which the requests with a part
 // may go: each of them reads the part once.
 constexpr std::size_t kMaxLimitedSpill = 3;
+// Age of the loads while those of the other daemons are not known.
+constexpr Duration kUnknownLoadAge = std::chrono::seconds(1);
 // Requests are planned for a limited engine if their weight there is not less.
 constexpr double kMinPlannedWeight = 0.1;
 
 double
-MeanLoad(const std::vector<double>& aLoads)
+Mean(const std::vector<double>& aValues)
 {
   double sum = 0;
-  for (const double load : aLoads) {
-    sum += load;
+  for (const double value : aValues) {
+    sum += value;
   }
-  return aLoads.empty() ? 0 : sum / static_cast<double>(aLoads.size());
+  return aValues.empty() ? 0 : sum / static_cast<double>(aValues.size());
 }
 
 } // namespace
@@ -72,12 +74,14 @@
 UpstreamSelector::UpstreamSelector(ZoneId aZone,
                                    SelectorOptions aOptions,
                                    const LoadExchange& aExchange,
-                                   const SendLimiter& aLimiter)
+                                   const SendLimiter& aLimiter,
+                                   std::uint64_t aSeed)
   : m_zone(std::move(aZone))
   , m_options(aOptions)
   , m_exchange(aExchange)
   , m_limiter(aLimiter)
   , m_demand(aExchange)
+  , m_draw(aSeed)
 {
 }
 
@@ -283,44 +287,18 @@
   return candidateSet;
 }
 
-// Sets the mean load and the load bound: a request goes to the first candidate
-// in its order whose load is below it. Upstreams with a request limit do not
-// count unless all have one, as the others have to take what they do not.
 void
 UpstreamSelector::ComputeBound(CandidateSet& aCandidateSet) const
 {
-  const auto limited = static_cast<std::size_t>(
-    std::count_if(aCandidateSet.m_candidates.begin(),
-                  aCandidateSet.m_candidates.end(),
-                  [](const auto& aCandidate) { return aCandidate.m_limited; }));
-  const bool allLimited = limited == aCandidateSet.m_candidates.size();
-  double sum = 0;
-  double sumOfAll = 0;
-  std::size_t counted = 0;
+  std::vector<CandidateLoad> loads;
   for (const Candidate& candidate : aCandidateSet.m_candidates) {
-    sumOfAll += candidate.m_load;
-    if (candidate.m_limited && !allLimited) {
-      continue;
-    }
-    sum += candidate.m_load;
-    ++counted;
-  }
-  const std::size_t listed =
-    aCandidateSet.m_listed - (allLimited ? 0 : limited);
-  const double mean = sum / static_cast<double>(counted);
-  const double maxLoad = m_options.m_loadFactor *
-                           (sum + aCandidateSet.m_otherVersionsLoad) /
-                           static_cast<double>(listed) +
-                         m_options.m_loadFactorSlack;
-  aCandidateSet.m_meanLoad = mean;
-  aCandidateSet.m_bound = std::min(m_options.m_affinityLoadFactor * mean +
-                                     m_options.m_affinityLoadSlack,
-                                   m_options.m_usedLoadFraction * maxLoad);
-  const double meanOfAll =
-    sumOfAll / static_cast<double>(aCandidateSet.m_candidates.size());
-  aCandidateSet.m_bound = std::min(aCandidateSet.m_bound,
-                                   m_options.m_unlimitedLoadFactor * meanOfAll +
-                                     m_options.m_affinityLoadSlack);
+    loads.push_back({ candidate.m_load, candidate.m_limited });
+  }
+  aCandidateSet.m_loadBound =
+    ComputeLoadBound(m_options,
+                     loads,
+                     aCandidateSet.m_otherVersionsLoad,
+                     aCandidateSet.m_listed);
 }
 
 // Sets the loads of the candidates and the distances by which they are sorted.
@@ -336,7 +314,7 @@
       reported.push_back(*load);
     }
   }
-  const double meanOtherLoad = MeanLoad(reported);
+  const double meanOtherLoad = Mean(reported);
   for (Candidate& candidate : aCandidates) {
     const Upstream& upstream = *candidate.m_upstream;
     const std::uint32_t own = upstream.m_tracker->InFlight();
@@ -344,12 +322,15 @@
       m_exchange.OtherDaemonsLoad(upstream.m_loadKey, own, aNow);
     candidate.m_load =
       others ? own + *others : upstream.m_tracker->Load(meanOtherLoad, aNow);
+    candidate.m_pace = upstream.m_tracker->Pace().Value(aNow);
     const double zonePenalty =
       upstream.m_entry.m_zone == m_zone ? 0 : kOtherZonePenaltyRequests;
+    const double pacePenalty =
+      PacePenalty(candidate.m_pace, upstream.m_entry.m_slots);
     candidate.m_distance =
       aRequest.m_affinity != 0
         ? RendezvousDistance(aRequest.m_affinity, upstream.m_node)
-        : candidate.m_load + zonePenalty;
+        : candidate.m_load + zonePenalty + pacePenalty;
   }
 }
 
@@ -472,7 +453,7 @@
                                 Time aNow) const
 {
   const std::vector<Candidate>& candidates = aCandidateSet.m_candidates;
-  const double bound = aCandidateSet.m_bound;
+  const double bound = aCandidateSet.m_loadBound.m_bound;
   const Candidate* withinBound = nullptr;
   const Candidate* leastLoaded = nullptr;
   const Candidate* cold = nullptr;
@@ -519,6 +500,57 @@
   return pick;
 }
 
+// Requests of the fleet that have probably arrived since the loads of the other
+// daemons were counted.
+double
+UpstreamSelector::ArrivalsSinceCount(const SelectionRequest& aRequest,
+                                     Time aNow)
+{
+  const auto received = m_exchange.OtherLoadsAge(aNow);
+  // On average a count waits for half a period until a hub sends it on.
+  const std::chrono::duration<double> age =
+    received ? *received + m_exchange.Period() / 2 : kUnknownLoadAge;
+  const auto perSecond =
+    m_demand.PerSecond(aRequest.m_service, aRequest.m_daemons, aNow);
+  const double others = 1 - 1.0 / std::max(1U, aRequest.m_daemons);
+  return others * perSecond[PromptClassOf(0)] * age.count();
+}
+
+// Where upstreams state their pace, the first in the order is drawn from those
+// that may get the request.
+void
+UpstreamSelector::MoveDrawnToFront(CandidateSet& aCandidateSet,
+                                   const SelectionRequest& aRequest,
+                                   Time aNow)
+{
+  std::vector<Candidate>& candidates = aCandidateSet.m_candidates;
+  const auto statesPace = [&](const Candidate& aCandidate) {
+    return aCandidate.m_upstream->m_tracker->Pace().IsStated(aNow);
+  };
+  if (aRequest.m_affinity != 0 ||
+      std::none_of(candidates.begin(), candidates.end(), statesPace)) {
+    return;
+  }
+  std::vector<double> levels;
+  std::vector<std::ptrdiff_t> indexes; // of the candidates of these levels
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    if (candidate.m_exhausted || aNow < candidate.m_upstream->m_coldUntil ||
+        candidate.m_load >= aCandidateSet.m_loadBound.m_bound) {
+      continue;
+    }
+    levels.push_back(candidate.m_distance);
+    indexes.push_back(static_cast<std::ptrdiff_t>(i));
+  }
+  if (levels.empty()) {
+    return;
+  }
+  const std::size_t drawn =
+    m_draw.Draw(levels, ArrivalsSinceCount(aRequest, aNow));
+  const auto chosen = candidates.begin() + indexes[drawn];
+  std::rotate(candidates.begin(), chosen, chosen + 1);
+}
+
 // If none of the versions that are asked for can take the request now, another
 // one gets it.
 Choice
@@ -572,7 +604,8 @@
              std::pair(aRight.m_distance, aRight.m_upstream->m_node.m_hash);
     });
   ComputeBound(candidateSet);
-  choice.m_meanLoad = candidateSet.m_meanLoad;
+  MoveDrawnToFront(candidateSet, aRequest, aNow);
+  choice.m_meanLoad = candidateSet.m_loadBound.m_meanLoad;
 
   const auto [chosen, overBound, leastLoaded] =
     PickCandidate(candidateSet, aRequest, aNow);
@@ -592,6 +625,7 @@
   choice.m_version = upstream.m_entry.m_version;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
+  choice.m_pace = chosen->m_pace;
   choice.m_minLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
   choice.m_slots = std::max(1U, upstream.m_entry.m_slots);
   choice.m_loadAge = m_exchange.OtherLoadsAge(aNow).value_or(Duration(-1));
@@ -630,6 +664,23 @@
   return lost;
 }
 
+std::map<ServiceId, double>
+UpstreamSelector::MeanPaces(Time aNow) const
+{
+  std::map<ServiceId, std::vector<double>> paces;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const UpstreamPace& pace = upstream.m_tracker->Pace();
+    if (pace.IsStated(aNow)) {
+      paces[upstream.m_entry.m_service].push_back(pace.Value(aNow));
+    }
+  }
+  std::map<ServiceId, double> means;
+  for (const auto& [service, values] : paces) {
+    means[service] = Mean(values);
+  }
+  return means;
+}
+
 UpstreamLoads
 UpstreamSelector::OwnLoads() const
 {
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -8,10 +8,13 @@
 // the first engine whose load is within the load bound, so requests that share
 // a part find it in the engine's cache, and a part with many requests spreads
 // over the next engines in its order. Any other request goes to the least
-// loaded upstream. Draining upstreams and those that cannot be reached, fail
-// more often than their service or are in a zone that operators have taken out
-// are skipped. Cold upstreams are used only if no warm one is within the load
-// bound, and only up to this daemon's share of their request rate.
+// loaded upstream, or, where upstreams state their pace (upstream_pace.h), to
+// one where it is expected to end first, drawn so that not all daemons choose
+// the same one (stale_load_draw.h). Draining upstreams and those that cannot be
+// reached, fail more often than their service or are in a zone that operators
+// have taken out are skipped. Cold upstreams are used only if no warm one is
+// within the load bound, and only up to this daemon's share of their request
+// rate.
 //
 // An upstream that states a request limit is skipped while it is known that
 // there are no permits for it (send_limiter.h). As an engine it is the first in
@@ -30,31 +33,19 @@
 
 #include "walnutwing/placement/rendezvous.h"
 #include "walnutwing/rollout/rollout_types.h"
+#include "walnutwing/routing/load_bound.h"
 #include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/send_limiter.h"
 #include "walnutwing/routing/service_demand.h"
 #include "walnutwing/routing/sliding_window_counter.h"
+#include "walnutwing/routing/stale_load_draw.h"
 #include "walnutwing/routing/upstream_directory.h"
 #include "walnutwing/routing/upstream_tracker.h"
 
 namespace walnutwing {
 
-struct SelectorOptions
+struct SelectorOptions : LoadBoundOptions
 {
-  // Load bound for the engine that a request prefers: this multiple of the mean
-  // load of the candidates plus a slack in requests, because means are small.
-  double m_affinityLoadFactor = 1.8;
-  double m_affinityLoadSlack = 3.0;
-  // The same where the load bound depends on a part of the upstreams only, as
-  // the others state request limits: this multiple of the mean of all.
-  double m_unlimitedLoadFactor = 4.0;
-  // Limit on the load of an upstream: this multiple of the mean over all listed
-  // upstreams of the service, including those that are skipped, plus a slack in
-  // requests. Only m_usedLoadFraction of the limit is used, because loads are
-  // known with a delay.
-  double m_loadFactor = 2.0;
-  double m_loadFactorSlack = 3.0;
-  double m_usedLoadFraction = 0.85;
   // An upstream is skipped if its failure rate exceeds the median of the
   // candidates by more than this.
   double m_failureMargin = 0.25;
@@ -139,6 +130,7 @@
   // Not shared with the upstream's state after a restart.
   std::shared_ptr<UpstreamTracker> m_tracker;
   double m_load = 0;         // its load before this request
+  double m_pace = 1;         // as a multiple of the usual
   double m_meanLoad = 0;     // of the candidates
   std::uint32_t m_slots = 1; // requests that it runs at once
   double m_minLoad = 0;      // of the least loaded warm upstream
@@ -155,11 +147,13 @@
 public:
   // aExchange provides the requests of other daemons; the upstreams' own load
   // reports are used while it has none. aLimiter knows the upstreams' request
-  // limits. Both must outlive this object.
+  // limits. Both must outlive this object. aSeed: of the draws, different at
+  // each daemon.
   UpstreamSelector(ZoneId aZone,
                    SelectorOptions aOptions,
                    const LoadExchange& aExchange,
-                   const SendLimiter& aLimiter);
+                   const SendLimiter& aLimiter,
+                   std::uint64_t aSeed = 0);
 
   void SetOptions(SelectorOptions aOptions) { m_options = aOptions; }
 
@@ -192,6 +186,9 @@
   // Upstreams that are silent or unreachable for this daemon.
   std::map<UpstreamId, LostCause> LostUpstreams(Time aNow) const;
 
+  // The mean pace of the upstreams that state theirs, by service.
+  std::map<ServiceId, double> MeanPaces(Time aNow) const;
+
   // This daemon's own requests in flight, and its counts of requests by
   // service.
   UpstreamLoads OwnLoads() const;
@@ -212,6 +209,7 @@
   {
     Upstream* m_upstream = nullptr;
     double m_load = 0;
+    double m_pace = 1;
     double m_distance = 0;
     bool m_limited = false;   // states a request limit
     bool m_exhausted = false; // and there is no permit now
@@ -243,8 +241,7 @@
     SelectionFailure m_failure = SelectionFailure::NoUpstream;
     // The earliest end of a backoff, or of a time without permits.
     Time m_backoffUntil = Time::max();
-    double m_meanLoad = 0; // see ComputeBound
-    double m_bound = 0;
+    LoadBound m_loadBound;
   };
 
   // Which upstreams are candidates.
@@ -274,6 +271,10 @@
   void ComputeLoads(std::vector<Candidate>& aCandidates,
                     const SelectionRequest& aRequest,
                     Time aNow) const;
+  void MoveDrawnToFront(CandidateSet& aCandidateSet,
+                        const SelectionRequest& aRequest,
+                        Time aNow);
+  double ArrivalsSinceCount(const SelectionRequest& aRequest, Time aNow);
   // Sets the nodes' weights by the request limits of the service's upstreams.
   void UpdateWeights(const SelectionRequest& aRequest, Time aNow);
   struct Pick
@@ -299,6 +300,7 @@
   bool m_weighted = false; // nodes may have other weights than 1
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
+  StaleLoadDraw m_draw;
 };
 
 } // namespace walnutwing
