--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -173,6 +173,19 @@
       "2",
       &RouterSettings::m_loadFactor,
       "maximum load of an upstream, as a multiple of its service's mean"),
+    RealSetting("limits",
+                "memory_mb",
+                "MB",
+                "0",
+                &RouterSettings::m_memoryMb,
+                "memory of this VM; 0 for what the system reports"),
+    RealSetting("limits",
+                "max_descriptors",
+                "descriptors",
+                "0",
+                &RouterSettings::m_maxDescriptors,
+                "files and connections that this process may have open; 0 for "
+                "what the system allows"),
   };
   return kTable;
 }
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -35,6 +35,8 @@
   double m_repeatAllowance = 0; // repeats per window, in addition to the ratio
   double m_loadFactor = 0; // max load of an upstream, as a multiple of the mean
   std::uint64_t m_logBytesPerSecond = 0; // of lines of successful requests
+  double m_memoryMb = 0;       // of this VM; 0: what the system reports
+  double m_maxDescriptors = 0; // of this process; 0: what the system allows
 };
 
 // All keys in the order of docs/ROUTER.md.
--- a/standin/router_harness.cc
+++ b/standin/router_harness.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <stdexcept>
 
 #include <boost/asio/write.hpp>
@@ -126,15 +127,19 @@
 RouterHarness::WriteSettings(const std::string& aExtra)
 {
   for (const RouterProcess& router : m_routers) {
-    std::ofstream(SettingsFileOf(router))
-      << "[router]\nname = " << router.m_name << "\nzone = " << router.m_zone
-      << "\nlisten = " << router.m_ip << ":" << kListenPort
-      << "\nready_listen = " << router.m_ip << ":" << kReadyPort
-      << "\npeer_listen = " << router.m_ip << ":" << kPeerPort
-      << "\nmetrics_port = " << kMetricsPort
-      << "\n[platform]\naddress = " << m_store->Address()
-      << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds << "\n"
-      << m_options.m_extraBounds << aExtra;
+    std::ofstream file(SettingsFileOf(router));
+    file << "[router]\nname = " << router.m_name << "\nzone = " << router.m_zone
+         << "\nlisten = " << router.m_ip << ":" << kListenPort
+         << "\nready_listen = " << router.m_ip << ":" << kReadyPort
+         << "\npeer_listen = " << router.m_ip << ":" << kPeerPort
+         << "\nmetrics_port = " << kMetricsPort
+         << "\n[platform]\naddress = " << m_store->Address()
+         << "\n[bounds]\nstop_limit_s = " << m_options.m_stopLimitSeconds
+         << "\n"
+         << m_options.m_extraBounds << aExtra;
+    if (!m_options.m_limits.empty()) {
+      file << "\n[limits]\n" << m_options.m_limits;
+    }
   }
 }
 
@@ -190,8 +195,9 @@
             "streaming",
             R"("maxAttempts":2,"resumable":true,"targetGapMs":100)") +
       R"(],"services":[{"name":"s"}],)"
-      R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,)"
-      R"("headerTimeoutMs":300,"idleTimeoutMs":5000},)"
+      R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":)" +
+      std::to_string(m_options.m_maxBodyBytes) +
+      R"(,"headerTimeoutMs":300,"idleTimeoutMs":5000},)"
       R"("tenants":[{"name":"c1","apiKeys":["k1"],"priority":3},)"
       R"({"name":"c2","apiKeys":["k2"],"priority":3}]})");
 }
@@ -320,19 +326,64 @@
 }
 
 std::size_t
-RouterHarness::RouterPeakMemory() const
+RouterHarness::RouterStatusField(const std::string& aField) const
 {
   constexpr std::size_t kBytesPerKb = 1024;
-  const std::string field = "VmHWM:";
   std::ifstream file(
     "/proc/" + std::to_string(m_routers.front().m_process->Pid()) + "/status");
   std::string line;
   while (std::getline(file, line)) {
-    if (line.starts_with(field)) {
-      return std::stoul(line.substr(field.size())) * kBytesPerKb;
+    if (line.starts_with(aField)) {
+      return std::stoul(line.substr(aField.size())) * kBytesPerKb;
     }
   }
-  throw std::runtime_error("the router has no peak memory: it has ended");
+  throw std::runtime_error("the router has no " + aField + " it has ended");
+}
+
+std::size_t
+RouterHarness::RouterPeakMemory() const
+{
+  return RouterStatusField("VmHWM:");
+}
+
+std::size_t
+RouterHarness::RouterMemory() const
+{
+  return RouterStatusField("VmRSS:");
+}
+
+std::size_t
+RouterHarness::RouterDescriptors() const
+{
+  const std::filesystem::directory_iterator descriptors(
+    "/proc/" + std::to_string(m_routers.front().m_process->Pid()) + "/fd");
+  return static_cast<std::size_t>(
+    std::distance(begin(descriptors), end(descriptors)));
+}
+
+Duration
+RouterHarness::RouterProcessorTime() const
+{
+  constexpr std::size_t kFieldsBeforeUserTime = 11; // after the program's name
+  constexpr long kMsPerSecond = 1000;
+  std::ifstream file(
+    "/proc/" + std::to_string(m_routers.front().m_process->Pid()) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  std::string skipped;
+  for (std::size_t i = 0; i < kFieldsBeforeUserTime; ++i) {
+    fields >> skipped;
+  }
+  long user = 0;
+  long system = 0;
+  fields >> user >> system;
+  return Duration((user + system) * kMsPerSecond / sysconf(_SC_CLK_TCK));
+}
+
+Tcp::endpoint
+RouterHarness::CallersEndpoint() const
+{
+  return { asio::ip::make_address_v4(m_routers.front().m_ip), kListenPort };
 }
 
 std::string
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -36,6 +36,8 @@
   bool m_waitUntilReady = true; // see the constructor
   std::string m_extraBounds{};  // more lines of [bounds] in the settings
   std::string m_version{};      // of the upstreams at first; "": not stated
+  std::string m_limits{};       // lines of [limits] in the settings
+  std::size_t m_maxBodyBytes = 10'000; // of a caller, in the configuration
 };
 
 class RouterHarness
@@ -74,6 +76,9 @@
   // next; "": none.
   void SetUpstreamVersion(std::size_t aIndex, const std::string& aVersion);
 
+  asio::io_context& Loop() { return m_loop; }
+  // Where the first router's callers connect.
+  Tcp::endpoint CallersEndpoint() const;
   std::unique_ptr<CallerStandin> Connect(std::size_t aRouter = 0);
   // Connects to the router's readiness page.
   std::unique_ptr<CallerStandin> ConnectToReadyPage();
@@ -91,6 +96,11 @@
   int ReadyStatus(std::size_t aRouter = 0);
   // The first router's peak memory so far, in bytes.
   std::size_t RouterPeakMemory() const;
+  // The first router's memory now, and its open descriptors.
+  std::size_t RouterMemory() const;
+  std::size_t RouterDescriptors() const;
+  // Processor time that the first router has used.
+  Duration RouterProcessorTime() const;
   // A router's metrics page.
   std::string MetricsText(std::size_t aRouter = 0);
 
@@ -129,6 +139,8 @@
                        std::int64_t aStartWallMs);
   std::string SettingsFileOf(const RouterProcess& aRouter) const;
   std::string LogFileOf(const RouterProcess& aRouter) const;
+  // A field of the first router's process status, in bytes.
+  std::size_t RouterStatusField(const std::string& aField) const;
   http::response<http::string_body> FetchPage(std::size_t aRouter,
                                               std::uint16_t aPort,
                                               const std::string& aPath);
