--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <random>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -25,6 +26,20 @@
 constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
+// What a connection costs beside its buffers: its objects, the system's, and
+// those of the connection to an upstream.
+constexpr std::uint64_t kConnectionCost = 8U << 10U;
+// What a field of a head costs beside its text.
+constexpr std::uint64_t kFieldCost = 112;
+// Buffers of a connection that waits for its next request are kept up to this
+// size.
+constexpr std::size_t kMaxIdleBufferBytes = 16U << 10U;
+// The most that a body may take on the wire, as a multiple of the limit of
+// bodies: chunks of one byte without extensions take six times their content.
+constexpr std::uint64_t kMaxWireFactor = 8;
+// Retry-After of requests that are given up for want of memory; a random part
+// of up to the same time is added.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(1000);
 
 // Whether responses with that status line have no body (RFC 9112, 6.3).
 bool
@@ -45,10 +60,16 @@
   , m_timer(aContext.m_loop)
   , m_onClosed(std::move(aOnClosed))
   , m_acceptedAt(Now())
+  , m_owner(aContext.m_memory.Add(*this))
+  , m_charge(aContext.m_memory.Ledger(), m_owner)
 {
+  UpdateCharge();
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection()
+{
+  m_context.m_memory.Remove(m_owner);
+}
 
 const CallerLimits&
 CallerConnection::Limits() const
@@ -70,7 +91,11 @@
 CallerConnection::Read()
 {
   // A full buffer holds requests that the caller has sent ahead of responses.
-  if (m_reading || m_state == State::Closed || m_input.IsFull()) {
+  if (m_reading || m_waitsForMemory || m_state == State::Closed ||
+      m_input.IsFull()) {
+    return;
+  }
+  if (m_state != State::Lingering && !MayGrow()) {
     return;
   }
   m_reading = true;
@@ -99,13 +124,22 @@
       Close();
       return;
     }
-  } else if (m_state != State::Responding && !ParseGuarded()) {
+  } else if (m_state != State::Responding && !ParseWhenAllowed()) {
     OnConnectionLost();
     return;
   }
+  UpdateCharge();
   Read();
 }
 
+// What has been read is parsed only when its body may grow. Returns false if
+// the input cannot be handled.
+bool
+CallerConnection::ParseWhenAllowed()
+{
+  return !MayGrow() || ParseGuarded();
+}
+
 // Returns false if the input cannot be handled because of an unexpected error.
 bool
 CallerConnection::ParseGuarded()
@@ -120,6 +154,11 @@
   m_state = State::Receiving;
   m_hadRequest = true;
   m_headParsed = false;
+  m_headCost = 0;
+  m_wireBytes = 0;
+  m_receivingSince = Now();
+  m_heldBody = std::make_shared<HeldBody>(m_context.m_memory.Ledger(), m_owner);
+  m_heldBody->m_charge.SetUse(MemoryUse::Receiving, m_receivingSince);
   m_parser.emplace();
   m_parser->eager(true);
   m_parser->header_limit(Limits().m_maxHeaderBytes);
@@ -138,6 +177,7 @@
     error_code error;
     const std::size_t used = m_parser->put(m_input.data(), error);
     m_input.consume(used);
+    m_wireBytes += used;
     if (error == http::error::need_more) {
       error = {};
     }
@@ -145,6 +185,10 @@
       OnParseError(error);
       return;
     }
+    if (m_wireBytes > MaxWireBytes()) {
+      Reject(ResultCode::RequestTooLarge);
+      return;
+    }
     if (m_parser->is_header_done() && !m_headParsed) {
       OnRequestHead();
     }
@@ -152,6 +196,7 @@
       OnRequest();
       return;
     }
+    m_heldBody->m_charge.Set(m_headCost + m_parser->get().body().capacity());
     if (used == 0) {
       break;
     }
@@ -167,6 +212,10 @@
   m_headParsed = true;
   SetTimer(Limits().m_idleTimeout); // for the body
   const auto& head = m_parser->get();
+  for (const auto& field : head) {
+    m_headCost +=
+      kFieldCost + field.name_string().size() + field.value().size();
+  }
   if (!m_parser->is_done() &&
       boost::beast::iequals(head[http::field::expect], "100-continue")) {
     m_pending += kContinueResponse;
@@ -179,18 +228,148 @@
 {
   m_state = State::Responding;
   m_timer.Cancel();
-  CallerRequest request = m_parser->release();
+  auto received = m_parser->release();
   m_parser.reset();
+  std::shared_ptr<const std::string> body =
+    TakeBody(std::move(received.body()));
+  CallerRequest request(std::move(received.base()));
   m_keepAlive = request.keep_alive();
   m_isHttp10 = request.version() < kHttp11;
   m_headRequest = request.method() == http::verb::head;
   m_responseEnded = false;
   m_aborted = false;
   m_flow = std::make_shared<RequestFlow>(
-    m_context, std::move(request), ++m_requests, *this);
+    m_context, std::move(request), std::move(body), ++m_requests, *this);
   m_flow->Start();
 }
 
+// The charge of the request that is complete lives as long as its body, which
+// an order may need longer than its caller is connected.
+std::shared_ptr<const std::string>
+CallerConnection::TakeBody(std::string aText)
+{
+  const std::shared_ptr<HeldBody> held = std::exchange(m_heldBody, nullptr);
+  held->m_text = std::move(aText);
+  held->m_charge.Set(m_headCost + held->m_text.capacity());
+  held->m_charge.SetUse(MemoryUse::Held, Now());
+  return { held, &held->m_text };
+}
+
+std::uint64_t
+CallerConnection::MaxWireBytes() const
+{
+  return Limits().m_maxHeaderBytes + kMaxWireFactor * Limits().m_maxBodyBytes;
+}
+
+bool
+CallerConnection::MayGrow()
+{
+  m_waitsForMemory = !m_context.m_memory.MayGrow(m_owner);
+  return !m_waitsForMemory;
+}
+
+std::uint64_t
+CallerConnection::OwnBytes() const
+{
+  return m_input.capacity() +
+         (m_heldBody == nullptr ? 0 : m_heldBody->m_charge.Bytes());
+}
+
+void
+CallerConnection::OnMayGrow()
+{
+  const auto self = shared_from_this();
+  m_waitsForMemory = false;
+  if (m_state == State::Closed) {
+    return;
+  }
+  const bool receives = m_state == State::Idle || m_state == State::Receiving;
+  if (receives && !ParseGuarded()) {
+    OnConnectionLost();
+    return;
+  }
+  UpdateCharge();
+  Read();
+}
+
+// A request that has not arrived whole is refused. Of the others only those end
+// whose callers take nothing of their answers.
+void
+CallerConnection::GiveUp()
+{
+  const auto self = shared_from_this();
+  m_waitsForMemory = false;
+  switch (m_state) {
+    case State::Receiving:
+      Reject(ResultCode::MemoryShort);
+      return;
+    case State::Responding:
+      if (m_charge.Use() == MemoryUse::Sending &&
+          Now() - m_writingSince >= kMinUnreadTime) {
+        ++m_context.m_metrics.Counter("unread_answers_cut_total");
+        ResetOnClose();
+        OnConnectionLost();
+      } else {
+        Read();
+      }
+      return;
+    case State::Idle:
+    case State::Lingering:
+      Close();
+      return;
+    case State::Closed:
+      return;
+  }
+}
+
+// To be called whenever a buffer or the state has changed.
+void
+CallerConnection::UpdateCharge()
+{
+  if (m_state == State::Closed) {
+    m_charge.Set(0);
+    return;
+  }
+  m_charge.Set(kConnectionCost + m_input.capacity() + m_pending.capacity() +
+               m_writing.capacity() + m_keptBytes);
+  if (m_state == State::Responding) {
+    m_charge.SetUse(m_writing.empty() ? MemoryUse::Held : MemoryUse::Sending,
+                    m_writingSince);
+  } else {
+    m_charge.SetUse(MemoryUse::Receiving,
+                    m_state == State::Receiving ? m_receivingSince
+                                                : IdleSince());
+  }
+  m_context.m_memory.OnChanged();
+}
+
+void
+CallerConnection::FreeBuffers()
+{
+  if (m_pending.capacity() > kMaxIdleBufferBytes) {
+    m_pending = {};
+  }
+  if (m_writing.capacity() > kMaxIdleBufferBytes) {
+    m_writing = {};
+  }
+  if (!m_reading && m_input.capacity() > kMaxIdleBufferBytes) {
+    m_input.shrink_to_fit();
+  }
+}
+
+std::size_t
+CallerConnection::MaxKeptBytes() const
+{
+  return m_context.m_memory.MaxAnswerBytes(kMaxKeptBytes);
+}
+
+void
+CallerConnection::OnKept(std::size_t aBytes)
+{
+  m_keptBytes = aBytes;
+  UpdateCharge();
+}
+
 void
 CallerConnection::OnParseError(const error_code& aError)
 {
@@ -216,10 +395,25 @@
     "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
   m_state = State::Responding;
   m_timer.Cancel();
+  m_parser.reset();
+  m_heldBody.reset();
   m_keepAlive = false;
   m_headRequest = false; // not known; the connection is closed
   m_responseEnded = false;
-  WriteRefusal(*this, NotRun::OfIncompleteRequest(), aCode, std::nullopt);
+  WriteRefusal(*this,
+               NotRun::OfIncompleteRequest(),
+               aCode,
+               aCode == ResultCode::MemoryShort
+                 ? std::optional(RetryAfterMemory())
+                 : std::nullopt);
+}
+
+Duration
+CallerConnection::RetryAfterMemory()
+{
+  std::uniform_int_distribution<Duration::rep> jitter(
+    0, kMemoryRetryAfter.count());
+  return kMemoryRetryAfter + Duration(jitter(m_context.m_random));
 }
 
 void
@@ -281,6 +475,7 @@
     m_pending += aPiece;
     m_pending += "\r\n";
   }
+  UpdateCharge();
   Flush();
 }
 
@@ -303,14 +498,20 @@
   m_responseEnded = true;
   m_keepAlive = false;
   if (!m_chunked) {
-    error_code ignored; // the connection is closed in any case
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    ResetOnClose();
     Close();
     return;
   }
   Flush();
 }
 
+void
+CallerConnection::ResetOnClose()
+{
+  error_code ignored; // the connection is closed in any case
+  m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 std::size_t
 CallerConnection::PendingBytes() const
 {
@@ -332,6 +533,8 @@
     return;
   }
   m_writing.swap(m_pending);
+  m_writingSince = Now();
+  UpdateCharge();
   asio::post(m_context.m_loop, [self = shared_from_this()] {
     if (self->m_state == State::Closed) {
       return;
@@ -352,6 +555,7 @@
   if (m_state == State::Closed) {
     return;
   }
+  UpdateCharge();
   if (aError) {
     OnConnectionLost();
     return;
@@ -370,6 +574,8 @@
   }
   m_responseEnded = false;
   m_flow.reset();
+  m_keptBytes = 0;
+  FreeBuffers();
   if (m_aborted) {
     Close();
     return;
@@ -380,8 +586,10 @@
   }
   m_state = State::Idle;
   m_idleSince = Now();
+  UpdateCharge();
   SetTimer(Limits().m_idleTimeout);
   Parse();
+  UpdateCharge();
   Read();
 }
 
@@ -392,7 +600,10 @@
 CallerConnection::Linger()
 {
   m_state = State::Lingering;
+  m_idleSince = Now();
+  m_waitsForMemory = false;
   m_input.consume(m_input.size());
+  UpdateCharge();
   error_code ignored; // a failure shows in the next read
   m_socket.shutdown(Socket::shutdown_send, ignored);
   SetTimer(kLingerTime);
@@ -456,6 +667,8 @@
   }
   const auto self = shared_from_this();
   m_state = State::Closed;
+  m_heldBody.reset();
+  UpdateCharge();
   m_timer.Cancel();
   error_code ignored; // nothing more is done with the socket
   m_socket.close(ignored);
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -4,6 +4,10 @@
 // One caller's HTTP/1.x connection. Requests are parsed by Boost.Beast and
 // served one at a time. The socket is also read while a response is in
 // progress, so that a disconnect is detected at once.
+//
+// All that it holds is charged to the process's MemoryGuard, which may have it
+// read no further, or give up its request. Of a request these are the buffers,
+// the head's fields and the body; of an answer what is not written yet.
 
 #include <functional>
 #include <memory>
@@ -12,17 +16,19 @@
 #include <string_view>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "router/caller_body.h"
 #include "router/context.h"
 #include "router/input_buffer.h"
 #include "router/limit_timer.h"
+#include "router/memory_guard.h"
 #include "router/request_flow.h"
 
 namespace walnutwing::router {
 
 class CallerConnection
   : public ResponseWriter
+  , public MemoryOwner
   , public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -52,10 +58,31 @@
   void End() override;
   void Abort() override;
   std::size_t PendingBytes() const override;
+  std::size_t MaxKeptBytes() const override;
+  void OnKept(std::size_t aBytes) override;
+
+  std::uint64_t OwnBytes() const override;
+  void OnMayGrow() override;
+  void GiveUp() override;
+
+  // Whether it has no request in progress and no part of one, and since when.
+  bool IsIdle() const { return m_state == State::Idle; }
+  Time IdleSince() const { return m_hadRequest ? m_idleSince : m_acceptedAt; }
+  // Closes it at once.
+  void Close();
 
 private:
-  using Parser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<CallerBody>;
+  // A body and the charge for it and its request's head, which end together.
+  struct HeldBody
+  {
+    HeldBody(MemoryLedger& aLedger, MemoryLedger::OwnerId aOwner)
+      : m_charge(aLedger, aOwner)
+    {
+    }
+    std::string m_text;
+    MemoryCharge m_charge;
+  };
   enum class State
   {
     Idle,       // no byte of a request received
@@ -69,6 +96,10 @@
   void OnRead(const error_code& aError, std::size_t aBytes);
   void Parse();
   bool ParseGuarded();
+  bool ParseWhenAllowed();
+  std::uint64_t MaxWireBytes() const;
+  Duration RetryAfterMemory();
+  void ResetOnClose();
   void BeginRequest();
   void OnRequestHead();
   void OnRequest();
@@ -81,7 +112,10 @@
   void OnResponseSent();
   void Linger();
   void OnConnectionLost();
-  void Close();
+  bool MayGrow();
+  void UpdateCharge();
+  void FreeBuffers();
+  std::shared_ptr<const std::string> TakeBody(std::string aText);
   const CallerLimits& Limits() const;
 
   Context& m_context;
@@ -93,6 +127,14 @@
   State m_state = State::Idle;
   InputBuffer m_input;
   std::optional<Parser> m_parser;
+  MemoryLedger::OwnerId m_owner;
+  MemoryCharge m_charge;                // of all but the request
+  std::shared_ptr<HeldBody> m_heldBody; // of the request that is received
+  std::uint64_t m_headCost = 0;         // of that request's fields
+  std::uint64_t m_wireBytes = 0;        // of that request, consumed
+  Time m_receivingSince;                // that request
+  std::size_t m_keptBytes = 0;          // of the answer, elsewhere
+  bool m_waitsForMemory = false;        // and is not read meanwhile
   bool m_reading = false;
   bool m_hadRequest = false;
   std::uint32_t m_requests = 0; // complete ones on this connection
@@ -101,8 +143,9 @@
   bool m_isHttp10 = false; // without chunked encoding
 
   std::shared_ptr<RequestFlow> m_flow;
-  std::string m_pending;      // buffered for the next write
-  std::string m_writing;      // owned by the write in flight
+  std::string m_pending; // buffered for the next write
+  std::string m_writing; // owned by the write in flight
+  Time m_writingSince;
   bool m_headRequest = false; // HEAD: responses have no body
   bool m_bodyless = false;    // this response has no body
   bool m_chunked = false;
--- a/router/context.h
+++ b/router/context.h
@@ -13,6 +13,7 @@
 
 #include "router/asio.h"
 #include "router/event_log.h"
+#include "router/memory_guard.h"
 #include "router/router_settings.h"
 #include "router/upstream_pool.h"
 #include "walnutwing/base/metrics.h"
@@ -33,6 +34,7 @@
   RouterSettings m_settings;
   EventLog& m_log;
   Metrics& m_metrics;
+  MemoryGuard& m_memory;
   UpstreamPool& m_pool;
   UpstreamSelector& m_selector;
   SendLimiter& m_sendLimiter;
--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -26,6 +26,7 @@
   { ReadyChanged, "ready_changed", DropPolicy::DropLast, "the daemon became ready for new connections, or stopped being so" },
   { LinesDropped, "lines_dropped", DropPolicy::DropLast, "log lines were dropped since the last such line" },
   { InputFailed, "input_failed", DropPolicy::DropLast, "a message could not be handled; its connection or call was ended" },
+  { MemoryShort, "memory_short", DropPolicy::DropLast, "what is held for callers came near its limit, or is well under it again" },
   { StoreLost, "store_lost", DropPolicy::DropLast, "a topic of the platform's store cannot be read or written" },
   { StoreRegained, "store_regained", DropPolicy::DropLast, "the topic can be read or written again" },
   { ConfigInForce, "config_in_force", DropPolicy::DropLast, "a new version of the operators' configuration is in force" },
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -31,6 +31,7 @@
   ReadyChanged = 106,
   LinesDropped = 107,
   InputFailed = 108,
+  MemoryShort = 109,
 
   StoreLost = 201,
   StoreRegained = 202,
--- a/router/front.h
+++ b/router/front.h
@@ -1,7 +1,11 @@
 #ifndef WALNUTWING_ROUTER_FRONT_H_
 #define WALNUTWING_ROUTER_FRONT_H_
 
-// Accepts callers' connections and keeps track of the open ones.
+// Accepts callers' connections and keeps track of the open ones. Callers may
+// take a half of the process's descriptors, as each request needs one for its
+// upstream too. A connection over that is accepted in the place of those that
+// have been idle for the longest; if none is idle, in the place of one that the
+// memory's ledger names, or it is closed.
 
 #include <cstdint>
 #include <functional>
@@ -43,10 +47,15 @@
   std::vector<std::shared_ptr<CallerConnection>> Connections() const;
   void AcceptWhenReady();
   void OnAccepted(Socket aSocket);
+  // Returns whether there is room for another connection.
+  bool MakeRoom();
+  std::size_t MaxConnections() const;
+  void CloseLongestIdle();
 
   Context& m_context;
   std::function<bool()> m_canServe;
   Time m_startedAt;
+  std::uint64_t m_systemDescriptors;
   Acceptor m_acceptor;
   Timer m_readyTimer; // of AcceptWhenReady
   std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -63,11 +63,13 @@
 
 RequestFlow::RequestFlow(Context& aContext,
                          CallerRequest aRequest,
+                         std::shared_ptr<const std::string> aBody,
                          std::uint32_t aNumber,
                          ResponseWriter& aWriter)
   : m_context(aContext)
   , m_routes(aContext.m_routes)
   , m_request(std::move(aRequest))
+  , m_body(std::move(aBody))
   , m_facts(platform::DecodeCaller(m_request))
   , m_record(aContext, m_facts.m_attemptId, aNumber)
   , m_traitProbe(aContext)
@@ -222,7 +224,7 @@
     FingerprintOf({ platform::View(m_request.method_string()),
                     platform::View(m_request.target()),
                     Customer(),
-                    m_request.body(),
+                    *m_body,
                     platform::PromptOf(m_request) });
   RequestTraits traits;
   traits.m_requestHash = StableHash(fingerprint.Value()) ^ m_facts.m_promptHash;
@@ -458,8 +460,8 @@
   facts.m_resumeAfter = m_relay.LastEventId();
   UpstreamRequest request;
   request.m_head =
-    platform::EncodeUpstreamHead(m_request, facts, m_request.body().size());
-  request.m_body = m_request.body();
+    platform::EncodeUpstreamHead(m_request, facts, m_body->size());
+  request.m_body = m_body;
   request.m_attemptId = m_facts.m_attemptId;
   request.m_headOnly = m_request.method() == boost::beast::http::verb::head;
   std::uint32_t maxConnections = 0;
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -42,9 +42,11 @@
   , public std::enable_shared_from_this<RequestFlow>
 {
 public:
+  // aRequest: without its body, which is aBody and is shared with the attempts.
   // aNumber: of the request on its connection; 1 for the first.
   RequestFlow(Context& aContext,
               CallerRequest aRequest,
+              std::shared_ptr<const std::string> aBody,
               std::uint32_t aNumber,
               ResponseWriter& aWriter);
   ~RequestFlow() override;
@@ -143,7 +145,8 @@
 
   Context& m_context;
   std::shared_ptr<const RouteTable> m_routes; // the version in force at arrival
-  CallerRequest m_request;
+  CallerRequest m_request;                    // without its body
+  std::shared_ptr<const std::string> m_body;
   platform::CallerFacts m_facts;
   RequestRecord m_record;
   TraitProbe m_traitProbe;
--- a/router/response_relay.cc
+++ b/router/response_relay.cc
@@ -3,12 +3,8 @@
 namespace walnutwing::router {
 namespace {
 
-// Responses up to this size are buffered.
-constexpr std::size_t kMaxBufferedBodyBytes = 256U << 10U;
 // An event is kept in memory until it is complete.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
-// Bytes that the caller has not taken, above which it is behind.
-constexpr std::size_t kMaxPendingBytes = 256U << 10U;
 
 } // namespace
 
@@ -19,6 +15,7 @@
     m_events = {}; // none was forwarded, so the response starts anew
   }
   m_body.clear();
+  NoteKept();
 }
 
 void
@@ -52,6 +49,7 @@
     return aPiece;
   }
   const std::string_view events = m_events.Feed(aPiece);
+  NoteKept();
   return PartialEventBytes() > kMaxEventBytes ? std::nullopt
                                               : std::optional(events);
 }
@@ -64,10 +62,11 @@
     return;
   }
   m_body += aPiece;
-  if (m_body.size() > kMaxBufferedBodyBytes) {
+  if (m_body.size() > m_caller->MaxKeptBytes()) {
     Begin();
     m_caller->Write(std::exchange(m_body, {}));
   }
+  NoteKept();
 }
 
 void
@@ -77,13 +76,22 @@
     return;
   }
   m_caller->Begin(platform::EncodeCallerHead(*m_head), m_body.size());
-  m_caller->Write(m_body);
+  m_caller->Write(std::exchange(m_body, {}));
+  NoteKept();
 }
 
 bool
 ResponseRelay::IsBehind() const
 {
-  return m_begun && m_caller->PendingBytes() > kMaxPendingBytes;
+  return m_begun && m_caller->PendingBytes() > m_caller->MaxKeptBytes();
+}
+
+void
+ResponseRelay::NoteKept()
+{
+  if (HasCaller()) {
+    m_caller->OnKept(m_body.capacity() + m_events.PartialEvent().size());
+  }
 }
 
 Forwarded
--- a/router/response_relay.h
+++ b/router/response_relay.h
@@ -85,6 +85,7 @@
 
 private:
   void Begin();
+  void NoteKept();
 
   ResponseWriter* m_caller;
   std::optional<platform::HttpResponseHead> m_head;
--- a/router/response_writer.h
+++ b/router/response_writer.h
@@ -31,6 +31,14 @@
   virtual void Abort() = 0;
   // Bytes that are not yet written to the caller's socket.
   virtual std::size_t PendingBytes() const = 0;
+
+  // How many bytes of a response may be kept for the caller.
+  virtual std::size_t MaxKeptBytes() const { return kMaxKeptBytes; }
+  // aBytes of the response are kept until they are written.
+  virtual void OnKept(std::size_t /*aBytes*/) {}
+
+protected:
+  static constexpr std::size_t kMaxKeptBytes = 256U << 10U;
 };
 
 // Writes a complete error response with a numbered code to a request that has
--- a/router/router.cc
+++ b/router/router.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 
 #include <boost/asio/signal_set.hpp>
+#include <malloc.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -39,6 +40,9 @@
 // Between two tries to bind the addresses of a process that still runs.
 constexpr Duration kBindRetryInterval = std::chrono::milliseconds(50);
 
+// Larger blocks of memory go back to the system when they are freed.
+constexpr int kOwnMappingBytes = 128 << 10;
+
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFoundStatus = 404;
 
@@ -51,6 +55,7 @@
          const RouterSettings& aSettings)
     : m_settingsFile(std::move(aSettingsFile))
     , m_settingsText(std::move(aSettingsText))
+    , m_memory(m_loop, m_log, m_metrics, MachineBytes(aSettings))
     , m_loop(1)
     , m_log(STDOUT_FILENO, aSettings.m_name.Value(), LogOptions(aSettings))
     , m_pool(m_loop)
@@ -66,6 +71,7 @@
                  aSettings,
                  m_log,
                  m_metrics,
+                 m_memory,
                  m_pool,
                  m_selector,
                  m_sendLimiter,
@@ -121,6 +127,12 @@
     return options;
   }
 
+  static std::uint64_t MachineBytes(const RouterSettings& aSettings)
+  {
+    constexpr double kBytesPerMb = 1U << 20U;
+    return static_cast<std::uint64_t>(aSettings.m_memoryMb * kBytesPerMb);
+  }
+
   static SelectorOptions SelectorOptionsOf(const RouterSettings& aSettings)
   {
     SelectorOptions options;
@@ -179,6 +191,7 @@
       static_cast<double>(m_context.m_requestsInProgress);
     m_metrics.Gauge("caller_connections") =
       static_cast<double>(m_front.OpenConnections());
+    m_memory.UpdateMetrics();
     m_metrics.Counter("upstream_connections_opened_total") =
       m_pool.OpenedTotal();
     m_metrics.Counter("log_lines_dropped_total") = m_log.Dropped();
@@ -258,6 +271,7 @@
     const RouterSettings& settings = m_context.m_settings;
     m_log.SetOptions(LogOptions(settings));
     m_selector.SetOptions(SelectorOptionsOf(settings));
+    m_memory.SetMachineBytes(MachineBytes(settings));
     m_state.OnSettingsChanged();
     for (auto& [service, budget] : m_context.m_repeatBudgets) {
       budget.SetBounds(settings.m_repeatRatio, settings.m_repeatAllowance);
@@ -358,6 +372,7 @@
   std::string m_settingsFile;
   StableText m_settingsText;
   bool m_settingsUnreadable = false;
+  MemoryGuard m_memory; // outlives the loop
   Loop m_loop;
   Metrics m_metrics;
   EventLog m_log;
@@ -416,6 +431,9 @@
 RunRouter(std::string aSettingsFile)
 {
   HoldSignals();
+  // Otherwise the threshold rises with each large block that is freed, and the
+  // gaps that large bodies leave are not given back to the system.
+  static_cast<void>(mallopt(M_MMAP_THRESHOLD, kOwnMappingBytes));
   if (aSettingsFile.empty()) {
     const char* path = std::getenv(kSettingsVariable);
     aSettingsFile = path == nullptr ? "" : path;
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -117,7 +117,9 @@
   m_stage = SendStage::Sent;
   m_writing = true;
   const std::array<asio::const_buffer, 2> buffers = {
-    asio::buffer(m_request.m_head), asio::buffer(m_request.m_body)
+    asio::buffer(m_request.m_head),
+    m_request.m_body == nullptr ? asio::const_buffer()
+                                : asio::buffer(*m_request.m_body)
   };
   asio::async_write(m_socket,
                     buffers,
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -33,8 +33,8 @@
 
 struct UpstreamRequest
 {
-  std::string m_head; // including the empty line
-  std::string m_body;
+  std::string m_head;                        // including the empty line
+  std::shared_ptr<const std::string> m_body; // null: none
   std::string m_attemptId;
   bool m_headOnly = false; // method HEAD: the response has no body
 };
--- a/standin/outside_limits_test.cc
+++ b/standin/outside_limits_test.cc
@@ -253,6 +253,26 @@
   ExpectSound(harness, "Mix");
 }
 
+// Guards against chunks that cost much and carry nearly nothing: a body is
+// limited by what it takes on the wire, too.
+TEST(OutsideLimits, ChunksThatCostMoreThanTheyCarryAreRefused)
+{
+  constexpr std::size_t kExtensionBytes = 20'000;
+  constexpr std::size_t kChunks = 8;
+  HarnessOptions options = Options();
+  options.m_maxBodyBytes = 10'000;
+  RouterHarness harness(options);
+  std::string request = PostChunked();
+  for (std::size_t i = 0; i < kChunks; ++i) {
+    request += "1;" + std::string(kExtensionBytes, 'x') + "\r\nx\r\n";
+  }
+  const auto caller = harness.Connect();
+  caller->Send(request);
+  EXPECT_TRUE(harness.WaitUntil([&] { return !caller->Received().empty(); }));
+  EXPECT_TRUE(caller->Received().starts_with("HTTP/1.1 413"))
+    << caller->Received();
+}
+
 // Guards against idle callers that take the descriptors which the router needs
 // for its upstreams, the store and other callers.
 TEST(OutsideLimits, IdleConnectionsLeaveDescriptors)
--- a/walnutwing/base/result_code.cc
+++ b/walnutwing/base/result_code.cc
@@ -73,6 +73,8 @@
     "no daemon knows which version of the upstreams began the stream" },
   { StreamVersionGone, "stream_version_gone", 503, Ran::NotRun, Repeat::AfterDelay,
     "no upstream has the version that began the stream" },
+  { MemoryShort, "memory_short", 503, Ran::NotRun, Repeat::AfterDelay,
+    "this daemon has no memory for the request now" },
   { OrderRunning, "order_running", 409, Ran::Unknown, Repeat::SameKey,
     "the order is already running" },
   { OrderOutcomeUnknown, "order_outcome_unknown", 409, Ran::Unknown, Repeat::SameKey,
--- a/walnutwing/base/result_code.h
+++ b/walnutwing/base/result_code.h
@@ -46,6 +46,7 @@
   RequestSuspected = 2015,
   StreamVersionUnknown = 2016,
   StreamVersionGone = 2017,
+  MemoryShort = 2018,
 
   OrderRunning = 3001,
   OrderOutcomeUnknown = 3002,
