--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -56,10 +56,11 @@
 
 RequestFlow::RequestFlow(Context& aContext,
                          CallerRequest aRequest,
+                         std::shared_ptr<const std::string> aBody,
                          std::uint32_t aNumber,
                          ResponseWriter& aWriter)
   : m_context(aContext)
-  , m_request(aContext.m_routes, std::move(aRequest))
+  , m_request(aContext.m_routes, std::move(aRequest), std::move(aBody))
   , m_record(aContext, m_request.Facts().m_attemptId, aNumber)
   , m_traitProbe(aContext)
   , m_resumption(aContext, m_request.Facts())
@@ -257,8 +258,11 @@
   if (m_context.m_rollouts.IsActive(m_request.Service())) {
     selection.m_versionRule =
       m_context.m_rollouts.RuleForRepeat(MakeRolloutRequest(), Now());
-  } else if (m_request.GetRoute().m_kind == RouteKind::Stream &&
-             !selection.m_version) {
+  }
+  const bool mayChooseVersion =
+    !selection.m_version && selection.m_versionRule.m_only.empty();
+  if (m_request.GetRoute().m_kind == RouteKind::Stream && mayChooseVersion &&
+      !m_context.m_rollouts.IsInProgress(m_request.Service())) {
     selection.m_newVersions =
       m_context.m_streamVersions.NewVersions(m_request.Service(), Now());
   }
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -36,9 +36,11 @@
   , public std::enable_shared_from_this<RequestFlow>
 {
 public:
+  // aRequest: without its body, which is aBody and is shared with the attempts.
   // aNumber: of the request on its connection; 1 for the first.
   RequestFlow(Context& aContext,
               CallerRequest aRequest,
+              std::shared_ptr<const std::string> aBody,
               std::uint32_t aNumber,
               ResponseWriter& aWriter);
   ~RequestFlow() override;
--- a/router/rollout_keeper.cc
+++ b/router/rollout_keeper.cc
@@ -108,6 +108,7 @@
   platform::RolloutInputError error;
   const auto order = platform::DecodeRolloutOrder(aRecord, aEra, error);
   if (!order) {
+    m_waiting.erase(*platform::RolloutServiceOf(aRecord.m_key));
     Refuse(aRecord, error);
     return;
   }
@@ -217,6 +218,9 @@
       continue;
     }
     const bool usable = !entry.m_draining && !aZonesOut.contains(entry.m_zone);
+    if (usable) {
+      view.m_usableVersions.insert(entry.m_version);
+    }
     if (entry.m_version == aOrder.m_to) {
       view.m_newUpstreamIds.push_back(id);
       view.m_newUpstreams += usable ? 1 : 0;
--- a/router/routed_request.cc
+++ b/router/routed_request.cc
@@ -19,9 +19,11 @@
 } // namespace
 
 RoutedRequest::RoutedRequest(std::shared_ptr<const RouteTable> aRoutes,
-                             CallerRequest aRequest)
+                             CallerRequest aRequest,
+                             std::shared_ptr<const std::string> aBody)
   : m_routes(std::move(aRoutes))
   , m_request(std::move(aRequest))
+  , m_body(std::move(aBody))
   , m_facts(platform::DecodeCaller(m_request))
 {
 }
@@ -69,7 +71,7 @@
     FingerprintOf({ platform::View(m_request.method_string()),
                     platform::View(m_request.target()),
                     Customer(),
-                    m_request.body(),
+                    *m_body,
                     platform::PromptOf(m_request) });
   RequestTraits traits;
   traits.m_requestHash = StableHash(fingerprint.Value()) ^ m_facts.m_promptHash;
@@ -129,8 +131,8 @@
   facts.m_resumeAfter = aResumeAfter;
   UpstreamRequest request;
   request.m_head =
-    platform::EncodeUpstreamHead(m_request, facts, m_request.body().size());
-  request.m_body = m_request.body();
+    platform::EncodeUpstreamHead(m_request, facts, m_body->size());
+  request.m_body = m_body;
   request.m_attemptId = m_facts.m_attemptId;
   request.m_headOnly = m_request.method() == boost::beast::http::verb::head;
   return request;
--- a/router/routed_request.h
+++ b/router/routed_request.h
@@ -30,9 +30,11 @@
 class RoutedRequest
 {
 public:
-  // aRoutes: the version in force; null if there is none yet.
+  // aRoutes: the version in force; null if there is none yet. aRequest: without
+  // its body, which is aBody and is shared with the attempts.
   RoutedRequest(std::shared_ptr<const RouteTable> aRoutes,
-                CallerRequest aRequest);
+                CallerRequest aRequest,
+                std::shared_ptr<const std::string> aBody);
   RoutedRequest(const RoutedRequest&) = delete;
   RoutedRequest& operator=(const RoutedRequest&) = delete;
 
@@ -70,7 +72,8 @@
 
 private:
   std::shared_ptr<const RouteTable> m_routes;
-  CallerRequest m_request;
+  CallerRequest m_request; // without its body
+  std::shared_ptr<const std::string> m_body;
   platform::CallerFacts m_facts;
   const Route* m_route = nullptr;
   const RoutingCustomer* m_customer = nullptr;
--- a/router/router_settings.cc
+++ b/router/router_settings.cc
@@ -186,6 +186,19 @@
                 "50",
                 &RouterSettings::m_exposureAllowance,
                 "requests that it may get in addition to the share"),
+    RealSetting("limits",
+                "memory_mb",
+                "MB",
+                "0",
+                &RouterSettings::m_memoryMb,
+                "memory of this VM; 0 for what the system reports"),
+    RealSetting("limits",
+                "max_descriptors",
+                "descriptors",
+                "0",
+                &RouterSettings::m_maxDescriptors,
+                "files and connections that this process may have open; 0 for "
+                "what the system allows"),
   };
   return kTable;
 }
--- a/router/router_settings.h
+++ b/router/router_settings.h
@@ -39,6 +39,8 @@
   double m_exposureShare = 0;
   double m_exposureAllowance = 0;
   std::uint64_t m_logBytesPerSecond = 0; // of lines of successful requests
+  double m_memoryMb = 0;       // of this VM; 0: what the system reports
+  double m_maxDescriptors = 0; // of this process; 0: what the system allows
 };
 
 // All keys in the order of docs/ROUTER.md.
--- a/standin/router_harness.h
+++ b/standin/router_harness.h
@@ -39,6 +39,8 @@
   // Each router uses an address of the store of its own: the one with the
   // number of the router + 1.
   bool m_ownStoreAddresses = false;
+  std::string m_limits{};              // lines of [limits] in the settings
+  std::size_t m_maxBodyBytes = 10'000; // of a caller, in the configuration
 };
 
 class RouterHarness
@@ -80,6 +82,9 @@
   // Starts another upstream of a version, without registering it.
   void AddUpstream(const std::string& aVersion);
 
+  asio::io_context& Loop() { return m_loop; }
+  // Where the first router's callers connect.
+  Tcp::endpoint CallersEndpoint() const;
   std::unique_ptr<CallerStandin> Connect(std::size_t aRouter = 0);
   // Connects to the router's readiness page.
   std::unique_ptr<CallerStandin> ConnectToReadyPage();
@@ -97,6 +102,11 @@
   int ReadyStatus(std::size_t aRouter = 0);
   // The first router's peak memory so far, in bytes.
   std::size_t RouterPeakMemory() const;
+  // The first router's memory now, and its open descriptors.
+  std::size_t RouterMemory() const;
+  std::size_t RouterDescriptors() const;
+  // Processor time that the first router has used.
+  Duration RouterProcessorTime() const;
   // A router's metrics page.
   std::string MetricsText(std::size_t aRouter = 0);
 
@@ -137,6 +147,8 @@
                        std::int64_t aStartWallMs);
   std::string SettingsFileOf(const RouterProcess& aRouter) const;
   std::string LogFileOf(const RouterProcess& aRouter) const;
+  // A field of the first router's process status, in bytes.
+  std::size_t RouterStatusField(const std::string& aField) const;
   http::response<http::string_body> FetchPage(std::size_t aRouter,
                                               std::uint16_t aPort,
                                               const std::string& aPath);
