--- a/walnutwing/rollout/exposure_budget.h
+++ b/walnutwing/rollout/exposure_budget.h
@@ -47,7 +47,10 @@
   {
     m_daemons = std::max(m_daemons, aDaemons);
     m_unsent = std::min<std::uint64_t>(m_unsent, m_offered.Count(aNow));
-    return static_cast<double>(m_sent + m_unsent + 1) <= Limit();
+    // Rounded by the phase, so that the limit of the fleet is used though each
+    // router's part is less than one request.
+    return static_cast<double>(m_sent + m_unsent) + 1 - m_options.m_phase <=
+           Limit();
   }
 
   std::uint64_t Requests() const { return m_requests; }
--- a/walnutwing/rollout/rollout_schedule.cc
+++ b/walnutwing/rollout/rollout_schedule.cc
@@ -61,6 +61,8 @@
 MinTimeIn(RolloutStage aStage, const RolloutTimes& aTimes)
 {
   switch (aStage) {
+    case RolloutStage::Trial:
+      return PartOf(aTimes.m_surge, kMinStageFraction);
     case RolloutStage::Surge:
       return PartOf(aTimes.m_switch - aTimes.m_surge, kMinStageFraction);
     case RolloutStage::Switch:
@@ -75,7 +77,7 @@
            const RolloutTimes& aTimes,
            const RolloutOptions& aOptions)
 {
-  const double share = kTrialFraction * aOptions.m_exposureShare;
+  const double share = std::min(1.0, kTrialFraction * aOptions.m_exposureShare);
   const double requests = aPerSecond * Seconds(aTimes.m_surge);
   if (requests <= 0) {
     return share;
@@ -112,7 +114,7 @@
 std::size_t
 FocusOf(const RolloutFleetView& aView, double aShare, std::size_t aMin)
 {
-  if (aView.m_newUpstreams == 0 || aView.m_newWarmSlots == 0) {
+  if (aView.m_newUpstreams == 0 || aView.m_newWarmSlots == 0 || aShare >= 1) {
     return 0;
   }
   const double slotsEach = static_cast<double>(aView.m_newWarmSlots) /
--- a/walnutwing/rollout/rollout_types.cc
+++ b/walnutwing/rollout/rollout_types.cc
@@ -23,8 +23,8 @@
   "evidence", "capacity",       "old_requests", "store"
 };
 constexpr std::array<std::string_view, 9> kReasonNames{
-  "ordered",       "due",      "told",      "failures",     "slowness",
-  "verdict_heard", "replaced", "withdrawn", "already_there"
+  "ordered",  "due",           "told",     "failures",
+  "slowness", "verdict_heard", "replaced", "withdrawn"
 };
 
 } // namespace
--- a/walnutwing/rollout/rollout_types.h
+++ b/walnutwing/rollout/rollout_types.h
@@ -107,16 +107,20 @@
   // for its service, plus the allowance, from all routers together.
   double m_exposureShare = 0.1;
   double m_exposureAllowance = 50; // requests
+  // From 0 to 1, another one for each router, so that they do not all send
+  // their first requests to the new version after the same number of requests.
+  double m_phase = 0;
 };
 
 // Which versions a request may go to.
 struct VersionRule
 {
   // Empty: any. If none of their upstreams can take the request now, it goes to
-  // another version (m_strict: it does not).
+  // another version.
   std::set<SoftwareVersion> m_only;
-  // Never, unless nothing else is listed (m_strict: not even then).
+  // Never, unless nothing else is listed.
   std::set<SoftwareVersion> m_exclude;
+  // Refuse the request rather than use another version.
   bool m_strict = false;
   // Use only that many upstreams of m_only, the first in the order of the
   // StableHash of their ids; 0: all.
@@ -159,6 +163,8 @@
   // Their ids, so that the bad answers of each are known to every router.
   std::vector<UpstreamId> m_newUpstreamIds;
   std::size_t m_oldUpstreams = 0;
+  // Versions with an upstream that may get requests.
+  std::set<SoftwareVersion> m_usableVersions;
   Duration m_maxTimeout{}; // the longest timeout of a route to the service
   bool m_fresh = false;    // the sums of all routers are known now
 };
@@ -192,11 +198,10 @@
   VerdictHeard, // another router judged it bad
   Replaced,     // by an order for another version
   Withdrawn,    // the operator took the order back
-  AlreadyThere, // the version was completed before
 };
 
 // "ordered", "due", "told", "failures", "slowness", "verdict_heard",
-// "replaced", "withdrawn", "already_there".
+// "replaced", "withdrawn".
 std::string_view
 NameOf(RolloutReason aReason);
 
@@ -213,6 +218,8 @@
 {
   RolloutCounts m_old;
   RolloutCounts m_new;
+  // Whether requests have prompts, whose parts are cached.
+  bool m_hasPrompts = false;
 };
 
 // For log lines.
--- a/walnutwing/rollout/rollouts.cc
+++ b/walnutwing/rollout/rollouts.cc
@@ -1,6 +1,8 @@
 #include "walnutwing/rollout/rollouts.h"
 
 #include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace walnutwing {
 namespace {
@@ -63,13 +65,18 @@
 void
 Rollouts::Start(const RolloutOrder& aOrder, Time aNow)
 {
-  ServiceRollout rollout(aOrder, m_options, m_exchange, m_statusesRead, aNow);
+  const auto early = m_early.find(aOrder.m_service);
+  ServiceRollout rollout(aOrder,
+                         m_options,
+                         m_exchange,
+                         m_statusesRead,
+                         early != m_early.end(),
+                         aNow);
   if (ServiceRollout* former = Find(aOrder.m_service)) {
     former->OnReplaced(aNow);
     CollectChanges(*former);
-    rollout.Replace(*former, aNow);
+    rollout.TakeOverFrom(*former, aNow);
   }
-  const auto early = m_early.find(aOrder.m_service);
   if (early != m_early.end()) {
     rollout.OnStatus(early->second.first, early->second.second, aNow);
     m_early.erase(early);
@@ -116,7 +123,13 @@
     rollout->OnStatus(aStatus, aSource, aNow);
   }
   if (rollout == nullptr || rollout->Order().m_id < aStatus.m_order) {
-    m_early.insert_or_assign(aStatus.m_service, std::pair(aStatus, aSource));
+    const auto [early, isNew] =
+      m_early.try_emplace(aStatus.m_service, aStatus, aSource);
+    const RolloutStatus& known = early->second.first;
+    if (!isNew && std::tie(known.m_order, known.m_stage) <
+                    std::tie(aStatus.m_order, aStatus.m_stage)) {
+      early->second = { aStatus, aSource };
+    }
   }
 }
 
@@ -148,6 +161,13 @@
   return rollout != nullptr && rollout->IsActive();
 }
 
+bool
+Rollouts::IsInProgress(const ServiceId& aService) const
+{
+  const ServiceRollout* rollout = Find(aService);
+  return rollout != nullptr && !IsFinal(rollout->Stage());
+}
+
 VersionRule
 Rollouts::RuleFor(const RolloutRequest& aRequest,
                   std::uint32_t aDaemons,
@@ -190,7 +210,9 @@
 {
   ServiceRollout* rollout = Find(aAnswer.m_service);
   if (rollout == nullptr || IsFinal(rollout->Stage())) {
-    m_pace.Learn(aAnswer, true);
+    if (rollout == nullptr || rollout->IsOld(aAnswer.m_version)) {
+      m_pace.Learn(aAnswer, true);
+    }
     return;
   }
   const Time sentAt = aNow - aAnswer.m_total.value_or(Duration(0));
@@ -280,10 +302,10 @@
   return verdicts;
 }
 
-std::vector<Rollouts::View>
+std::vector<RolloutView>
 Rollouts::Views(Time aNow) const
 {
-  std::vector<View> views;
+  std::vector<RolloutView> views;
   for (const auto& [service, rollout] : m_rollouts) {
     views.push_back(rollout.View(aNow));
   }
--- a/walnutwing/rollout/rollouts.h
+++ b/walnutwing/rollout/rollouts.h
@@ -34,8 +34,6 @@
 class Rollouts
 {
 public:
-  using View = RolloutView;
-
   // aExchange provides the other routers' counts. It must outlive this object.
   Rollouts(RolloutOptions aOptions, const LoadExchange& aExchange);
 
@@ -62,6 +60,9 @@
   // Whether versions matter for requests of the service.
   bool IsActive(const ServiceId& aService) const;
 
+  // Whether it is not decided yet to which version the requests go.
+  bool IsInProgress(const ServiceId& aService) const;
+
   // To be called once a request, before its first attempt; counts the request.
   VersionRule RuleFor(const RolloutRequest& aRequest,
                       std::uint32_t aDaemons,
@@ -107,7 +108,7 @@
   std::vector<RolloutStatus> News() const;
   std::vector<RolloutVerdict> BadVerdicts() const;
 
-  std::vector<View> Views(Time aNow) const;
+  std::vector<RolloutView> Views(Time aNow) const;
 
   // The changes since the last call, oldest first.
   std::vector<RolloutChange> TakeChanges();
--- a/walnutwing/rollout/rollouts_test.cc
+++ b/walnutwing/rollout/rollouts_test.cc
@@ -28,6 +28,7 @@
     m_view.m_newUpstreams = m_view.m_oldUpstreams = 4;
     m_view.m_maxTimeout = seconds(4);
     m_view.m_fresh = true;
+    m_view.m_usableVersions = { kOld, kNew };
   }
 
   Time Now() const { return m_clock.Now(); }
@@ -93,6 +94,18 @@
     return true;
   }
 
+  // Whether all of the next requests may go to the old version only.
+  bool OnlyOldServes()
+  {
+    for (int i = 0; i < 100; ++i) {
+      const VersionRule rule = Rule();
+      if (rule.m_exclude.contains(kOld) || !rule.m_exclude.contains(kNew)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   PausedClock m_clock;
   LoadExchange m_exchange{ DaemonId("r"), ZoneId("z"), LoadExchangeOptions() };
   Rollouts m_rollouts{ RolloutOptions(), m_exchange };
@@ -322,6 +335,70 @@
   EXPECT_FALSE(Rule().m_exclude.contains(kNew));
 }
 
+// Guards against a service that refuses all requests: the operator gives up
+// another version by ordering the one that serves.
+TEST_F(RolloutsTest, TheServingVersionMayBeOrdered)
+{
+  Start();
+  m_rollouts.OnOrder(MakeOrder(seconds(20), 8, kOld), Now());
+  EXPECT_TRUE(OnlyOldServes());
+}
+
+TEST_F(RolloutsTest, TheServingVersionMayBeOrderedAfterAVerdict)
+{
+  Start();
+  m_rollouts.OnBadVerdict(kService, kNew, { 1, 7 }, Now());
+  m_rollouts.OnOrder(MakeOrder(seconds(20), 8, kOld), Now());
+  EXPECT_TRUE(OnlyOldServes());
+}
+
+// Guards against a router that prefers a version which was replaced since, in a
+// release without an order.
+TEST_F(RolloutsTest, ARollOutThatEndedLongAgoBindsNoRestartedRouter)
+{
+  RolloutStatus status = Status(RolloutStage::Completed);
+  status.m_startedAt = Now() - std::chrono::hours(1);
+  m_rollouts.OnStatus(status, Now());
+  m_rollouts.OnStatusesRead(Now());
+  m_rollouts.OnOrder(MakeOrder(seconds(20)), Now());
+  EXPECT_FALSE(m_rollouts.IsActive(kService));
+  EXPECT_FALSE(Rule().m_strict);
+}
+
+// Guards against news without end from the routers that write no statuses.
+TEST_F(RolloutsTest, ARollBackSettlesWhereNoStatusIsWritten)
+{
+  Start();
+  m_rollouts.OnStatus(
+    Status(RolloutStage::RolledBack), Now(), StatusSource::Router);
+  EXPECT_FALSE(m_rollouts.News().empty());
+  m_clock.Advance(seconds(61));
+  Tick(std::nullopt);
+  EXPECT_TRUE(m_rollouts.News().empty());
+  EXPECT_TRUE(NothingToNew());
+}
+
+// Guards against a version that is switched to without a look at it, because
+// its upstreams were cold until late.
+TEST_F(RolloutsTest, ABusyServiceIsNotSwitchedWithoutEvidence)
+{
+  Start();
+  RolloutAnswer answer;
+  answer.m_service = kService;
+  answer.m_version = kOld;
+  for (int i = 0; i < 10'000; ++i) {
+    m_rollouts.OnAnswer(answer, Now());
+  }
+  for (const Time end = Now() + seconds(40); Now() < end;) {
+    Tick();
+    if (const auto status = m_rollouts.StatusToWrite(kService, Now())) {
+      EXPECT_NE(status->m_stage, RolloutStage::Switch);
+      m_rollouts.OnWritten(*status, Now());
+    }
+  }
+  EXPECT_EQ(Stage(), RolloutStage::Surge);
+}
+
 TEST_F(RolloutsTest, AWithdrawnOrderIsRolledBack)
 {
   Start();
--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -13,8 +13,8 @@
 constexpr Duration kSettleTime = std::chrono::seconds(60);
 // The old version's upstreams stop, but are listed for a while.
 constexpr Duration kStopTime = std::chrono::seconds(10);
-// Writers of later ranks wait for this long per rank, but for the one that
-// wrote last, as those before it seem to be dead.
+// A writer waits for this long per rank. The one that wrote last does not, as
+// those before it are probably dead.
 constexpr Duration kRankDelay = std::chrono::milliseconds(700);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
 // After the store came back older: until what the others know was heard.
@@ -34,21 +34,29 @@
 constexpr std::size_t kMinTrialUpstreams = 2;
 constexpr Duration kMinRateTime = std::chrono::seconds(1);
 
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
 } // namespace
 
 ServiceRollout::ServiceRollout(RolloutOrder aOrder,
                                RolloutOptions aOptions,
                                const LoadExchange& aExchange,
                                bool aStatusesRead,
+                               bool aHasStatus,
                                Time aNow)
   : m_order(std::move(aOrder))
   , m_options(aOptions)
   , m_exchange(aExchange)
   , m_startedAt(aNow)
   , m_stageAt(aNow)
-  , m_sawStart(aStatusesRead)
+  , m_sawStart(aStatusesRead && !aHasStatus)
   , m_known(aStatusesRead)
   , m_budget(aOptions)
+  , m_split(aOptions.m_phase)
   , m_evidence(m_order.m_service, m_order.m_to)
 {
   m_changes.push_back({ m_order.m_service,
@@ -77,13 +85,14 @@
 }
 
 void
-ServiceRollout::Replace(const ServiceRollout& aFormer, Time aNow)
+ServiceRollout::TakeOverFrom(const ServiceRollout& aFormer, Time aNow)
 {
   m_abandoned = aFormer.m_abandoned;
   if (aFormer.m_stage != RolloutStage::Completed) {
     m_abandoned.insert(aFormer.m_order.m_to);
   }
   m_abandoned.erase(m_order.m_to);
+  m_view.m_usableVersions = aFormer.m_view.m_usableVersions;
   m_completedBefore = aFormer.m_stage == RolloutStage::Completed &&
                       aFormer.m_order.m_to == m_order.m_to;
   if (aFormer.m_bad) {
@@ -130,8 +139,7 @@
   m_stageAt = aNow;
   m_next.reset();
   m_emptySince.reset();
-  m_settled = IsFinal(m_stage) && (m_stored == m_stage || !m_rank) &&
-              aNow - m_stageAt > kSettleTime;
+  m_settled = false;
   if (IsFinal(aStage)) {
     m_strictUntil =
       aNow + (aStage == RolloutStage::Completed ? kStopTime : kSettleTime);
@@ -140,7 +148,7 @@
 
 // A stage that the store has accepted or that another router knows.
 void
-ServiceRollout::AdoptStage(RolloutStage aStage, Time aNow)
+ServiceRollout::AdoptStage(RolloutStage aStage, StatusSource aSource, Time aNow)
 {
   if (aStage == RolloutStage::Completed && IsRolledBack() &&
       m_stored != RolloutStage::RolledBack) {
@@ -152,7 +160,8 @@
     return;
   }
   m_wroteLast = false;
-  m_bad = aStage == RolloutStage::RolledBack;
+  // A status does not say why it was rolled back; routers tell verdicts apart.
+  m_bad = aStage == RolloutStage::RolledBack && aSource == StatusSource::Store;
   Enter(aStage,
         m_next == aStage ? RolloutReason::Due : RolloutReason::Told,
         "",
@@ -175,12 +184,13 @@
   if (!IsFor(aStatus.m_to, aStatus.m_order)) {
     return;
   }
+  const bool wasOpen = !IsFinal(m_stage);
   m_known = true;
   if (!m_sawStart) {
     m_startedAt = std::min(m_startedAt, aStatus.m_startedAt);
   }
   const RolloutStage before = m_stage;
-  AdoptStage(aStatus.m_stage, aNow);
+  AdoptStage(aStatus.m_stage, aSource, aNow);
   if (aSource == StatusSource::Router && m_stage != before &&
       m_stage != RolloutStage::RolledBack) {
     m_stored = m_stage; // others know these only from the store
@@ -192,6 +202,14 @@
     m_stored = aStatus.m_stage;
     m_storedSeen = true;
   }
+  const Duration age = aNow - m_startedAt;
+  if (!m_sawStart && wasOpen && IsFinal(m_stage) &&
+      age > m_order.m_duration + kSettleTime) {
+    // It ended long before this router started.
+    m_strictUntil = aNow;
+    m_stageAt = aNow - kSettleTime - Duration(1);
+    m_settled = m_stored == m_stage;
+  }
 }
 
 void
@@ -211,11 +229,16 @@
 void
 ServiceRollout::OnBadVerdict(const RolloutOrderId& aOrder, Time aNow)
 {
-  if (!IsFor(m_order.m_to, aOrder) || IsFinal(m_stage)) {
+  if (!IsFor(m_order.m_to, aOrder) || m_bad ||
+      m_stage == RolloutStage::Completed) {
     return;
   }
   m_known = true;
   m_bad = true;
+  if (IsRolledBack()) {
+    m_strictUntil = aNow + kSettleTime;
+    return;
+  }
   Enter(RolloutStage::RolledBack, RolloutReason::VerdictHeard, "", aNow);
 }
 
@@ -252,12 +275,25 @@
   return rule;
 }
 
+bool
+ServiceRollout::HasOtherVersion() const
+{
+  const std::set<SoftwareVersion>& usable = m_view.m_usableVersions;
+  return std::any_of(usable.begin(), usable.end(), [&](const auto& aVersion) {
+    return aVersion != m_order.m_to && !m_abandoned.contains(aVersion);
+  });
+}
+
+// If an operator orders the version that serves, to give up another one, only
+// the other one is left out.
 VersionRule
 ServiceRollout::NotNew(Time aNow) const
 {
   VersionRule rule;
   rule.m_exclude = m_abandoned;
-  rule.m_exclude.insert(m_order.m_to);
+  if (m_abandoned.empty() || HasOtherVersion()) {
+    rule.m_exclude.insert(m_order.m_to);
+  }
   rule.m_strict = IsStrict(aNow);
   return rule;
 }
@@ -386,8 +422,7 @@
         return TrialShare(0, times, m_options);
       }
       const auto answers = static_cast<double>(all->second.m_old.m_answers);
-      const double seconds = std::chrono::duration<double>(time).count();
-      return TrialShare(answers / seconds, times, m_options);
+      return TrialShare(answers / Seconds(time), times, m_options);
     }
     case RolloutStage::Surge:
       return MayProbe(aNow) ? SurgeShare(m_options) : 0;
@@ -429,9 +464,11 @@
   m_rank = aWriterRank;
   if (aView.m_fresh) {
     m_freshAt = aNow;
+  } else {
+    m_emptySince.reset();
   }
-  m_settled =
-    IsFinal(m_stage) && m_stored == m_stage && aNow - m_stageAt > kSettleTime;
+  m_settled = IsFinal(m_stage) && (m_stored == m_stage || !m_rank) &&
+              aNow - m_stageAt > kSettleTime;
   if (m_writingSince && aNow - *m_writingSince > kWriteTimeout) {
     OnWriteFailed(aNow);
   }
@@ -450,6 +487,11 @@
 ServiceRollout::Judge(Time aNow)
 {
   m_sums = m_evidence.Sums(m_exchange, aNow);
+  const std::uint64_t oldAnswers = m_sums.m_routes[""].m_old.m_answers;
+  if (oldAnswers < m_oldAnswers) {
+    m_sumsFellAt = aNow;
+  }
+  m_oldAnswers = oldAnswers;
   const bool moving = m_stage >= RolloutStage::Switch;
   const auto bad = m_judge.Update(m_sums, m_view.m_newUpstreams, moving, aNow);
   if (bad) {
@@ -529,7 +571,23 @@
            time < times.m_evidence || m_judge.InDoubt())) {
     return std::nullopt;
   }
-  return RolloutStage::Switch;
+  return AllowanceCovers(aNow) ? RolloutStage::Switch : RolloutStage::Surge;
+}
+
+// Whether all requests of the time that is left are within the allowance, so
+// that a version may be switched to without evidence.
+bool
+ServiceRollout::AllowanceCovers(Time aNow) const
+{
+  const auto all = m_sums.m_routes.find("");
+  const std::uint64_t answers =
+    all == m_sums.m_routes.end()
+      ? 0
+      : all->second.m_old.m_answers + all->second.m_new.m_answers;
+  const Duration time = std::max(aNow - m_startedAt, Duration(1));
+  const Duration left = std::max(m_order.m_duration - time, Duration(0));
+  return static_cast<double>(answers) * Seconds(left) <=
+         m_options.m_exposureAllowance * Seconds(time);
 }
 
 std::optional<RolloutStage>
@@ -537,7 +595,11 @@
 {
   const RolloutTimes times = Times();
   const Duration time = aNow - m_startedAt;
-  if (time < times.m_switch || Hold(RolloutHold::Evidence, m_judge.InDoubt())) {
+  if (time < times.m_switch) {
+    return std::nullopt;
+  }
+  const bool isKnown = HasEvidence() || AllowanceCovers(aNow);
+  if (Hold(RolloutHold::Evidence, !isKnown || m_judge.InDoubt())) {
     return std::nullopt;
   }
   return RolloutStage::Switch;
@@ -548,7 +610,8 @@
 {
   const Duration time = aNow - m_startedAt;
   const bool late = time >= Times().m_drain;
-  if (Hold(RolloutHold::Capacity, late && Share(aNow) < 1) || !late) {
+  if (Hold(RolloutHold::Capacity, late && CapacityShare(m_view, true) < 1) ||
+      !late) {
     return std::nullopt;
   }
   return RolloutStage::Drain;
@@ -562,7 +625,10 @@
   } else {
     m_emptySince = m_emptySince.value_or(aNow);
   }
-  const bool empty = m_emptySince && aNow - *m_emptySince >= kEmptyTime;
+  // Sums that have fallen lack a router, whose requests are not seen.
+  const bool whole = !m_sumsFellAt || aNow - *m_sumsFellAt >= kMaxSumsAge;
+  const bool empty =
+    whole && m_emptySince && aNow - *m_emptySince >= kEmptyTime;
   // All requests in flight then have ended, as their callers were told.
   const bool over =
     aNow - m_stageAt > m_view.m_maxTimeout + kDrainSpread && IsStrict(aNow);
@@ -611,7 +677,7 @@
 {
   m_writingSince.reset();
   OnStatus(aStatus, StatusSource::Store, aNow);
-  m_wroteLast = true;
+  m_wroteLast = m_wroteLast || IsFor(aStatus.m_to, aStatus.m_order);
 }
 
 void
@@ -650,7 +716,7 @@
   if (all != m_sums.m_routes.end()) {
     view.m_evidence = all->second;
   }
-  const bool writing = m_target && m_stored != m_target;
+  const bool writing = m_rank && m_target && m_stored != m_target;
   view.m_heldBy = writing ? RolloutHold::Store : m_heldBy;
   view.m_requests = m_budget.Requests();
   view.m_sentToNew = m_budget.Sent();
--- a/walnutwing/rollout/service_rollout.h
+++ b/walnutwing/rollout/service_rollout.h
@@ -31,18 +31,19 @@
 class ServiceRollout
 {
 public:
-  // aStatusesRead: the store's statuses are known, so that an order without one
-  // has just begun. aExchange must outlive this object.
+  // aStatusesRead: the store's statuses are known. aHasStatus: this order has
+  // one, so that it has not just begun. aExchange must outlive this object.
   ServiceRollout(RolloutOrder aOrder,
                  RolloutOptions aOptions,
                  const LoadExchange& aExchange,
                  bool aStatusesRead,
+                 bool aHasStatus,
                  Time aNow);
 
   // Another order replaces this one.
   void OnReplaced(Time aNow);
   // This order replaces another one.
-  void Replace(const ServiceRollout& aFormer, Time aNow);
+  void TakeOverFrom(const ServiceRollout& aFormer, Time aNow);
   // The same order was read again, or the operator ordered the same version
   // again while this is in progress, which goes on.
   void OnRepeated(const RolloutOrder& aOrder, Time aNow);
@@ -93,8 +94,10 @@
   std::size_t Focus() const;
   RolloutTimes Times() const;
   bool HasEvidence() const;
+  bool AllowanceCovers(Time aNow) const;
   RolloutStatus StatusOf(RolloutStage aStage) const;
 
+  bool HasOtherVersion() const;
   VersionRule OnlyNew(Time aNow) const;
   VersionRule NotNew(Time aNow) const;
   VersionRule StreamRule(const SoftwareVersion& aVersion, Time aNow) const;
@@ -103,7 +106,7 @@
              RolloutReason aWhy,
              const std::string& aRoute,
              Time aNow);
-  void AdoptStage(RolloutStage aStage, Time aNow);
+  void AdoptStage(RolloutStage aStage, StatusSource aSource, Time aNow);
   void Judge(Time aNow);
   // The next stage if it is due; sets m_heldBy.
   std::optional<RolloutStage> NextStage(Time aNow);
@@ -146,6 +149,8 @@
   VersionEvidence m_evidence;
   VersionJudge m_judge;
   EvidenceSums m_sums;
+  std::uint64_t m_oldAnswers = 0;   // in the last sums
+  std::optional<Time> m_sumsFellAt; // when they were last less than before
   RolloutFleetView m_view;
   // Of the requests of this router to the old version, in Trial.
   Duration m_longest{};
--- a/walnutwing/rollout/version_evidence.cc
+++ b/walnutwing/rollout/version_evidence.cc
@@ -61,6 +61,7 @@
 {
   for (const std::string& route : { std::string(), aAnswer.m_route }) {
     RouteCounters& counters = CountersOf(route);
+    counters.m_hasPrompts = counters.m_hasPrompts || aAnswer.m_affinity != 0;
     Count(aOfNew ? counters.m_new : counters.m_old, aAnswer.m_failed, aSlow);
   }
   if (aOfNew && (aAnswer.m_failed || aSlow.value_or(false))) {
@@ -125,7 +126,8 @@
   EvidenceSums sums;
   for (const auto& [route, counters] : m_routes) {
     sums.m_routes[route] = { SumsOf(counters.m_old, aExchange, aNow),
-                             SumsOf(counters.m_new, aExchange, aNow) };
+                             SumsOf(counters.m_new, aExchange, aNow),
+                             counters.m_hasPrompts };
   }
   for (const auto& [upstream, counter] : m_upstreams) {
     sums.m_badByUpstream[upstream] = SumOf(counter, aExchange, aNow);
--- a/walnutwing/rollout/version_evidence.h
+++ b/walnutwing/rollout/version_evidence.h
@@ -58,6 +58,7 @@
   {
     Counters m_old;
     Counters m_new;
+    bool m_hasPrompts = false;
   };
 
   std::uint32_t KeyOf(const std::string& aName) const;
--- a/walnutwing/rollout/version_judge.cc
+++ b/walnutwing/rollout/version_judge.cc
@@ -13,8 +13,11 @@
 constexpr double kMaxBadShare = 0.95;
 constexpr double kMinFailedShare = 0.01;
 constexpr double kMinSlowShare = 0.03;
+// Of requests with prompts, some of which are read into empty caches.
+constexpr double kMinSlowShareOfPrompts = 0.05;
 // While most requests move, caches fill and queues form for a while.
-constexpr double kMinSlowShareMoving = 0.35;
+constexpr double kMinSlowShareMoving = 0.1;
+constexpr double kMinSlowShareOfPromptsMoving = 0.35;
 constexpr double kMaxBaseShare = 0.85; // above, nothing can be told
 // Without any answers of the old version, and at least without recent ones, as
 // then nothing shows what fails both versions.
@@ -43,6 +46,23 @@
 // Fraction of the threshold from which on a version is doubted.
 constexpr double kDoubtFraction = 0.5;
 
+double
+MinSlowShare(bool aHasPrompts, bool aMoving)
+{
+  if (aHasPrompts) {
+    return aMoving ? kMinSlowShareOfPromptsMoving : kMinSlowShareOfPrompts;
+  }
+  return aMoving ? kMinSlowShareMoving : kMinSlowShare;
+}
+
+std::array<std::uint64_t, 4>
+CountsOf(const RolloutCounts& aCounts)
+{
+  return {
+    aCounts.m_answers, aCounts.m_failed, aCounts.m_timed, aCounts.m_slow
+  };
+}
+
 template<typename Tallies>
 void
 DropBefore(Tallies& aTallies, Time aStart)
@@ -145,20 +165,13 @@
                           bool aMoving,
                           Time aNow)
 {
-  const auto growth = aRoute.m_growth.Next({ aSums.m_old.m_answers,
-                                             aSums.m_old.m_failed,
-                                             aSums.m_old.m_timed,
-                                             aSums.m_old.m_slow,
-                                             aSums.m_new.m_answers,
-                                             aSums.m_new.m_failed,
-                                             aSums.m_new.m_timed,
-                                             aSums.m_new.m_slow },
-                                           aNow);
+  const auto old = aRoute.m_oldGrowth.Next(CountsOf(aSums.m_old), aNow);
+  const auto added = aRoute.m_newGrowth.Next(CountsOf(aSums.m_new), aNow);
   aRoute.m_failed.Update(
-    { growth[0], growth[1] }, { growth[4], growth[5] }, kMinFailedShare, aNow);
-  aRoute.m_slow.Update({ growth[2], growth[3] },
-                       { growth[6], growth[7] },
-                       aMoving ? kMinSlowShareMoving : kMinSlowShare,
+    { old[0], old[1] }, { added[0], added[1] }, kMinFailedShare, aNow);
+  aRoute.m_slow.Update({ old[2], old[3] },
+                       { added[2], added[3] },
+                       MinSlowShare(aSums.m_hasPrompts, aMoving),
                        aNow);
 }
 
--- a/walnutwing/rollout/version_judge.h
+++ b/walnutwing/rollout/version_judge.h
@@ -97,7 +97,9 @@
 
   struct Route
   {
-    Growth<8> m_growth;
+    // Counts of one version that fall do not hide those of the other.
+    Growth<4> m_oldGrowth;
+    Growth<4> m_newGrowth;
     Test m_failed;
     Test m_slow;
   };
--- a/walnutwing/rollout/version_split.h
+++ b/walnutwing/rollout/version_split.h
@@ -19,6 +19,12 @@
 class VersionSplit
 {
 public:
+  // aPhase: see RolloutOptions.
+  explicit VersionSplit(double aPhase)
+    : m_phase(aPhase)
+  {
+  }
+
   // Whether the next request goes to the new version. aAffinity: the hash of
   // the part of its prompt; 0: none.
   bool Takes(std::uint64_t aAffinity, double aShare)
@@ -31,7 +37,8 @@
     if (aAffinity != 0 && count <= kMaxTogether) {
       return phase < aShare;
     }
-    const double turns = phase + static_cast<double>(count) * kGoldenRatio;
+    const double turns =
+      m_phase + phase + static_cast<double>(count) * kGoldenRatio;
     return turns - std::floor(turns) < aShare;
   }
 
@@ -50,6 +57,7 @@
     return static_cast<double>(mixed >> 11U) * 0x1.0p-53;
   }
 
+  double m_phase;
   std::unordered_map<std::uint64_t, std::uint64_t> m_counts;
 };
 
--- a/walnutwing/rollout/version_split_test.cc
+++ b/walnutwing/rollout/version_split_test.cc
@@ -13,7 +13,7 @@
 {
   for (const std::uint64_t affinity : { 0U, 77U }) {
     for (const double share : { 0.05, 0.2, 0.7 }) {
-      VersionSplit split;
+      VersionSplit split(0);
       int even = 0;
       int odd = 0;
       for (int i = 0; i < 2000; ++i) {
@@ -29,8 +29,8 @@
 // grows, nor at another router.
 TEST(VersionSplit, KeepsPartsOfFewRequestsTogether)
 {
-  VersionSplit split;
-  VersionSplit other;
+  VersionSplit split(0);
+  VersionSplit other(0);
   std::set<std::uint64_t> taken;
   for (const double share : { 0.1, 0.3 }) {
     for (std::uint64_t part = 1; part <= 1000; ++part) {
--- a/walnutwing/routing/load_bound.h
+++ b/walnutwing/routing/load_bound.h
@@ -42,9 +42,8 @@
 
 // aOtherLoad: requests at upstreams of the service that are no candidates, as
 // the request may not go to their versions. aListed: upstreams of the service,
-// candidates or not. Upstreams with a
-// request limit do not count unless all have one, as the others have to take
-// what they do not.
+// candidates or not. Upstreams with a request limit do not count unless all
+// have one, as the others have to take what they do not.
 LoadBound
 ComputeLoadBound(const LoadBoundOptions& aOptions,
                  const std::vector<CandidateLoad>& aCandidates,
