--- a/walnutwing/rollout/service_rollout.cc
+++ b/walnutwing/rollout/service_rollout.cc
@@ -33,6 +33,8 @@
 // In Trial, to tell a bad version from a bad upstream.
 constexpr std::size_t kMinTrialUpstreams = 2;
 constexpr Duration kMinRateTime = std::chrono::seconds(1);
+// The duration may be over, and requests come all the same.
+constexpr Duration kMinTimeLeft = std::chrono::seconds(10);
 
 double
 Seconds(Duration aTime)
@@ -585,7 +587,7 @@
       ? 0
       : all->second.m_old.m_answers + all->second.m_new.m_answers;
   const Duration time = std::max(aNow - m_startedAt, Duration(1));
-  const Duration left = std::max(m_order.m_duration - time, Duration(0));
+  const Duration left = std::max(m_order.m_duration - time, kMinTimeLeft);
   return static_cast<double>(answers) * Seconds(left) <=
          m_options.m_exposureAllowance * Seconds(time);
 }
