--- a/router/context.h
+++ b/router/context.h
@@ -27,6 +27,8 @@
 
 namespace walnutwing::router {
 
+class WaitingRequests;
+
 struct Context
 {
   Loop& m_loop;
@@ -42,7 +44,8 @@
   std::shared_ptr<const RouteTable> m_routes; // null before the first version
   std::map<ServiceId, RepeatBudget> m_repeatBudgets;
   std::map<ServiceId, AdmissionControl> m_admissions{};
-  std::uint32_t m_daemons = 1; // in the fleet; they share its budgets
+  WaitingRequests* m_waiting = nullptr; // set before the first request
+  std::uint32_t m_daemons = 1;          // in the fleet; they share its budgets
   std::size_t m_requestsInProgress = 0;
   PlannedStop m_stop{};
   // An upstream says in an answer that it is leaving. aStartWallMs identifies
--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -59,6 +59,7 @@
   { CallerRejected, "caller_rejected", DropPolicy::DropLast, "the caller's request is invalid, too large or did not arrive in time" },
   { AnswerUnsent, "answer_unsent", DropPolicy::DropLast, "the process ends with bytes of an answer that the caller has not taken" },
   { StreamTakenUp, "stream_taken_up", DropPolicy::DropLast, "a caller takes up a stream that has broken off" },
+  { RequestWaits, "request_waits", DropPolicy::DropFirst, "the request waits for room at the upstreams" },
 });
 // clang-format on
 
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -66,6 +66,7 @@
   CallerRejected = 308,
   AnswerUnsent = 309,
   StreamTakenUp = 310,
+  RequestWaits = 311,
 };
 
 // Which lines are dropped when there are too many.
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -30,10 +30,6 @@
 // Retry-After of refused requests; a random part of up to the same time is
 // added so that callers do not all return at the same time.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(400);
-// The same for requests refused by admission control, as overload lasts for
-// seconds.
-constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
-
 // The same for a request that is suspected to crash upstreams and has to wait
 // for the outcome of another attempt.
 constexpr Duration kSuspectRetryAfter = std::chrono::milliseconds(1000);
@@ -60,6 +56,7 @@
   : m_context(aContext)
   , m_request(aContext.m_routes, std::move(aRequest))
   , m_record(aContext, m_request.Facts().m_attemptId, aNumber)
+  , m_admission(aContext, m_request, m_record)
   , m_traitProbe(aContext)
   , m_resumption(aContext, m_request.Facts())
   , m_deadlineTimer(aContext.m_loop)
@@ -315,24 +312,42 @@
 bool
 RequestFlow::Admit(const Choice& aChoice)
 {
-  if (m_admitted || aChoice.m_loadAge < Duration::zero()) {
-    return true; // or the load from other daemons is unknown
-  }
-  AdmissionRequest request;
-  request.m_priority = m_request.Priority();
-  request.m_target = m_request.GetRoute().m_targetLatency;
-  request.m_customer = m_request.Customer();
-  request.m_load = aChoice.m_minLoad;
-  request.m_slots = aChoice.m_slots;
-  const AdmissionDecision decision =
-    m_context.AdmissionOf(m_request.Service()).Decide(request);
-  if (decision.m_admitted) {
-    m_admitted = true;
-    return true;
+  const WaitingVerdict verdict = m_admission.Offer(
+    aChoice, m_deadline, [weak = weak_from_this()](WaitEnd aEnd) {
+      const auto self = weak.lock();
+      if (self != nullptr && !self->m_ended) {
+        self->OnWaitEnd(aEnd);
+      }
+    });
+  if (verdict == WaitingVerdict::Refuse) {
+    RefuseForWantOfRoom();
   }
-  m_admissionRefusal = decision;
-  Refuse(ResultCode::QueueFull, kOverloadRetryAfter, aChoice);
-  return false;
+  return verdict == WaitingVerdict::Send;
+}
+
+void
+RequestFlow::OnWaitEnd(WaitEnd aEnd)
+{
+  const auto self = shared_from_this();
+  if (aEnd == WaitEnd::Refuse) {
+    RefuseForWantOfRoom();
+    return;
+  }
+  if (!m_context.m_stop.MaySend(m_deadline, Now())) {
+    Refuse(ResultCode::Stopping, kStoppingRetryAfter);
+    return;
+  }
+  if (CheckTraits()) { // a part may have been blocked meanwhile
+    SendNext();
+  }
+}
+
+void
+RequestFlow::RefuseForWantOfRoom()
+{
+  const RequestAdmission::Refusal& refusal = m_admission.GetRefusal();
+  m_admissionRefusal = refusal.m_decision;
+  Refuse(ResultCode::QueueFull, refusal.m_retryAfter, refusal.m_choice);
 }
 
 std::optional<bool>
@@ -391,6 +406,7 @@
   m_context.AdmissionOf(m_request.Service()).OnSent(m_request.Customer());
   m_attempt = {};
   m_attempt.m_choice = aChoice;
+  m_attempt.m_queueLoad = aChoice.m_load;
   m_attempt.m_sentAt = now;
   m_attempt.m_reusedConnection = connection->IsReused();
   m_attempt.m_resumedAfter = m_relay.ForwardsEvents()
@@ -485,6 +501,9 @@
   const Time now = Now();
   m_progressTimer.OnHead(m_request.GetRoute());
   m_attempt.m_notExecuted = aFacts.m_notExecuted;
+  if (aFacts.m_load) {
+    m_attempt.m_queueLoad = aFacts.m_load->m_running + aFacts.m_load->m_waiting;
+  }
   m_attempt.m_choice.m_tracker->OnBytesReceived(now);
   NoteUpstreamStatements(
     m_context, m_record, m_attempt.m_choice, m_attempt.m_sentAt, aFacts);
@@ -748,10 +767,11 @@
   m_attempt.m_choice.m_tracker->OnEnded(aOutcome, now);
   AdmissionControl& admission = m_context.AdmissionOf(m_request.Service());
   admission.OnEnded(m_request.Customer());
+  m_context.m_waiting->OnEnded(m_request.Service());
   if (aOutcome == SendOutcome::Answered) {
     admission.OnServed(m_relay.FirstByteAt().value_or(now) - m_attempt.m_sentAt,
                        now - m_attempt.m_sentAt,
-                       m_attempt.m_choice.m_load,
+                       m_attempt.m_queueLoad,
                        m_attempt.m_choice.m_slots);
   }
   m_self.reset();
@@ -870,6 +890,7 @@
 RequestFlow::Finish()
 {
   m_ended = true;
+  m_admission.Leave();
   m_traitProbe.End();
   m_deadlineTimer.Cancel();
   m_progressTimer.Stop();
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -19,6 +19,7 @@
 #include "router/context.h"
 #include "router/limit_timer.h"
 #include "router/progress_timer.h"
+#include "router/request_admission.h"
 #include "router/request_record.h"
 #include "router/response_relay.h"
 #include "router/response_writer.h"
@@ -71,6 +72,9 @@
   {
     std::shared_ptr<UpstreamConnection> m_connection;
     Choice m_choice;
+    // Requests at its upstream besides it: as reported with the response, as
+    // that counts what was queued meanwhile; before, as known when it was sent.
+    double m_queueLoad = 0;
     Time m_sentAt;
     bool m_reusedConnection = false;
     bool m_notExecuted = false; // the upstream reported that it did not run it
@@ -98,8 +102,10 @@
   ConnectionUse UseOfConnections(const Choice& aChoice) const;
   void SendNext();
   void SendNext(Choice aChoice); // tries aChoice first
-  // Returns false if the request would wait too long and was therefore refused.
+  // Returns false if the request waits, or was refused.
   bool Admit(const Choice& aChoice);
+  void OnWaitEnd(WaitEnd aEnd);
+  void RefuseForWantOfRoom();
   // Whether the request may be sent to the chosen upstream; nullopt if that is
   // not known yet and OnPermitAnswer follows.
   std::optional<bool> MaySend(const Choice& aChoice);
@@ -133,6 +139,7 @@
   Context& m_context;
   RoutedRequest m_request;
   RequestRecord m_record;
+  RequestAdmission m_admission;
   TraitProbe m_traitProbe;
   StreamResumption m_resumption;
   Time m_deadline;
@@ -146,7 +153,6 @@
   std::set<UpstreamId> m_silent;    // upstreams that were given up as silent
   bool m_refusedByUpstream = false; // an upstream reported "not executed"
   std::uint32_t m_tries = 0; // including attempts that reached no upstream
-  bool m_admitted = false;
   std::uint32_t m_permitsAsked = 0;
   std::optional<Choice> m_permitChoice; // waits for a permit
   bool m_permitGranted = false;         // for the choice that is sent next
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -80,6 +80,7 @@
     .Add("mean_load", aChoice.m_meanLoad)
     .Add("load_age_ms", ToMilliseconds(aChoice.m_loadAge))
     .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
+    .Add("waited_ms", ToMilliseconds(m_waited))
     .Add("left_ms", ToMilliseconds(aTimeLeft));
   ++m_context.m_metrics.Counter("attempts_total",
                                 FormatLabel("service", m_service.Value()) +
@@ -124,6 +125,35 @@
     .Add("per_s", aPerSecond.value_or(-1));
 }
 
+void
+RequestRecord::LogWaits(const Choice& aChoice,
+                        const AdmissionDecision& aDecision)
+{
+  m_waitsSince = Now();
+  const ServiceRoom& room = aChoice.m_room;
+  std::uint32_t waitingElsewhere = 0;
+  for (const std::uint32_t count : room.m_waiting) {
+    waitingElsewhere += count;
+  }
+  StartLine(Event::RequestWaits)
+    .Add("least_load", room.m_leastLoad)
+    .Add("load", room.m_load)
+    .Add("places", room.m_slots)
+    .Add("waiting_elsewhere", static_cast<std::int64_t>(waitingElsewhere))
+    .Add("load_age_ms", ToMilliseconds(aChoice.m_loadAge))
+    .Add("wait_ms", ToMilliseconds(aDecision.m_wait))
+    .Add("allowed_wait_ms", ToMilliseconds(aDecision.m_maxWait));
+}
+
+void
+RequestRecord::OnWaited(std::string_view aEnd)
+{
+  m_waited = Now() - m_waitsSince;
+  ++m_context.m_metrics.Counter("requests_waited_total",
+                                FormatLabel("service", m_service.Value()) +
+                                  "," + FormatLabel("end", aEnd));
+}
+
 void
 RequestRecord::LogTakenUp(const std::string& aFirstAttemptId,
                           const std::optional<SoftwareVersion>& aVersion)
@@ -196,6 +226,7 @@
     .Add("ends", m_attemptEnds)
     .Add("runs", static_cast<std::int64_t>(aRefusal.m_runs))
     .Add("retry_after_ms", ToMilliseconds(retryAfter))
+    .Add("waited_ms", ToMilliseconds(m_waited))
     .Add("ms", ElapsedMs());
   if (aRefusal.m_timeLeft) {
     line.Add("left_ms", ToMilliseconds(*aRefusal.m_timeLeft));
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -79,6 +79,10 @@
   void LogUpstreamBackoff(const Choice& aChoice,
                           std::string_view aRetryAfter,
                           Duration aBackoff);
+  // The request waits for room at the upstreams. aDecision: what is expected.
+  void LogWaits(const Choice& aChoice, const AdmissionDecision& aDecision);
+  // It no longer waits. aEnd: "sent", "refused" or "left".
+  void OnWaited(std::string_view aEnd);
   // aText: as the upstream sent it. aPerSecond: nothing if it takes any number.
   void LogUpstreamLimited(const Choice& aChoice,
                           std::string_view aText,
@@ -146,6 +150,8 @@
   const std::string& m_attemptId;
   std::uint32_t m_number;
   Time m_arrivedAt;
+  Time m_waitsSince; // if it waits
+  Duration m_waited{};
   const Route* m_route = nullptr;
   const std::vector<TraitId>* m_sharedParts = nullptr;
   TraitId m_fingerprint;
--- a/router/routed_request.cc
+++ b/router/routed_request.cc
@@ -96,6 +96,12 @@
   return m_customer == nullptr ? CustomerId() : m_customer->m_id;
 }
 
+std::size_t
+RoutedRequest::Bytes() const
+{
+  return m_request.body().size();
+}
+
 bool
 RoutedRequest::IsRepeatable() const
 {
--- a/router/routed_request.h
+++ b/router/routed_request.h
@@ -52,6 +52,7 @@
   RequestTraits Traits() const;
   std::uint32_t Priority() const; // 0 is the most urgent
   CustomerId Customer() const;    // empty if unknown
+  std::size_t Bytes() const;      // of its body
   // Whether it may run more than once.
   bool IsRepeatable() const;
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -22,6 +22,7 @@
 #include "router/stable_text.h"
 #include "router/standstill.h"
 #include "router/state_change_log.h"
+#include "router/waiting_requests.h"
 
 namespace walnutwing::router {
 namespace {
@@ -74,6 +75,7 @@
                  std::mt19937_64(std::random_device{}()),
                  {},
                  {} }
+    , m_waitingRequests(m_context)
     , m_state(m_context, m_exchange)
     , m_stateChanges(m_context, m_exchange)
     , m_front(m_context, [this] { return m_state.CanServe(); })
@@ -88,6 +90,7 @@
     , m_stopTimer(m_loop.get_executor())
     , m_stopLimitTimer(m_loop)
   {
+    m_context.m_waiting = &m_waitingRequests;
     StartMetrics();
   }
 
@@ -368,6 +371,7 @@
   TraitBreaker m_traitBreaker;
   StreamVersions m_streamVersions;
   Context m_context;
+  WaitingRequests m_waitingRequests;
   FleetState m_state;
   StateChangeLog m_stateChanges;
   Front m_front;
--- a/walnutwing/routing/admission_test.cc
+++ b/walnutwing/routing/admission_test.cc
@@ -65,6 +65,24 @@
   EXPECT_NEAR(100, admission.Decide(MakeRequest(19)).m_wait.count(), 2);
 }
 
+// Load: all upstreams have twice their slots, but the counts by which requests
+// were sent, some 100 ms old, say that only the slots are in use. Guards
+// against a wait that counts in the slot time and again in the time to the
+// first byte: half of the 300 ms target was refused, though 100 ms were free.
+TEST(AdmissionControl, WaitBehindOldCountsIsNotCountedTwice)
+{
+  AdmissionControl admission({});
+  // The upstream reports with its answers how many requests it has.
+  for (int i = 0; i < 200; ++i) {
+    admission.OnServed(Duration(120), Duration(120), 11, 6);
+  }
+  AdmissionRequest request = MakeRequest(11);
+  request.m_slots = 6;
+  const AdmissionDecision decision = admission.Decide(request);
+  EXPECT_NEAR(60, decision.m_wait.count(), 2);
+  EXPECT_NEAR(210, decision.m_maxWait.count(), 2);
+}
+
 // This holds also when the less urgent requests have a longer target.
 TEST(AdmissionControl, RefusesLessUrgentRequestsFirst)
 {
--- a/walnutwing/routing/upstream_selector.cc
+++ b/walnutwing/routing/upstream_selector.cc
@@ -78,6 +78,7 @@
   , m_exchange(aExchange)
   , m_limiter(aLimiter)
   , m_demand(aExchange)
+  , m_waiting(aExchange)
 {
 }
 
@@ -461,6 +462,37 @@
   return pick;
 }
 
+// Counts the warm upstreams without a request limit: what the others take is
+// not a matter of slots.
+ServiceRoom
+UpstreamSelector::RoomOf(const CandidateSet& aCandidateSet,
+                         const SelectionRequest& aRequest,
+                         Time aNow)
+{
+  ServiceRoom room;
+  const std::optional<Duration> age = m_exchange.OtherLoadsAge(aNow);
+  const Candidate* least = nullptr;
+  for (const Candidate& candidate : aCandidateSet.m_candidates) {
+    if (candidate.m_limited || aNow < candidate.m_upstream->m_coldUntil) {
+      continue;
+    }
+    room.m_slots += std::max(1U, candidate.m_upstream->m_entry.m_slots);
+    room.m_load += candidate.m_load;
+    if (least == nullptr || candidate.m_load < least->m_load) {
+      least = &candidate;
+    }
+  }
+  if (!age || least == nullptr) {
+    return room;
+  }
+  room.m_known = true;
+  room.m_countedAt = aNow - *age;
+  room.m_leastLoad = least->m_load;
+  room.m_leastSlots = std::max(1U, least->m_upstream->m_entry.m_slots);
+  room.m_waiting = m_waiting.AtOthers(aRequest.m_service, aNow);
+  return room;
+}
+
 Choice
 UpstreamSelector::Choose(const SelectionRequest& aRequest, Time aNow)
 {
@@ -495,6 +527,7 @@
     });
   ComputeBound(candidateSet);
   choice.m_meanLoad = candidateSet.m_meanLoad;
+  choice.m_room = RoomOf(candidateSet, aRequest, aNow);
 
   const auto [chosen, leastLoaded] =
     PickCandidate(candidateSet, aRequest, aNow);
@@ -513,6 +546,10 @@
   choice.m_version = upstream.m_entry.m_version;
   choice.m_tracker = upstream.m_tracker;
   choice.m_load = chosen->m_load;
+  if (choice.m_room.m_known && chosen->m_load < choice.m_room.m_leastLoad) {
+    choice.m_room.m_leastLoad = chosen->m_load;
+    choice.m_room.m_leastSlots = std::max(1U, upstream.m_entry.m_slots);
+  }
   choice.m_minLoad = leastLoaded == nullptr ? 0 : leastLoaded->m_load;
   choice.m_slots = std::max(1U, upstream.m_entry.m_slots);
   choice.m_loadAge = m_exchange.OtherLoadsAge(aNow).value_or(Duration(-1));
@@ -561,6 +598,7 @@
     }
   }
   m_demand.AddTo(loads);
+  m_waiting.AddTo(loads);
   return loads;
 }
 
--- a/walnutwing/routing/upstream_selector.h
+++ b/walnutwing/routing/upstream_selector.h
@@ -28,6 +28,7 @@
 #include <string_view>
 #include <vector>
 
+#include "walnutwing/admission/waiting_room.h"
 #include "walnutwing/placement/rendezvous.h"
 #include "walnutwing/routing/load_exchange.h"
 #include "walnutwing/routing/send_limiter.h"
@@ -35,6 +36,7 @@
 #include "walnutwing/routing/sliding_window_counter.h"
 #include "walnutwing/routing/upstream_directory.h"
 #include "walnutwing/routing/upstream_tracker.h"
+#include "walnutwing/routing/waiting_reports.h"
 
 namespace walnutwing {
 
@@ -142,6 +144,7 @@
   // Age of the other daemons' loads; -1 ms: not known, so that the upstreams'
   // own load reports were used.
   Duration m_loadAge{ -1 };
+  ServiceRoom m_room; // of the service, for requests that may wait
   bool m_cold = false;
   std::size_t m_rank = 0; // in the order of the candidates, from 0
 };
@@ -178,6 +181,12 @@
     m_demand.OnRequest(aService, aPromptTokens, aNow);
   }
 
+  // The requests that wait at this daemon for upstreams of a service.
+  void SetWaiting(const ServiceId& aService, const WaitingCounts& aCounts)
+  {
+    m_waiting.Set(aService, aCounts);
+  }
+
   // Selects an upstream; m_failure of the result tells why there is none.
   Choice Choose(const SelectionRequest& aRequest, Time aNow);
 
@@ -266,6 +275,9 @@
   Pick PickCandidate(const CandidateSet& aCandidateSet,
                      const SelectionRequest& aRequest,
                      Time aNow) const;
+  ServiceRoom RoomOf(const CandidateSet& aCandidateSet,
+                     const SelectionRequest& aRequest,
+                     Time aNow);
   bool MaySendCold(Upstream& aUpstream,
                    const SelectionRequest& aRequest,
                    Time aNow) const;
@@ -275,6 +287,7 @@
   const LoadExchange& m_exchange;
   const SendLimiter& m_limiter;
   ServiceDemand m_demand;
+  WaitingReports m_waiting;
   bool m_weighted = false; // nodes may have other weights than 1
   Upstreams m_upstreams;
   std::set<ZoneId> m_zonesOut;
