--- a/walnutwing/admission/waiting_room.cc
+++ b/walnutwing/admission/waiting_room.cc
@@ -240,8 +240,10 @@
     std::uniform_real_distribution<double> rounding(0, 1);
     m_turns =
       static_cast<std::uint32_t>(Share(aRoom, aNow) + rounding(aRandom));
-  } else if (aRoom.m_load < m_options.m_fill * aRoom.m_slots) {
-    m_turns += ended;
+  } else {
+    const double room = m_options.m_fill * aRoom.m_slots - aRoom.m_load;
+    m_turns = static_cast<std::uint32_t>(
+      std::clamp<double>(m_turns + ended, 0, std::max(0.0, room)));
   }
   m_turns = std::min(m_turns, static_cast<std::uint32_t>(m_requests.size()));
   Turns turns;
