--- a/router/request_admission.cc
+++ b/router/request_admission.cc
@@ -33,8 +33,10 @@
     return WaitingVerdict::Send;
   }
   const Time now = Now();
-  const ServiceRoom& room = aChoice.m_room;
   const ServiceId& service = m_request.Service();
+  AdmissionControl& admission = m_context.AdmissionOf(service);
+  ServiceRoom room = aChoice.m_room;
+  room.m_slotTime = admission.SlotTime();
   AdmissionRequest request;
   request.m_priority = m_request.Priority();
   request.m_target = m_request.GetRoute().m_targetLatency;
@@ -46,8 +48,7 @@
       m_context.m_waiting->Ahead(service, request.m_priority, room) *
       room.m_leastSlots / room.m_slots;
   }
-  const AdmissionDecision decision =
-    m_context.AdmissionOf(service).Decide(request);
+  const AdmissionDecision decision = admission.Decide(request);
 
   WaitingRequest waiting;
   waiting.m_id = m_context.m_waiting->NewId();
--- a/router/waiting_requests.cc
+++ b/router/waiting_requests.cc
@@ -113,9 +113,9 @@
   selection.m_service = aService;
   selection.m_daemons = m_context.m_daemons;
   const Time now = Now();
-  const Choice choice = m_context.m_selector.Choose(selection, now);
-  const WaitingRoom::Turns turns =
-    aRoom.Advance(choice.m_room, now, m_context.m_random);
+  ServiceRoom view = m_context.m_selector.Choose(selection, now).m_room;
+  view.m_slotTime = m_context.AdmissionOf(aService).SlotTime();
+  const WaitingRoom::Turns turns = aRoom.Advance(view, now, m_context.m_random);
   Report(aService, aRoom);
   for (const WaitingId id : turns.m_send) {
     Call(id, WaitEnd::Turn);
--- a/walnutwing/admission/waiting_room.cc
+++ b/walnutwing/admission/waiting_room.cc
@@ -58,8 +58,12 @@
       moreUrgentCome ||
       (arrived && aNow - m_arrivedAt[i] < m_options.m_reservationTime);
   }
-  return moreUrgentCome ? m_options.m_fill - m_options.m_reservedFill
-                        : m_options.m_fill;
+  const double slotTimeMs =
+    std::max(1.0, static_cast<double>(aRoom.m_slotTime.count()));
+  const double queue =
+    std::min(m_options.m_maxQueue,
+             static_cast<double>(m_options.m_queueTime.count()) / slotTimeMs);
+  return 1 + queue - (moreUrgentCome ? m_options.m_reservedPart : 0);
 }
 
 bool
@@ -91,13 +95,13 @@
   if (!aRoom.m_known) {
     return WaitingVerdict::Send;
   }
-  if (aOnTime && MayBegin(aRequest.m_priority, aRoom, aNow)) {
-    return WaitingVerdict::Send;
-  }
   const auto lateWait = std::chrono::duration_cast<Duration>(
     m_options.m_lateFraction * (aRequest.m_deadline - aNow));
   const bool hopeless =
     (!aOnTime && aWait > lateWait) || aNow + aWait >= aRequest.m_deadline;
+  if (!hopeless && MayBegin(aRequest.m_priority, aRoom, aNow)) {
+    return WaitingVerdict::Send;
+  }
   if (hopeless || !MakeSpace(aRequest, newClass)) {
     return WaitingVerdict::Refuse;
   }
@@ -241,7 +245,7 @@
     m_turns =
       static_cast<std::uint32_t>(Share(aRoom, aNow) + rounding(aRandom));
   } else {
-    const double room = m_options.m_fill * aRoom.m_slots - aRoom.m_load;
+    const double room = Fill(0, aRoom, aNow) * aRoom.m_slots - aRoom.m_load;
     m_turns = static_cast<std::uint32_t>(
       std::clamp<double>(m_turns + ended, 0, std::max(0.0, room)));
   }
--- a/walnutwing/admission/waiting_room.h
+++ b/walnutwing/admission/waiting_room.h
@@ -50,15 +50,16 @@
 {
   std::size_t m_maxRequests = 128;
   std::size_t m_maxBytes = 4U << 20U; // of the requests
-  // Upstreams get requests up to this multiple of their slots. What is queued
-  // there keeps them busy until the next counts arrive.
-  double m_fill = 2.0;
+  // What is queued at the upstreams keeps them busy until the next counts
+  // arrive: work for this time, and at most this multiple of their slots.
+  Duration m_queueTime = std::chrono::milliseconds(100);
+  double m_maxQueue = 1.0;
   // Part of the room that is used with each new count: what others have sent
   // since the requests were counted is not known yet.
   double m_usedRoom = 0.5;
-  // The part of this fill that less urgent requests leave free for more urgent
+  // Part of the slots that less urgent requests leave free for more urgent
   // ones, and how long after one of these has arrived.
-  double m_reservedFill = 0.25;
+  double m_reservedPart = 0.25;
   Duration m_reservationTime = std::chrono::milliseconds(1000);
   // Part of the time left to its deadline for which a request waits that is
   // expected to miss its target.
@@ -72,6 +73,7 @@
   bool m_known = false;
   Time m_countedAt;          // when they became known
   double m_slots = 0;        // of all usable upstreams
+  Duration m_slotTime{};     // for which a request uses a slot
   double m_load = 0;         // requests at them
   double m_leastLoad = 0;    // at the least loaded upstream
   double m_leastSlots = 0;   // of that upstream
--- a/walnutwing/admission/waiting_room_test.cc
+++ b/walnutwing/admission/waiting_room_test.cc
@@ -24,6 +24,7 @@
   room.m_known = true;
   room.m_countedAt = aCountedAt;
   room.m_slots = aSlots;
+  room.m_slotTime = Duration(60);
   room.m_load = aLoad;
   room.m_leastSlots = 6;
   room.m_leastLoad = aLoad * room.m_leastSlots / aSlots;
--- a/walnutwing/routing/admission.cc
+++ b/walnutwing/routing/admission.cc
@@ -48,6 +48,12 @@
   return decision;
 }
 
+Duration
+AdmissionControl::SlotTime() const
+{
+  return ToDuration(m_meanSlotTimeMs.value_or(kInitialSlotTimeMs));
+}
+
 Duration
 AdmissionControl::MaxTarget(const AdmissionRequest& aRequest)
 {
--- a/walnutwing/routing/admission.h
+++ b/walnutwing/routing/admission.h
@@ -15,7 +15,7 @@
 // slots, times the mean time for which a request uses a slot. That time and the
 // time from the start of a request to its first byte are moving averages over
 // answered requests. The part in which a request waited in the queue is
-// estimated from the load of its upstream when it was sent, and subtracted.
+// estimated from the load of its upstream, and subtracted.
 
 #include <cstdint>
 #include <map>
@@ -71,12 +71,18 @@
   // Decides about one request and records its target.
   AdmissionDecision Decide(const AdmissionRequest& aRequest);
 
+  // Mean time for which a request uses a slot.
+  Duration SlotTime() const;
+
   // A request of this customer was sent to an upstream; OnEnded must follow.
   void OnSent(const CustomerId& aCustomer);
   void OnEnded(const CustomerId& aCustomer);
   // A request was answered completely: its answer began aTimeToFirstByte and
   // ended aTotalTime after it was sent, to an upstream with aSlots that had
-  // aLoad other requests.
+  // aLoad other requests. Where the upstream reports its load with its
+  // responses, that is meant: requests that other daemons have sent meanwhile
+  // are missing in older counts, and the wait behind them would count as slot
+  // time and again as time to the first byte.
   void OnServed(Duration aTimeToFirstByte,
                 Duration aTotalTime,
                 double aLoad,
