--- a/walnutwing/admission/waiting_room_test.cc
+++ b/walnutwing/admission/waiting_room_test.cc
@@ -13,7 +13,8 @@
 
 constexpr Time kStart{ milliseconds(1'000'000) };
 constexpr double kSlots = 24;
-constexpr Duration kTarget{ 200 }; // for the start
+constexpr std::size_t kAllSlots = 24; // the same, as a count
+constexpr Duration kTarget{ 200 };    // for the start
 constexpr Duration kTimeLimit{ 3000 };
 
 // Upstreams of 6 slots each, all with the same load.
@@ -349,7 +350,7 @@
       ++m_served;
       m_onTime += m_now - m_arrivedAt[request.m_id] <= kAim ? 1 : 0;
     }
-    while (!m_queue.empty() && m_running.size() < kSlots) {
+    while (!m_queue.empty() && m_running.size() < kAllSlots) {
       m_queue.front().m_endsAt = m_now + kSlotTime;
       m_running.push_back(m_queue.front());
       m_queue.pop_front();
@@ -358,7 +359,7 @@
     for (const WaitingRoom& room : m_rooms) {
       waiting += room.Size();
     }
-    m_idleMs += waiting > 0 && m_running.size() < kSlots ? 1 : 0;
+    m_idleMs += waiting > 0 && m_running.size() < kAllSlots ? 1 : 0;
   }
 
   void Report()
