--- a/router/fleet_members.h
+++ b/router/fleet_members.h
@@ -21,8 +21,8 @@
 class FleetMembers
 {
 public:
-  // The topic holds records of other kinds too: whether this is one, so that it
-  // is no announcement.
+  // Handles a record of the topic that is no announcement; returns false if it
+  // is one.
   using OnOtherRecord = std::function<bool(const platform::StoreRecord&)>;
 
   // aOnSnapshot: called when the complete topic was read.
--- a/router/rollout_news_codec.cc
+++ b/router/rollout_news_codec.cc
@@ -7,9 +7,6 @@
 namespace walnutwing::router {
 namespace {
 
-// A roll-out that began longer ago is over anyhow.
-constexpr Duration kMaxAge = std::chrono::hours(48);
-
 // Adds what statuses and verdicts have in common.
 template<typename News, typename Message>
 void
@@ -56,8 +53,8 @@
     if (!stage) {
       continue;
     }
-    const std::uint64_t ageMs =
-      std::min(news.age_ms(), static_cast<std::uint64_t>(kMaxAge.count()));
+    const std::uint64_t ageMs = std::min(
+      news.age_ms(), static_cast<std::uint64_t>(kMaxRolloutAge.count()));
     RolloutStatus status;
     status.m_service = ServiceId(news.service());
     status.m_to = SoftwareVersion(news.to());
--- a/walnutwing/rollout/recent_sends.h
+++ b/walnutwing/rollout/recent_sends.h
@@ -44,8 +44,6 @@
            found->second.m_first + kReadTime <= aSentAt;
   }
 
-  void Clear() { m_series.clear(); }
-
 private:
   // After longer, the cache may have dropped the part.
   static constexpr Duration kLifetime = std::chrono::seconds(10);
--- a/walnutwing/rollout/rollout_schedule.h
+++ b/walnutwing/rollout/rollout_schedule.h
@@ -26,7 +26,8 @@
   Duration m_evidence{};
 };
 
-// aLongest: how long requests at the old version take at most, lately.
+// aLongest: the longest request at the old version that this router saw in
+// Trial.
 RolloutTimes
 PlanRollout(Duration aDuration, Duration aLongest);
 
--- a/walnutwing/rollout/rollout_types.h
+++ b/walnutwing/rollout/rollout_types.h
@@ -76,6 +76,9 @@
   return StateOf(aStage) != RolloutState::InProgress;
 }
 
+// A roll-out that began longer ago has ended.
+inline constexpr Duration kMaxRolloutAge = std::chrono::hours(48);
+
 // The state of an order as written to the store and told to other routers.
 // m_startedAt is this process's time; records carry wall time, messages an age.
 struct RolloutStatus
--- a/walnutwing/rollout/version_judge.cc
+++ b/walnutwing/rollout/version_judge.cc
@@ -40,8 +40,8 @@
 constexpr std::uint64_t kMinElsewhere = 2;
 // As many at one upstream do so, too.
 constexpr std::uint64_t kMaxAtOne = 20;
-// Above every threshold. A score that the worst upstream has raised falls again
-// soon after it gets nothing more.
+// Limits the score, so that it falls soon once a bad upstream gets no more
+// requests.
 constexpr double kMaxScore = 24;
 // Fraction of the threshold from which on a version is doubted.
 constexpr double kDoubtFraction = 0.5;
--- a/walnutwing/routing/stale_load_draw.h
+++ b/walnutwing/routing/stale_load_draw.h
@@ -6,15 +6,15 @@
 //
 // If all daemons sent to the place with the least load when the loads were
 // counted, they would fill it far above the others before the next count. So
-// the requests that have probably arrived since are thought of as poured onto
-// the places like water: always where the level is lowest, until all that got
-// some are at the same level. A place is drawn with the share that it got. With
-// few arrivals since the count this is the best place, with many it is any of
-// them. (Dahlin, "Interpreting stale load information", 2000.)
+// the requests that have probably arrived since are added to the lowest level
+// first (water-filling), until all that got some are at the same level. A place
+// is drawn with the share that it got. With few arrivals since the count this
+// is the best place, with many it is any of them. (Dahlin, "Interpreting stale
+// load information", 2000.)
 //
-// The draws of one object are spread evenly, by the golden ratio: it comes back
-// to a place sooner or later than by its share as little as possible. Different
-// daemons' draws do not depend on each other if their seeds differ.
+// The draws of one object are spread by the golden ratio, so that each place is
+// drawn at nearly even intervals. Different daemons' draws do not depend on
+// each other if their seeds differ.
 
 #include <cstddef>
 #include <cstdint>
