--- a/net/event_loop.cc
+++ b/net/event_loop.cc
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr Duration kMaxWait = std::chrono::milliseconds(1000);
+// A timer that is due for longer shows that the process did not run.
+constexpr Duration kMaxLateness = std::chrono::milliseconds(10);
+// Polls before such a timer fires, each of which reads a part of what waits.
+constexpr int kMaxReadTurns = 16;
 
 // Wraps a duplicate of the descriptor in an h2o socket, since h2o closes the
 // descriptor that it is given.
@@ -119,6 +123,7 @@
 void
 EventLoop::RunOnce(Duration aMaxWait)
 {
+  ReadBeforeLateTimers();
   Duration wait = aMaxWait;
   if (FireDueTimers()) {
     wait = Duration::zero();
@@ -129,6 +134,20 @@
   h2o_evloop_run(m_loop, static_cast<std::int32_t>(wait.count()));
 }
 
+// What arrived while the process did not run must be read before a time limit
+// that passed meanwhile is judged.
+void
+EventLoop::ReadBeforeLateTimers()
+{
+  const auto isLate = [this] {
+    return !m_schedule.empty() &&
+           Now() - m_schedule.begin()->first > kMaxLateness;
+  };
+  for (int turn = 0; turn < kMaxReadTurns && isLate(); ++turn) {
+    h2o_evloop_run(m_loop, 0);
+  }
+}
+
 bool
 EventLoop::FireDueTimers()
 {
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -78,6 +78,7 @@
                    Duration aPeriod,
                    std::function<void()> aCallback);
   // Returns whether any timer fired.
+  void ReadBeforeLateTimers();
   bool FireDueTimers();
 
   SteadyClock m_clock;
--- a/standin/fleet_fixture.cc
+++ b/standin/fleet_fixture.cc
@@ -387,7 +387,9 @@
 }
 
 std::unique_ptr<OpenCall>
-Fleet::StartOrder(std::size_t aDaemon, const std::string& aKey)
+Fleet::StartOrder(std::size_t aDaemon,
+                  const std::string& aKey,
+                  std::optional<Duration> aDeadline)
 {
   net::CallRequest request;
   request.m_endpoint = DaemonAddress(aDaemon);
@@ -395,6 +397,10 @@
   request.m_target = std::string("/v1/orders/") + kOrderService;
   request.m_headers.Add("authorization", std::string("Bearer ") + kCustomerKey);
   request.m_headers.Add("idempotency-key", aKey);
+  if (aDeadline) {
+    request.m_headers.Add("walnutwing-deadline-ms",
+                          std::to_string(aDeadline->count()));
+  }
   request.m_body = R"({"valve":17})";
   return StartCall(std::move(request));
 }
--- a/standin/fleet_fixture.h
+++ b/standin/fleet_fixture.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -104,8 +105,11 @@
   std::unique_ptr<OpenCall> StartChat(std::size_t aDaemon,
                                       const std::string& aText,
                                       std::uint64_t aTokens);
-  std::unique_ptr<OpenCall> StartOrder(std::size_t aDaemon,
-                                       const std::string& aKey);
+  // aDeadline: nullopt for the service's own.
+  std::unique_ptr<OpenCall> StartOrder(
+    std::size_t aDaemon,
+    const std::string& aKey,
+    std::optional<Duration> aDeadline = std::nullopt);
   // Returns a unique order key, issued now.
   std::string NewOrderKey();
 
--- a/standin/fleet_test.cc
+++ b/standin/fleet_test.cc
@@ -280,6 +280,26 @@
   EXPECT_EQ(502, order->m_status) << order->m_body;
 }
 
+// Guards against issue 47, LOST, in the daemon: an order that ran and whose
+// caller is told that its deadline has passed, though its answer came while the
+// daemon stood still and waits to be read.
+TEST(Fleet, OrderIsAnsweredThoughItsDeadlinePassedInAStandstill)
+{
+  constexpr std::uint64_t kOrderRunMs = 700;
+  constexpr Duration kDeadline(1500);
+  constexpr Duration kPause(2500);
+  const auto fleet = StartFleet({ "", kOrderRunMs });
+  const std::string key = fleet->NewOrderKey();
+  const auto order = fleet->StartOrder(1, key, kDeadline);
+  ASSERT_TRUE(fleet->WaitUntil([&] { return fleet->CountRuns(key) == 1; }));
+  fleet->Daemon(1).Signal(SIGSTOP);
+  fleet->RunLoopFor(kPause);
+  fleet->Daemon(1).Signal(SIGCONT);
+  ASSERT_TRUE(fleet->WaitFor(*order));
+  EXPECT_EQ(200, order->m_status) << order->m_body;
+  EXPECT_EQ(1U, fleet->CountRuns(key));
+}
+
 TEST(Fleet, SendsNoNewRequestsToZoneThatIsOut)
 {
   const auto fleet = StartFleet({ "", 0, 10 });
