--- a/standin/outside_limits_test.cc
+++ b/standin/outside_limits_test.cc
@@ -236,6 +236,7 @@
   SetUpstreams(harness);
   std::vector<std::unique_ptr<CallerCrowd>> crowds;
   const std::vector<Crowd> kinds = Crowds();
+  crowds.reserve(kinds.size());
   for (const Crowd& kind : kinds) {
     crowds.push_back(
       std::make_unique<CallerCrowd>(harness.Loop(),
