--- a/router/front.h
+++ b/router/front.h
@@ -4,8 +4,9 @@
 // Accepts callers' connections and keeps track of the open ones. Callers may
 // take a half of the process's descriptors, as each request needs one for its
 // upstream too. A connection over that is accepted in the place of those that
-// have been idle for the longest; if none is idle, in the place of one that the
-// memory's ledger names, or it is closed.
+// have been idle for the longest. If none is idle, one that the memory's ledger
+// names is ended to make room for the next, and this one is closed if there is
+// no room yet.
 
 #include <cstdint>
 #include <functional>
--- a/router/memory_guard.cc
+++ b/router/memory_guard.cc
@@ -79,12 +79,12 @@
 }
 
 std::size_t
-MemoryGuard::MaxAnswerBytes(std::size_t aInCalm) const
+MemoryGuard::MaxAnswerBytes(std::size_t aUsual) const
 {
   if (m_ledger.IsFull()) {
     return 0;
   }
-  return m_ledger.IsShort() ? kMaxAnswerBytesIfShort : aInCalm;
+  return m_ledger.IsShort() ? kMaxAnswerBytesIfShort : aUsual;
 }
 
 void
--- a/router/memory_guard.h
+++ b/router/memory_guard.h
@@ -41,8 +41,8 @@
 class MemoryGuard
 {
 public:
-  // aMachineBytes: see SetMachineBytes.
-  // The references are not used before the first call of MayGrow or OnChanged.
+  // aMachineBytes: see SetMachineBytes. The references are not used before the
+  // first call of MayGrow or OnChanged.
   MemoryGuard(Loop& aLoop,
               EventLog& aLog,
               Metrics& aMetrics,
@@ -66,9 +66,9 @@
   // An owner's bytes have changed.
   void OnChanged();
 
-  // Bytes of an answer that may be kept for one caller; fewer than aInCalm when
+  // Bytes of an answer that may be kept for one caller; fewer than aUsual when
   // memory is short.
-  std::size_t MaxAnswerBytes(std::size_t aInCalm) const;
+  std::size_t MaxAnswerBytes(std::size_t aUsual) const;
 
   // Gives up one owner, if any need not be kept. Returns whether it did.
   bool GiveUpOne();
--- a/walnutwing/rollout/version_judge.cc
+++ b/walnutwing/rollout/version_judge.cc
@@ -38,7 +38,7 @@
 constexpr Duration kUpstreamWindow = std::chrono::seconds(10);
 // Bad answers outside of the worst upstream that make the cause the version's.
 constexpr std::uint64_t kMinElsewhere = 2;
-// As many at one upstream do so, too.
+// So many at the worst upstream do so too.
 constexpr std::uint64_t kMaxAtOne = 20;
 // Limits the score, so that it falls soon once a bad upstream gets no more
 // requests.
--- a/walnutwing/routing/load_bound.h
+++ b/walnutwing/routing/load_bound.h
@@ -12,8 +12,9 @@
 
 struct LoadBoundOptions
 {
-  // Load bound for the engine that a request prefers: this multiple of the mean
-  // load of the candidates plus a slack in requests, because means are small.
+  // Load bound for the upstream that a request prefers: this multiple of the
+  // mean load of the candidates plus a slack in requests, because means are
+  // small.
   double m_affinityLoadFactor = 1.8;
   double m_affinityLoadSlack = 3.0;
   // The same where the load bound depends on a part of the upstreams only, as
