--- a/router/context.h
+++ b/router/context.h
@@ -66,9 +66,8 @@
                                     OnPermitAnswer aOnAnswer)>
     m_askSuspectPermit{};
   // Finds the version of the upstream that began a stream, which may take some
-  // time. Calls aOnAnswer with nothing if no daemon that answers knows.
-  using OnStreamVersion =
-    std::function<void(const std::optional<SoftwareVersion>& aVersion)>;
+  // time.
+  using OnStreamVersion = std::function<void(const VersionFinding& aFinding)>;
   std::function<void(StreamKey aStream,
                      const ServiceId& aService,
                      OnStreamVersion aOnAnswer)>
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -109,26 +109,25 @@
 void
 RequestFlow::FindStreamVersion()
 {
-  m_resumption.Find(
-    [weak = weak_from_this()](const std::optional<SoftwareVersion>& aVersion) {
-      const auto self = weak.lock();
-      if (self != nullptr && !self->m_ended) {
-        self->OnStreamVersion(aVersion);
-      }
-    });
+  m_resumption.Find([weak = weak_from_this()](const VersionFinding& aFinding) {
+    const auto self = weak.lock();
+    if (self != nullptr && !self->m_ended) {
+      self->OnStreamVersion(aFinding);
+    }
+  });
 }
 
 void
-RequestFlow::OnStreamVersion(const std::optional<SoftwareVersion>& aVersion)
+RequestFlow::OnStreamVersion(const VersionFinding& aFinding)
 {
   const auto self = shared_from_this();
   m_record.LogTakenUp(m_resumption.FirstAttemptId(m_request.GetRoute()),
-                      aVersion);
-  if (!aVersion) {
+                      aFinding);
+  if (!aFinding.m_version) {
     Refuse(ResultCode::StreamVersionUnknown, kRetryAfter);
     return;
   }
-  m_resumption.SetVersion(*aVersion);
+  m_resumption.SetVersion(*aFinding.m_version);
   SendNext();
 }
 
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -94,7 +94,7 @@
   bool FindRoute();
   bool CheckTraits();
   void FindStreamVersion();
-  void OnStreamVersion(const std::optional<SoftwareVersion>& aVersion);
+  void OnStreamVersion(const VersionFinding& aFinding);
   bool MayRun();
   void OnSuspectPermit(bool aGranted);
   void SetDeadline();
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -127,12 +127,17 @@
 
 void
 RequestRecord::LogTakenUp(const std::string& aFirstAttemptId,
-                          const std::optional<SoftwareVersion>& aVersion)
+                          const VersionFinding& aFinding)
 {
+  const auto& version = aFinding.m_version;
   StartLine(Event::StreamTakenUp)
     .Add("resumes", aFirstAttemptId)
-    .Add("known", static_cast<std::int64_t>(aVersion.has_value()))
-    .Add("version", aVersion ? std::string_view(aVersion->Value()) : "")
+    .Add("known", static_cast<std::int64_t>(version.has_value()))
+    .Add("version", version ? std::string_view(version->Value()) : "")
+    .Add("source", NameOf(aFinding.m_source))
+    .Add("asked", static_cast<std::int64_t>(aFinding.m_asked))
+    .Add("answered", static_cast<std::int64_t>(aFinding.m_answered))
+    .Add("store", NameOf(aFinding.m_store))
     .Add("ms", ElapsedMs());
 }
 
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -83,9 +83,8 @@
   void LogUpstreamLimited(const Choice& aChoice,
                           std::string_view aText,
                           std::optional<double> aPerSecond);
-  // aVersion: that began the stream; nothing if it is unknown.
   void LogTakenUp(const std::string& aFirstAttemptId,
-                  const std::optional<SoftwareVersion>& aVersion);
+                  const VersionFinding& aFinding);
   // The outcome of the last attempt to send the request again.
   void SetRepeatResult(RepeatResult aResult) { m_repeatResult = aResult; }
   // Counts a repeat that the budget did not allow.
--- a/router/stream_resumption.cc
+++ b/router/stream_resumption.cc
@@ -27,7 +27,7 @@
 StreamResumption::Find(OnFound aOnFound)
 {
   if (!m_context.m_findStreamVersion) {
-    aOnFound(std::nullopt);
+    aOnFound({});
     return;
   }
   m_context.m_findStreamVersion(m_stream, m_service, std::move(aOnFound));
--- a/router/stream_resumption.h
+++ b/router/stream_resumption.h
@@ -36,9 +36,8 @@
   // Must be called once the route is known.
   void SetRoute(const Route& aRoute, const ServiceId& aService);
 
-  // Finds the version that began a stream that is taken up. Calls aOnFound, at
-  // once or later, with nothing if no daemon knows it. The request may have
-  // ended by then.
+  // Finds the version that began a stream that is taken up. Calls aOnFound at
+  // once or later; the request may have ended by then.
   using OnFound = Context::OnStreamVersion;
   void Find(OnFound aOnFound);
 
--- a/router/stream_version_exchange.cc
+++ b/router/stream_version_exchange.cc
@@ -74,8 +74,8 @@
     m_context.m_streamVersions.Keepers(aStream);
   const VersionPoll poll(OwnOpinion(aStream, aService), keepers.size());
   if (poll.IsDecided()) {
-    if (const auto version = poll.Result()) {
-      aOnAnswer(version);
+    if (poll.Result()) {
+      aOnAnswer(poll.Finding());
     } else {
       FindInStore(aStream, aService, poll, std::move(aOnAnswer));
     }
@@ -192,8 +192,8 @@
   }
   Pending pending = std::move(found->second);
   m_pending.erase(found);
-  if (const auto version = pending.m_poll.Result()) {
-    pending.m_onAnswer(version);
+  if (pending.m_poll.Result()) {
+    pending.m_onAnswer(pending.m_poll.Finding());
     return;
   }
   FindInStore(pending.m_stream,
@@ -214,14 +214,19 @@
                bool aFresh) {
     const VersionOpinion opinion =
       m_context.m_streamVersions.Opinion(aStream, aService, aFresh, Now());
-    std::optional<SoftwareVersion> version = VersionPoll(opinion, 0).Result();
-    if (!version && aFresh && opinion.m_before &&
+    VersionFinding finding = VersionPoll(opinion, 0).Finding();
+    finding.m_asked = aPoll.Finding().m_asked;
+    finding.m_answered = aPoll.Finding().m_answered;
+    finding.m_store = aFresh ? StoreRead::Complete : StoreRead::Incomplete;
+    if (!finding.m_version && aFresh && opinion.m_before &&
         aPoll.AllStateBefore(*opinion.m_before)) {
-      version = opinion.m_before;
+      finding.m_version = opinion.m_before;
+      finding.m_source = VersionSource::VersionBefore;
     }
     ++m_context.m_metrics.Counter("stream_versions_store_answers_total",
-                                  version ? "known=\"1\"" : "known=\"0\"");
-    onAnswer(version);
+                                  finding.m_version ? "known=\"1\""
+                                                    : "known=\"0\"");
+    onAnswer(finding);
   });
 }
 
--- a/walnutwing/routing/stream_versions.cc
+++ b/walnutwing/routing/stream_versions.cc
@@ -12,13 +12,22 @@
 namespace walnutwing {
 namespace {
 
-// Keepers that are told of a stream.
+// Other daemons that are told of a stream.
 constexpr std::size_t kKeepersTold = 2;
+// A stream has a keeper in each zone, but no fewer than these: the daemon that
+// began it and those that it tells.
+constexpr std::size_t kMinKeepers = 1 + kKeepersTold;
 // Limits on what is remembered and queued.
 constexpr std::size_t kMaxRemembered = 16'384;
 constexpr std::size_t kMaxTold = 65'536;
 constexpr std::size_t kMaxUntold = 4096;
 
+struct RankedMember
+{
+  double m_distance = 0;
+  const RosterMember* m_member = nullptr;
+};
+
 double
 DistanceOf(StreamKey aStream, const std::string& aName)
 {
@@ -33,62 +42,6 @@
   return StableHash(aAttemptId);
 }
 
-VersionPoll::VersionPoll(const VersionOpinion& aOwn, std::size_t aAsked)
-  : m_missing(aAsked)
-  , m_othersAsked(aAsked != 0)
-{
-  Merge(aOwn);
-}
-
-void
-VersionPoll::Add(const VersionOpinion& aOpinion)
-{
-  m_othersBefore.push_back(aOpinion.m_before);
-  m_missing -= m_missing == 0 ? 0 : 1;
-  Merge(aOpinion);
-}
-
-void
-VersionPoll::Merge(const VersionOpinion& aOpinion)
-{
-  if (aOpinion.m_recorded && !m_recorded) {
-    m_recorded = aOpinion.m_recorded;
-  }
-  if (!aOpinion.m_only) {
-    m_unanimous = false;
-    return;
-  }
-  m_conflict = m_conflict || (m_only && *m_only != *aOpinion.m_only);
-  m_only = aOpinion.m_only;
-  m_freshOnly = m_freshOnly || aOpinion.m_fresh;
-}
-
-bool
-VersionPoll::IsDecided() const
-{
-  return m_missing == 0 || m_recorded;
-}
-
-std::optional<SoftwareVersion>
-VersionPoll::Result() const
-{
-  if (m_recorded) {
-    return m_recorded;
-  }
-  const bool proved =
-    m_missing == 0 && (m_freshOnly || (m_unanimous && m_othersAsked));
-  return proved && !m_conflict ? m_only : std::nullopt;
-}
-
-bool
-VersionPoll::AllStateBefore(const SoftwareVersion& aVersion) const
-{
-  return m_missing == 0 &&
-         std::all_of(m_othersBefore.begin(),
-                     m_othersBefore.end(),
-                     [&](const auto& aBefore) { return aBefore == aVersion; });
-}
-
 void
 StreamVersions::SetListed(const ServiceId& aService,
                           const std::set<SoftwareVersion>& aVersions,
@@ -111,11 +64,12 @@
     known.m_listedSince.try_emplace(version, aNow);
   }
   if (!wasOnly) {
-    return; // all streams were told of when they began
+    return; // all streams were written down when they began
   }
   for (const auto& [stream, remembered] : m_own) {
     if (remembered.m_service == aService) {
-      AddRecord({ stream, remembered.m_version });
+      Tell({ stream, remembered.m_version });
+      WriteDown({ stream, remembered.m_version });
     }
   }
 }
@@ -219,49 +173,63 @@
   if (m_own.size() < kMaxRemembered) {
     m_own[aStream] = { aVersion, aService, aNow };
   }
+  Tell({ aStream, aVersion });
   const auto known = m_services.find(aService);
-  const bool needless =
+  const bool onlyVersion =
     known != m_services.end() && IsOnlyVersion(known->second, aNow);
-  if (!needless) {
-    AddRecord({ aStream, aVersion });
+  if (!onlyVersion) {
+    WriteDown({ aStream, aVersion });
   }
 }
 
 void
-StreamVersions::AddRecord(const StreamRecord& aRecord)
+StreamVersions::OnCompleted(StreamKey aStream)
+{
+  const auto isOf = [&](const StreamRecord& aRecord) {
+    return aRecord.m_stream == aStream;
+  };
+  m_own.erase(aStream);
+  std::erase_if(m_untold, isOf);
+  std::erase_if(m_unwritten, isOf);
+}
+
+void
+StreamVersions::Tell(const StreamRecord& aRecord)
 {
   if (m_untold.size() < kMaxUntold) {
     m_untold.push_back(aRecord);
   }
+}
+
+void
+StreamVersions::WriteDown(const StreamRecord& aRecord)
+{
   if (m_unwritten.size() < kMaxUntold) {
     m_unwritten.push_back(aRecord);
   }
 }
 
 // The member of each zone that is nearest to the stream, this daemon's zone
-// first, then the others by the zones' distance. A fleet of one zone has two.
+// first, then the others by the zones' distance; behind them, in a fleet of few
+// zones, the nearest of the other members.
 std::vector<const RosterMember*>
 StreamVersions::RankKeepers(StreamKey aStream) const
 {
-  std::map<ZoneId, const RosterMember*> nearest;
-  std::map<ZoneId, double> distances;
-  const RosterMember* second = nullptr;
+  std::vector<RankedMember> ranked;
+  ranked.reserve(m_members.size());
   for (const RosterMember& member : m_members) {
-    const double distance = DistanceOf(aStream, member.m_name.Value());
-    const RosterMember*& best = nearest[member.m_zone];
-    if (best == nullptr || distance < distances[member.m_zone]) {
-      second = best;
-      best = &member;
-      distances[member.m_zone] = distance;
-    } else if (second == nullptr ||
-               distance < DistanceOf(aStream, second->m_name.Value())) {
-      second = &member;
-    }
+    ranked.push_back({ DistanceOf(aStream, member.m_name.Value()), &member });
   }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.m_distance < aRight.m_distance;
+    });
   std::vector<const RosterMember*> keepers;
-  keepers.reserve(nearest.size() + 1);
-  for (const auto& [zone, member] : nearest) {
-    keepers.push_back(member);
+  std::vector<const RosterMember*> others;
+  std::set<ZoneId> zones;
+  for (const RankedMember& member : ranked) {
+    const bool isNearestOfZone = zones.insert(member.m_member->m_zone).second;
+    (isNearestOfZone ? keepers : others).push_back(member.m_member);
   }
   const auto rank = [&](const RosterMember* aMember) {
     return std::pair(aMember->m_zone != m_zone,
@@ -271,8 +239,11 @@
     keepers.begin(), keepers.end(), [&](const auto* aLeft, const auto* aRight) {
       return rank(aLeft) < rank(aRight);
     });
-  if (keepers.size() == 1 && second != nullptr) {
-    keepers.push_back(second);
+  for (const RosterMember* other : others) {
+    if (keepers.size() >= kMinKeepers) {
+      break;
+    }
+    keepers.push_back(other);
   }
   return keepers;
 }
@@ -282,12 +253,10 @@
 {
   std::map<std::string, std::vector<StreamRecord>> records;
   for (const StreamRecord& record : m_untold) {
-    std::vector<const RosterMember*> keepers = RankKeepers(record.m_stream);
+    std::vector<std::string> keepers = Keepers(record.m_stream);
     keepers.resize(std::min(keepers.size(), kKeepersTold));
-    for (const RosterMember* keeper : keepers) {
-      if (keeper->m_name != m_self) {
-        records[keeper->m_address].push_back(record);
-      }
+    for (const std::string& keeper : keepers) {
+      records[keeper].push_back(record);
     }
   }
   m_untold.clear();
--- a/walnutwing/routing/stream_versions.h
+++ b/walnutwing/routing/stream_versions.h
@@ -5,21 +5,23 @@
 // resumed may go on only at an upstream of that version, and the caller may
 // resume it at any daemon.
 //
-// While the upstreams of a service have one version only, nothing has to be
-// remembered: a daemon that has seen no other version for kStreamLifetime knows
-// the version of every stream. Otherwise a daemon that begins a stream tells
-// two others, which follow from the stream's key by rendezvous hashing: one of
-// its own zone, so that the zone knows the stream when it is cut off, and one
-// of another. A daemon at which a stream is resumed asks one of each zone. That
-// costs a few datagrams a stream, whatever the size of the fleet. When a second
-// version appears, each daemon tells of the streams that it has in progress.
+// A daemon that begins a stream tells two others, which follow from the
+// stream's key by rendezvous hashing: one of its own zone, so that the zone
+// knows the stream when it is cut off, and one of another. A daemon at which a
+// stream is resumed asks one of each zone. That costs a few datagrams a stream,
+// whatever the size of the fleet.
 //
-// These records die with the daemons, so each daemon also hands the streams
-// that it begins to a journal outside, which is read if no daemon knows a
-// stream.
+// It tells them also while the upstreams of a service have one version only,
+// when every daemon knows the version of every stream without a record: that
+// knowledge ends at the moment at which another version is listed, and a daemon
+// that is then frozen, gone or cut off can tell nobody what it has begun.
 //
-// What the daemons of a zone answer is combined by VersionPoll. It never
-// guesses: if nobody knows, the version is unknown.
+// The records die with the daemons, so while there are several versions each
+// daemon also hands the streams that it begins to a journal outside, which is
+// read if no daemon knows a stream. When a second version appears, it hands
+// over the streams that it has in progress.
+//
+// What the daemons of a zone answer is combined by VersionPoll.
 //
 // That a daemon sees one version only says something about a stream that
 // another daemon began only if its list is not older than any version in use.
@@ -50,6 +52,7 @@
 #include "walnutwing/base/clock.h"
 #include "walnutwing/base/id.h"
 #include "walnutwing/routing/fleet_roster.h"
+#include "walnutwing/routing/version_poll.h"
 
 namespace walnutwing {
 
@@ -71,54 +74,6 @@
 // version that has begun a stream.
 inline constexpr Duration kFreshListAge = std::chrono::milliseconds(1200);
 
-// What one daemon knows of the version that began a stream.
-struct VersionOpinion
-{
-  std::optional<SoftwareVersion> m_recorded; // it was told, or began the stream
-  // The only version of the service's upstreams for kStreamLifetime.
-  std::optional<SoftwareVersion> m_only;
-  // Whether its list of upstreams is up to date.
-  bool m_fresh = false;
-  // The only version until another one joined while no daemon was running.
-  std::optional<SoftwareVersion> m_before{};
-};
-
-// Combines the opinions on one stream.
-class VersionPoll
-{
-public:
-  // aAsked: how many opinions of other daemons are expected.
-  VersionPoll(const VersionOpinion& aOwn, std::size_t aAsked);
-
-  // Another daemon's opinion.
-  void Add(const VersionOpinion& aOpinion);
-
-  // Whether further opinions cannot change the result.
-  bool IsDecided() const;
-
-  // The version, as far as the opinions show it; nullopt if it is unknown. A
-  // record counts most. An only version counts if all that were asked have
-  // answered and have no record, if a daemon with an up to date list states it,
-  // or all state it, and if no other one is stated.
-  std::optional<SoftwareVersion> Result() const;
-
-  // Whether all daemons that were asked have answered and state aVersion as the
-  // only one before another joined.
-  bool AllStateBefore(const SoftwareVersion& aVersion) const;
-
-private:
-  void Merge(const VersionOpinion& aOpinion);
-
-  std::size_t m_missing;
-  bool m_othersAsked;
-  bool m_unanimous = true; // about the only version
-  bool m_conflict = false;
-  bool m_freshOnly = false; // stated by a daemon with an up to date list
-  std::optional<SoftwareVersion> m_recorded;
-  std::optional<SoftwareVersion> m_only;
-  std::vector<std::optional<SoftwareVersion>> m_othersBefore;
-};
-
 // A stream that another daemon is to remember.
 struct StreamRecord
 {
@@ -194,7 +149,7 @@
                Time aNow);
 
   // The stream is complete and cannot be resumed.
-  void OnCompleted(StreamKey aStream) { m_own.erase(aStream); }
+  void OnCompleted(StreamKey aStream);
 
   // What other daemons are to be told now, by their addresses.
   std::map<std::string, std::vector<StreamRecord>> TakeRecords();
@@ -202,7 +157,7 @@
 
   bool HasUnwritten() const { return !m_unwritten.empty(); }
 
-  // The streams that this daemon has begun and that are not in the journal.
+  // The streams that this daemon has begun and that the journal lacks.
   std::vector<StreamRecord> TakeUnwritten()
   {
     return std::exchange(m_unwritten, {});
@@ -240,7 +195,8 @@
   };
   using Memory = std::unordered_map<StreamKey, Remembered>;
 
-  void AddRecord(const StreamRecord& aRecord);
+  void Tell(const StreamRecord& aRecord);
+  void WriteDown(const StreamRecord& aRecord);
   bool IsOnlyVersion(const ServiceVersions& aVersions, Time aNow) const;
   std::vector<const RosterMember*> RankKeepers(StreamKey aStream) const;
 
--- a/walnutwing/routing/stream_versions_test.cc
+++ b/walnutwing/routing/stream_versions_test.cc
@@ -12,91 +12,6 @@
 const SoftwareVersion kOne("v1");
 const SoftwareVersion kTwo("v2");
 
-VersionOpinion
-Recorded(const SoftwareVersion& aVersion)
-{
-  return { aVersion, std::nullopt, true };
-}
-
-VersionOpinion
-Only(const SoftwareVersion& aVersion, bool aFresh)
-{
-  return { std::nullopt, aVersion, aFresh };
-}
-
-TEST(VersionPoll, RecordDecidesAtOnce)
-{
-  VersionPoll poll({}, 3);
-  EXPECT_FALSE(poll.IsDecided());
-  poll.Add(Only(kTwo, false));
-  EXPECT_FALSE(poll.IsDecided());
-  poll.Add(Recorded(kOne));
-  EXPECT_TRUE(poll.IsDecided());
-  EXPECT_EQ(kOne, poll.Result());
-}
-
-TEST(VersionPoll, OnlyVersionOfAnUpToDateListCounts)
-{
-  VersionPoll own(Only(kOne, true), 1);
-  own.Add({});
-  EXPECT_TRUE(own.IsDecided());
-  EXPECT_EQ(kOne, own.Result());
-  VersionPoll poll({}, 2);
-  poll.Add(Only(kOne, true));
-  poll.Add({});
-  EXPECT_EQ(kOne, poll.Result());
-}
-
-// Guards against issue 41: a daemon out of step takes its own list, which
-// counts as up to date, for proof, although a daemon that would have a record
-// of the stream has not answered.
-TEST(VersionPoll, OnlyVersionDoesNotCountWhileAnAnswerIsMissing)
-{
-  VersionPoll poll(Only(kOne, true), 2);
-  EXPECT_FALSE(poll.IsDecided());
-  EXPECT_FALSE(poll.Result());
-  poll.Add(Only(kOne, true));
-  EXPECT_FALSE(poll.IsDecided());
-  EXPECT_FALSE(poll.Result());
-}
-
-// Guards against a daemon that knows no other one and has an old list.
-TEST(VersionPoll, OldListOfADaemonWithNobodyToAskDoesNotCount)
-{
-  EXPECT_FALSE(VersionPoll(Only(kOne, false), 0).Result());
-  EXPECT_EQ(kOne, VersionPoll(Only(kOne, true), 0).Result());
-}
-
-// Guards against a daemon without the store that takes its old list for true,
-// although another one knows of a second version or is silent.
-TEST(VersionPoll, OnlyVersionOfOldListsCountsIfAllAgree)
-{
-  VersionPoll poll(Only(kOne, false), 2);
-  poll.Add(Only(kOne, false));
-  EXPECT_FALSE(poll.Result()); // one is silent
-  poll.Add(Only(kOne, false));
-  EXPECT_EQ(kOne, poll.Result());
-
-  VersionPoll doubted(Only(kOne, false), 1);
-  doubted.Add({});
-  EXPECT_TRUE(doubted.IsDecided());
-  EXPECT_FALSE(doubted.Result());
-}
-
-TEST(VersionPoll, ContradictionIsNoAnswer)
-{
-  VersionPoll poll(Only(kOne, true), 1);
-  poll.Add(Only(kTwo, true));
-  EXPECT_FALSE(poll.Result());
-}
-
-TEST(VersionPoll, NobodyToAskAndNothingKnown)
-{
-  const VersionPoll poll({}, 0);
-  EXPECT_TRUE(poll.IsDecided());
-  EXPECT_FALSE(poll.Result());
-}
-
 // Daemons that pass on each other's records.
 class StreamVersionsTest : public testing::Test
 {
@@ -206,6 +121,33 @@
   EXPECT_EQ(50U, CountFound("d0", 50, kTwo));
 }
 
+// Guards against review/10, LOST: a second version joins while the daemon that
+// began the streams, and had told nobody of them, is frozen or gone, alone or
+// with any other one.
+TEST_F(StreamVersionsTest, StreamIsKnownWhenItsDaemonIsLostBeforeAVersionJoins)
+{
+  constexpr StreamKey kStreams = 50;
+  for (const std::size_t zones : { 1U, 2U, 3U, 4U }) {
+    for (const std::string alsoLost : { "d0", "d2", "d3", "d5", "d8" }) {
+      MakeDaemons(9, zones);
+      List({ kOne });
+      m_now += kStreamLifetime;
+      for (StreamKey stream = 0; stream < kStreams; ++stream) {
+        m_daemons["d1"]->OnBegun(stream, kService, kOne, m_now);
+      }
+      Deliver();
+      m_daemons.erase("d1");
+      m_daemons.erase(alsoLost);
+      List({ kOne, kTwo });
+      for (const auto& [name, daemon] : m_daemons) {
+        EXPECT_EQ(kStreams, CountFound(name, kStreams, kOne))
+          << zones << " zones, without " << alsoLost << ", at " << name;
+      }
+      m_daemons.clear();
+    }
+  }
+}
+
 TEST_F(StreamVersionsTest, FleetOfOneZoneHasTwoKeepers)
 {
   MakeDaemons(4, 1);
@@ -216,15 +158,21 @@
   EXPECT_EQ(kTwo, Find("d2", 7));
 }
 
-// Guards against records where nobody needs them.
-TEST_F(StreamVersionsTest, NothingIsToldWhereThereIsOneVersionOnly)
+// Guards against calls to the store that nobody needs, and against datagrams
+// for streams that are over before they are sent.
+TEST_F(StreamVersionsTest, NothingIsWrittenDownWhereThereIsOneVersionOnly)
 {
   MakeDaemons(7, 3);
   List({ kOne });
   m_now += kStreamLifetime;
   m_daemons["d1"]->OnBegun(1, kService, kOne, m_now);
-  EXPECT_EQ(0U, Deliver());
+  EXPECT_FALSE(m_daemons["d1"]->HasUnwritten());
+  EXPECT_EQ(2U, Deliver());
   EXPECT_EQ(kOne, Find("d2", 1));
+  m_daemons["d1"]->OnBegun(2, kService, kOne, m_now);
+  m_daemons["d1"]->OnCompleted(2);
+  EXPECT_FALSE(m_daemons["d1"]->HasRecords());
+  EXPECT_EQ(0U, Deliver());
 }
 
 // Guards against streams in progress that nobody knows when a second version
