--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -292,6 +292,23 @@
   }
 }
 
+// Guards against a report, MIXED: a part of the answer to a long upload that
+// looks complete, as its server closed with bytes unread.
+TEST(Http, EarlyAnswerToALongUploadIsNotComplete)
+{
+  const RawServer server;
+  ClientAndServer pair([](const std::shared_ptr<Exchange>&) {});
+  CallRequest request;
+  request.m_endpoint = Loopback(server.Port());
+  request.m_method = "POST";
+  request.m_body = std::string(std::size_t{ 12 } << 20U, 'x');
+  std::thread answering(
+    [&] { server.Answer("HTTP/1.1 200 OK\r\n\r\na part of the body"); });
+  const HttpResponse response = pair.Fetch(std::move(request));
+  answering.join();
+  EXPECT_NE(CallStage::Complete, response.m_end.m_stage);
+}
+
 TEST(Http, CancelledCallClosesConnectionToServer)
 {
   std::shared_ptr<Exchange> exchange;
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -601,7 +601,8 @@
   m_attempt.m_bodyEnd = { aResult.m_framing,
                           aResult.m_bodyBytes,
                           m_relay.PartialEventBytes(),
-                          m_attempt.m_resumedAfter == m_relay.LastEventId() };
+                          m_attempt.m_resumedAfter == m_relay.LastEventId(),
+                          aResult.m_requestTaken };
   if (aResult.m_stage == SendStage::NotConnected) {
     EndAttempt(SendOutcome::Unreachable);
     m_avoid.insert(m_attempt.m_choice.m_upstream);
@@ -610,14 +611,15 @@
   }
   std::string error = aResult.m_error;
   if (aResult.m_stage == SendStage::Complete) {
-    const bool judged = m_attempt.m_isEventStream && !m_attempt.Discards();
-    const StreamEnd end =
-      judged ? ClassifyStreamEnd(m_attempt.m_bodyEnd) : StreamEnd::Complete;
-    if (end == StreamEnd::Complete) {
+    const BodyVerdict verdict =
+      m_attempt.Discards()
+        ? BodyVerdict::Complete
+        : JudgeBody(m_attempt.m_bodyEnd, m_attempt.m_isEventStream);
+    if (verdict == BodyVerdict::Complete) {
       OnResponseComplete();
       return;
     }
-    error = NameOf(end);
+    error = NameOf(verdict);
   }
   m_traitProbe.OnBroken(m_attempt.m_choice);
   EndAttempt(SendOutcome::Failed);
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "router/socket_options.h"
@@ -116,6 +118,7 @@
 {
   m_stage = SendStage::Sent;
   m_writing = true;
+  m_writeFailed = false;
   const std::array<asio::const_buffer, 2> buffers = {
     asio::buffer(m_request.m_head),
     m_request.m_body == nullptr ? asio::const_buffer()
@@ -130,9 +133,8 @@
                       }
                       self->m_writing = false;
                       // An upstream may respond and close before it has read a
-                      // long body. Its response is still to be read, so the
-                      // result of reading decides.
-                      static_cast<void>(aError);
+                      // long body. Its response is still to be read.
+                      self->m_writeFailed = static_cast<bool>(aError);
                     });
   Read();
 }
@@ -284,6 +286,8 @@
   }
   const bool keepOpen = m_parser->get().keep_alive() && m_input.size() == 0 &&
                         !m_writing && m_refusedIds.size() < kMaxRefusedIds;
+  const bool requestTaken =
+    m_framing != BodyFraming::UntilClose || IsRequestTaken();
   ResponseReceiver* receiver = std::exchange(m_receiver, nullptr);
   ++m_generation;
   const auto self = shared_from_this();
@@ -293,10 +297,23 @@
   } else {
     Close();
   }
-  receiver->OnEnd({ SendStage::Complete, "", m_framing, m_bodyBytes });
+  receiver->OnEnd(
+    { SendStage::Complete, "", m_framing, m_bodyBytes, requestTaken });
   return false;
 }
 
+// A reset that a write has reported looks like an orderly close to the next
+// read, so the write's result counts too. Bytes that the upstream's host has
+// not acknowledged when the upstream closes will never be read.
+bool
+UpstreamConnection::IsRequestTaken()
+{
+  int unacknowledged = 0;
+  const bool known =
+    ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  return !m_writing && !m_writeFailed && (!known || unacknowledged == 0);
+}
+
 // A response without a length ends with the connection. It is complete only if
 // the connection was closed in an orderly way rather than reset.
 void
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -54,6 +54,9 @@
   std::string m_error; // empty when complete
   BodyFraming m_framing = BodyFraming::Unknown;
   std::uint64_t m_bodyBytes = 0; // received
+  // Whether the whole request had reached the upstream's host when the response
+  // ended.
+  bool m_requestTaken = true;
 };
 
 // Receives the response. OnEnd is the last call; there are no calls after
@@ -130,6 +133,7 @@
   bool OnResponseHead();
   bool OnResponseComplete();
   void OnPeerClosed(const error_code& aError);
+  bool IsRequestTaken();
   void NewParser();
   BodyFraming Framing() const;
   void Finish(SendStage aStage, std::string aError);
@@ -153,6 +157,7 @@
   bool m_reused = false;
   bool m_closed = false;
   bool m_writing = false;
+  bool m_writeFailed = false;
   bool m_reading = false;
   bool m_paused = false;
   bool m_headParsed = false;      // head of the response being parsed
--- a/standin/upstream_standin.cc
+++ b/standin/upstream_standin.cc
@@ -1,10 +1,13 @@
 #include "standin/upstream_standin.h"
 
 #include <cstdio>
+#include <limits>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace walnutwing::standin {
@@ -82,6 +85,10 @@
 
   void Read()
   {
+    if (m_upstream.m_readsHeadsOnly) {
+      ReadHead();
+      return;
+    }
     m_request = {};
     http::async_read(
       m_socket,
@@ -92,16 +99,38 @@
           self->m_peerClosed = true;
           return;
         }
-        auto exchange =
-          std::make_shared<Exchange>(self, std::move(self->m_request));
-        if (self->m_upstream.m_recordsExchanges) {
-          self->m_upstream.m_exchanges.push_back(exchange);
-        }
-        self->m_upstream.m_handler(exchange);
+        self->Handle(std::move(self->m_request));
         self->Read();
       });
   }
 
+  void ReadHead()
+  {
+    m_parser.emplace();
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    http::async_read_header(
+      m_socket,
+      m_input,
+      *m_parser,
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        if (aError) {
+          self->m_peerClosed = true;
+          return;
+        }
+        self->Handle(self->m_parser->get());
+      });
+  }
+
+  void Handle(http::request<http::string_body> aRequest)
+  {
+    auto exchange =
+      std::make_shared<Exchange>(shared_from_this(), std::move(aRequest));
+    if (m_upstream.m_recordsExchanges) {
+      m_upstream.m_exchanges.push_back(exchange);
+    }
+    m_upstream.m_handler(exchange);
+  }
+
   void Shutdown()
   {
     error_code ignored; // the peer may have closed it
@@ -136,6 +165,16 @@
         [connection = m_connection] { connection->m_peerClosed = true; });
     }
     void Close() override { m_connection->Shutdown(); }
+    void HalfClose() override
+    {
+      error_code ignored; // the peer may have closed it
+      m_connection->m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+    void CloseSocket() override
+    {
+      error_code ignored; // the test is done with it
+      m_connection->m_socket.close(ignored);
+    }
     void Reset() override
     {
       error_code ignored; // the test is done with it
@@ -154,6 +193,7 @@
   Tcp::socket m_socket;
   boost::beast::flat_buffer m_input;
   http::request<http::string_body> m_request;
+  std::optional<http::request_parser<http::string_body>> m_parser;
   bool m_peerClosed = false;
 };
 
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -25,6 +25,10 @@
   // Writes aPiece again and again until the router closes the connection.
   virtual void WriteEndlessly(const std::string& aPiece) = 0;
   virtual void Close() = 0; // orderly, without a reset
+  // Ends its own side in an orderly way; the other one stays open, unread.
+  virtual void HalfClose() = 0;
+  // Closes the socket; what was received and not read turns that into a reset.
+  virtual void CloseSocket() = 0;
   virtual void Reset() = 0;
   virtual bool PeerClosed() const = 0;
 };
@@ -72,6 +76,10 @@
   // Listens at the same address again.
   void Restart();
 
+  // Whether it reads only the head of a request, and a first piece of its body,
+  // before its handler is called, and nothing after that.
+  void SetReadsHeadsOnly(bool aHeadsOnly) { m_readsHeadsOnly = aHeadsOnly; }
+
   // Whether Exchanges records requests; each entry keeps its connection open.
   void SetRecordsExchanges(bool aRecords) { m_recordsExchanges = aRecords; }
   // All requests received while recording was on.
@@ -91,6 +99,7 @@
   Handler m_handler;
   std::vector<std::shared_ptr<UpstreamExchange>> m_exchanges;
   bool m_recordsExchanges = true;
+  bool m_readsHeadsOnly = false;
 };
 
 } // namespace walnutwing::standin
--- a/walnutwing/relay/body_end.cc
+++ b/walnutwing/relay/body_end.cc
@@ -14,26 +14,35 @@
 }
 
 std::string_view
-NameOf(StreamEnd aEnd)
+NameOf(BodyVerdict aVerdict)
 {
-  constexpr std::array<std::string_view, 3> kNames = {
-    "complete", "stream ended inside an event", "stream ended without events"
+  constexpr std::array<std::string_view, 4> kNames = {
+    "complete",
+    "response ended before the request was read",
+    "stream ended inside an event",
+    "stream ended without events"
   };
-  return kNames.at(static_cast<std::size_t>(aEnd));
+  return kNames.at(static_cast<std::size_t>(aVerdict));
 }
 
-StreamEnd
-ClassifyStreamEnd(const BodyEnd& aEnd)
+BodyVerdict
+JudgeBody(const BodyEnd& aEnd, bool aIsEventStream)
 {
+  const bool endsWithConnection = aEnd.m_framing == BodyFraming::UntilClose;
+  if (endsWithConnection && !aEnd.m_requestTaken) {
+    return BodyVerdict::BeforeRequestEnd;
+  }
+  if (!aIsEventStream) {
+    return BodyVerdict::Complete;
+  }
   if (aEnd.m_partialEventBytes != 0) {
-    return StreamEnd::InsideEvent;
+    return BodyVerdict::InsideEvent;
   }
-  const bool unframed =
-    aEnd.m_framing == BodyFraming::UntilClose && aEnd.m_bytes == 0;
-  if (unframed || aEnd.m_addsNothing) {
-    return StreamEnd::WithoutEvents;
+  const bool isEmpty = endsWithConnection && aEnd.m_bytes == 0;
+  if (isEmpty || aEnd.m_addsNothing) {
+    return BodyVerdict::WithoutEvents;
   }
-  return StreamEnd::Complete;
+  return BodyVerdict::Complete;
 }
 
 } // namespace walnutwing
--- a/walnutwing/relay/body_end.h
+++ b/walnutwing/relay/body_end.h
@@ -8,6 +8,8 @@
 // way as one that has finished. A stream of Server-Sent Events says more: the
 // empty line that ends an event. A client discards an event without it, so a
 // stream that ends inside an event lacks that event, whatever its framing says.
+// An upstream that closes its connection before it has read the request has not
+// answered it, so a body that ends in that way is incomplete as well.
 
 #include <cstdint>
 #include <string_view>
@@ -38,11 +40,15 @@
   // Of a stream of events that goes on with one that had begun: whether it has
   // added no event.
   bool m_addsNothing = false;
+  // Whether the whole request had reached the upstream's host by then.
+  bool m_requestTaken = true;
 };
 
-enum class StreamEnd
+enum class BodyVerdict
 {
   Complete,
+  // The connection, which was to end the body, ended before the request did.
+  BeforeRequestEnd,
   InsideEvent,
   // There was neither an event nor framing, or a stream that was to go on got
   // no further event. Nothing shows that the upstream had come further than its
@@ -50,14 +56,14 @@
   WithoutEvents,
 };
 
-// The end as a cause of failure, for log lines.
+// The verdict as a cause of failure, for log lines.
 std::string_view
-NameOf(StreamEnd aEnd);
+NameOf(BodyVerdict aVerdict);
 
 // Requires that the body's framing was satisfied: its length was reached, its
 // last chunk was received, or its connection was closed in an orderly way.
-StreamEnd
-ClassifyStreamEnd(const BodyEnd& aEnd);
+BodyVerdict
+JudgeBody(const BodyEnd& aEnd, bool aIsEventStream);
 
 } // namespace walnutwing
 
--- a/walnutwing/relay/body_end_test.cc
+++ b/walnutwing/relay/body_end_test.cc
@@ -10,19 +10,19 @@
 {
   for (const BodyFraming framing :
        { BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose }) {
-    EXPECT_EQ(StreamEnd::InsideEvent, ClassifyStreamEnd({ framing, 20, 1 }));
-    EXPECT_EQ(StreamEnd::Complete, ClassifyStreamEnd({ framing, 20, 0 }));
+    EXPECT_EQ(BodyVerdict::InsideEvent, JudgeBody({ framing, 20, 1 }, true));
+    EXPECT_EQ(BodyVerdict::Complete, JudgeBody({ framing, 20, 0 }, true));
   }
 }
 
 // Guards against a crash right after the head that looks like an empty stream.
 TEST(BodyEnd, EmptyStreamIsCompleteOnlyIfItIsFramed)
 {
-  EXPECT_EQ(StreamEnd::WithoutEvents,
-            ClassifyStreamEnd({ BodyFraming::UntilClose, 0, 0 }));
+  EXPECT_EQ(BodyVerdict::WithoutEvents,
+            JudgeBody({ BodyFraming::UntilClose, 0, 0 }, true));
   for (const BodyFraming framing :
        { BodyFraming::None, BodyFraming::Length, BodyFraming::Chunked }) {
-    EXPECT_EQ(StreamEnd::Complete, ClassifyStreamEnd({ framing, 0, 0 }));
+    EXPECT_EQ(BodyVerdict::Complete, JudgeBody({ framing, 0, 0 }, true));
   }
 }
 
@@ -32,13 +32,29 @@
 {
   for (const BodyFraming framing :
        { BodyFraming::None, BodyFraming::Length, BodyFraming::Chunked }) {
-    EXPECT_EQ(StreamEnd::WithoutEvents,
-              ClassifyStreamEnd({ framing, 0, 0, true }));
-    EXPECT_EQ(StreamEnd::WithoutEvents,
-              ClassifyStreamEnd({ framing, 13, 0, true }))
+    EXPECT_EQ(BodyVerdict::WithoutEvents,
+              JudgeBody({ framing, 0, 0, true }, true));
+    EXPECT_EQ(BodyVerdict::WithoutEvents,
+              JudgeBody({ framing, 13, 0, true }, true))
       << "a comment is no event";
   }
 }
 
+// Guards against a report, MIXED: a part of a body without a length that looks
+// complete, as its connection was closed before the request was read.
+TEST(BodyEnd, UnframedBodyBeforeTheEndOfTheRequestIsIncomplete)
+{
+  BodyEnd end{ BodyFraming::UntilClose, 18 };
+  end.m_requestTaken = false;
+  for (const bool isEventStream : { false, true }) {
+    EXPECT_EQ(BodyVerdict::BeforeRequestEnd, JudgeBody(end, isEventStream));
+  }
+  for (const BodyFraming framing :
+       { BodyFraming::Length, BodyFraming::Chunked }) {
+    end.m_framing = framing;
+    EXPECT_EQ(BodyVerdict::Complete, JudgeBody(end, false));
+  }
+}
+
 } // namespace
 } // namespace walnutwing
