--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -309,6 +310,70 @@
   EXPECT_NE(CallStage::Complete, response.m_end.m_stage);
 }
 
+// Guards against reports, MIXED: a status that is none is handed on as another
+// one. Which of them are answers is for AnswerStream to judge.
+TEST(Http, StatusIsHandedOnAsItWasSent)
+{
+  const struct
+  {
+    std::string m_text;
+    int m_status; // 0: none may be handed on, or just that
+  } rows[] = { { "000", 0 },   { "001", 1 },   { "099", 99 }, { "204", 204 },
+               { "600", 600 }, { "999", 999 }, { "20", 0 },   { "2000", 0 },
+               { "+20", 0 },   { "-20", 0 },   { "0x2", 0 },  { "2e2", 0 } };
+  for (const auto& row : rows) {
+    const RawServer server;
+    ClientAndServer pair([](const std::shared_ptr<Exchange>&) {});
+    CallRequest request;
+    request.m_endpoint = Loopback(server.Port());
+    std::thread answering([&] {
+      server.Answer("HTTP/1.1 " + row.m_text +
+                    " Status\r\nContent-Length: 4\r\n\r\ndone");
+    });
+    const HttpResponse response = pair.Fetch(std::move(request));
+    answering.join();
+    EXPECT_EQ(row.m_status, response.m_status) << row.m_text;
+  }
+}
+
+// Guards against bytes behind a response that has no body: a client takes them
+// for the next response.
+TEST(Http, ResponseWithoutABodyEndsAtItsHead)
+{
+  for (const int status : { 204, 304 }) {
+    ClientAndServer pair([&](const std::shared_ptr<Exchange>& aExchange) {
+      aExchange->Start(status, {});
+      aExchange->End();
+    });
+    const int connection = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(pair.m_server.Port());
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    ASSERT_EQ(0,
+              connect(connection,
+                      reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)));
+    constexpr std::string_view kRequest =
+      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    ASSERT_EQ(static_cast<ssize_t>(kRequest.size()),
+              write(connection, kRequest.data(), kRequest.size()));
+    std::string received;
+    EXPECT_TRUE(RunUntil(pair.m_loop, [&] {
+      char bytes[4096];
+      const ssize_t count =
+        recv(connection, bytes, sizeof(bytes), MSG_DONTWAIT);
+      received.append(bytes,
+                      static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+      return count == 0;
+    }));
+    close(connection);
+    EXPECT_TRUE(received.ends_with("\r\n\r\n")) << received;
+    EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos) << received;
+    EXPECT_EQ(received.find("chunked"), std::string::npos) << received;
+  }
+}
+
 TEST(Http, CancelledCallClosesConnectionToServer)
 {
   std::shared_ptr<Exchange> exchange;
--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <random>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "platform/field_text.h"
 #include "router/input_guard.h"
 #include "router/socket_options.h"
+#include "walnutwing/relay/response_status.h"
 
 namespace walnutwing::router {
 namespace {
@@ -41,13 +43,16 @@
 // of up to the same time is added.
 constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(1000);
 
-// Whether responses with that status line have no body (RFC 9112, 6.3).
+// Whether responses with that status line have no body.
 bool
 IsBodylessStatus(std::string_view aHead)
 {
   constexpr std::size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
-  const std::string_view status = aHead.substr(kStatusAt, 3);
-  return status == "204" || status == "304";
+  constexpr std::size_t kStatusDigits = 3;
+  const std::string_view text = aHead.substr(kStatusAt, kStatusDigits);
+  unsigned status = 0;
+  std::from_chars(text.data(), text.data() + text.size(), status);
+  return KindOf(status) == StatusKind::FinalWithoutBody;
 }
 
 } // namespace
--- a/router/response_check.cc
+++ b/router/response_check.cc
@@ -3,7 +3,7 @@
 namespace walnutwing::router {
 namespace {
 
-constexpr unsigned kNoContentStatus = 204;
+// It has no content either, although its framing may have a length.
 constexpr unsigned kResetContentStatus = 205;
 
 // The Content-Type decides; without one, a stream's route says what it sends.
@@ -12,7 +12,8 @@
               const platform::ResponseFacts& aFacts,
               RouteKind aKind)
 {
-  if (aStatus == kNoContentStatus || aStatus == kResetContentStatus) {
+  if (KindOf(aStatus) == StatusKind::FinalWithoutBody ||
+      aStatus == kResetContentStatus) {
     return false;
   }
   if (aFacts.m_mediaType == platform::MediaType::Unstated) {
@@ -23,12 +24,6 @@
 
 } // namespace
 
-bool
-IsSuccess(unsigned aStatus)
-{
-  return aStatus / 100 == 2;
-}
-
 ResponseCheck
 CheckResponse(unsigned aStatus,
               const platform::ResponseFacts& aFacts,
--- a/router/response_check.h
+++ b/router/response_check.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "platform/answer_codec.h"
+#include "walnutwing/relay/response_status.h"
 #include "walnutwing/routing/route_table.h"
 
 namespace walnutwing::router {
@@ -36,10 +37,6 @@
               RouteKind aKind,
               Forwarded aForwarded);
 
-// Whether the status is 2xx.
-bool
-IsSuccess(unsigned aStatus);
-
 } // namespace walnutwing::router
 
 #endif // WALNUTWING_ROUTER_RESPONSE_CHECK_H_
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "router/socket_options.h"
+#include "walnutwing/relay/response_status.h"
 
 namespace walnutwing::router {
 namespace {
@@ -31,9 +32,6 @@
   std::numeric_limits<std::uint64_t>::max();
 // A connection with so many refusals is not reused.
 constexpr std::size_t kMaxRefusedIds = 32;
-constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kNoContentStatus = 204;
-constexpr unsigned kNotModifiedStatus = 304;
 
 } // namespace
 
@@ -232,8 +230,13 @@
 {
   m_headParsed = true;
   const auto& head = m_parser->get();
-  if (head.result_int() < kFirstFinalStatus) {
-    m_skipResponse = true; // an interim (1xx) response
+  const StatusKind kind = KindOf(head.result_int());
+  if (kind == StatusKind::Invalid) {
+    Finish(m_stage, "status " + std::to_string(head.result_int()));
+    return false;
+  }
+  if (kind == StatusKind::Interim) {
+    m_skipResponse = true;
     return true;
   }
   const platform::ResponseFacts facts = platform::DecodeResponse(head);
@@ -263,9 +266,8 @@
 BodyFraming
 UpstreamConnection::Framing() const
 {
-  const unsigned status = m_parser->get().result_int();
-  if (m_request.m_headOnly || status == kNoContentStatus ||
-      status == kNotModifiedStatus) {
+  if (m_request.m_headOnly ||
+      KindOf(m_parser->get().result_int()) == StatusKind::FinalWithoutBody) {
     return BodyFraming::None;
   }
   if (m_parser->chunked()) {
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -8,11 +8,12 @@
 // connection may still deliver the response to an earlier request. That one is
 // skipped, as are interim responses, up to a limit of bytes for each request. A
 // head that was made of two responses, one of them broken off, ends the
-// attempt. A "not executed" response without an id is believed on no
-// connection: nothing shows which request it is about, so the attempt fails as
-// one that may have run. A connection with bytes beyond the response is closed
-// rather than reused, and one with refusals gets no request with the id of a
-// refused one: a copy of its refusal could not be told from the response.
+// attempt, and so does a status that is none (response_status.h). A "not
+// executed" response without an id is believed on no connection: nothing shows
+// which request it is about, so the attempt fails as one that may have run. A
+// connection with bytes beyond the response is closed rather than reused, and
+// one with refusals gets no request with the id of a refused one: a copy of its
+// refusal could not be told from the response.
 
 #include <functional>
 #include <memory>
--- a/walnutwing/relay/answer_stream.cc
+++ b/walnutwing/relay/answer_stream.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "walnutwing/relay/chunk_scanner.h"
+#include "walnutwing/relay/response_status.h"
 
 namespace walnutwing {
 namespace {
@@ -116,6 +117,14 @@
     return;
   }
   m_head = aHead;
+  const StatusKind kind = aHead.m_status < 0
+                            ? StatusKind::Invalid
+                            : KindOf(static_cast<unsigned>(aHead.m_status));
+  if (kind == StatusKind::Invalid || kind == StatusKind::Interim) {
+    ++m_counters.m_malformed;
+    GiveUpAttempt(ResultCode::UpstreamFailed, aActions);
+    return;
+  }
   if (aHead.m_status == kOkStatus && aHead.m_eventStream) {
     m_state = State::Streaming;
     if (!m_headForwarded) {
@@ -129,9 +138,25 @@
     GiveUpAttempt(ResultCode::UpstreamFailed, aActions);
     return;
   }
+  if (kind == StatusKind::FinalWithoutBody) {
+    FinishWithoutBody(aActions);
+    return;
+  }
   m_state = State::Plain;
 }
 
+// The head is the whole answer. What may follow belongs to no answer, so the
+// connection is closed.
+void
+AnswerStream::FinishWithoutBody(AnswerActions& aActions)
+{
+  CancelCurrentAttempt(aActions);
+  m_headForwarded = true;
+  m_state = State::Finished;
+  aActions.emplace_back(ForwardHead{ m_current, m_head.m_status, false });
+  aActions.emplace_back(FinishComplete{});
+}
+
 void
 AnswerStream::OnPiece(const AttemptId& aAttempt,
                       std::string_view aBytes,
--- a/walnutwing/relay/answer_stream.h
+++ b/walnutwing/relay/answer_stream.h
@@ -18,7 +18,8 @@
 //    "id" is the completion id;
 //  - continue at offset N + 1 with the same completion id if the request has
 //    the header `Last-Event-ID: N`;
-//  - send any other answer (a "plain answer") with a content-length or chunked.
+//  - send any other answer (a "plain answer") with a content-length or chunked,
+//    unless its status says that it has no body (response_status.h).
 // If the response also names the completion in the header `x-completion-id`,
 // its first event is forwarded immediately. Otherwise the first event is held
 // until the second one arrives, which must name the same completion or be
@@ -156,7 +157,8 @@
   // Events ahead of the next offset, or without the overlap of a resumption.
   std::uint64_t m_gaps = 0;
   // Events that are truncated, too large, without an offset or of type "error";
-  // pieces before the head; plain answers that are too large.
+  // pieces before the head; plain answers that are too large; heads whose
+  // status is none.
   std::uint64_t m_malformed = 0;
   // Attempts that ended before their answer was complete.
   std::uint64_t m_truncated = 0;
@@ -235,6 +237,7 @@
   void AppendOrHoldEvent(std::string_view aRaw,
                          bool aDone,
                          std::string& aForwarded);
+  void FinishWithoutBody(AnswerActions& aActions);
   void AppendPlainBody(std::string_view aBytes, AnswerActions& aActions);
   void FinishPlainAnswer(AttemptEnd aEnd, AnswerActions& aActions);
   bool IsPlainAnswerComplete(AttemptEnd aEnd) const;
--- a/walnutwing/relay/answer_stream_test.cc
+++ b/walnutwing/relay/answer_stream_test.cc
@@ -279,6 +279,47 @@
   }
 }
 
+// Guards against reports, MIXED: a status that is none reaches the caller, and
+// against bytes behind a response that has no body.
+TEST(AnswerStream, JudgesEachKindOfStatus)
+{
+  const struct
+  {
+    int m_status;
+    std::string m_atHead;
+    std::string m_atEnd;
+  } rows[] = {
+    { 0, "cancel a; upstream_failed; ", "" },
+    { 1, "cancel a; upstream_failed; ", "" },
+    { 99, "cancel a; upstream_failed; ", "" },
+    { 100, "cancel a; upstream_failed; ", "" },
+    { 101, "cancel a; upstream_failed; ", "" },
+    { 199, "cancel a; upstream_failed; ", "" },
+    { 600, "cancel a; upstream_failed; ", "" },
+    { 999, "cancel a; upstream_failed; ", "" },
+    { 204, "cancel a; head 204; complete; ", "" },
+    { 304, "cancel a; head 304; complete; ", "" },
+    { 205, "", "head 205; bytes 4; complete; " },
+    { 404, "", "head 404; bytes 4; complete; " },
+    { 599, "", "head 599; bytes 4; complete; " },
+  };
+  for (const auto& row : rows) {
+    AnswerOptions options;
+    options.m_idempotent = false;
+    AnswerStream stream(options);
+    std::string seen;
+    for (const Step& step : { Started("a"),
+                              Head("a", row.m_status),
+                              Piece("a", "done"),
+                              End("a", AttemptEnd::Complete) }) {
+      AnswerActions actions;
+      step.m_event(stream, actions);
+      seen += Describe(actions);
+    }
+    EXPECT_EQ(row.m_atHead + row.m_atEnd, seen) << row.m_status;
+  }
+}
+
 TEST(AnswerStream, FailsAfterMaxAttempts)
 {
   AnswerStream stream;
