--- a/net/event_loop.cc
+++ b/net/event_loop.cc
@@ -127,6 +127,9 @@
       std::clamp(m_schedule.begin()->first - Now(), Duration::zero(), aMaxWait);
   }
   h2o_evloop_run(m_loop, static_cast<std::int32_t>(wait.count()));
+  for (const std::function<void()>& callback : m_afterIteration) {
+    callback();
+  }
 }
 
 bool
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "walnutwing/base/clock.h"
 
@@ -57,6 +59,13 @@
     int aDescriptor,
     std::function<void()> aOnReadable);
 
+  // Runs aCallback after each iteration from now on, before the loop waits
+  // again. It must be cheap and live as long as the loop.
+  void AfterEachIteration(std::function<void()> aCallback)
+  {
+    m_afterIteration.push_back(std::move(aCallback));
+  }
+
   // Runs the loop until Stop is called.
   void Run();
   void Stop() { m_stopping = true; }
@@ -86,6 +95,7 @@
   TimerId m_lastTimer = 0;
   std::map<TimerId, Timer> m_timers;
   std::multimap<Time, TimerId> m_schedule;
+  std::vector<std::function<void()>> m_afterIteration;
 };
 
 } // namespace walnutwing::net
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -3,6 +3,12 @@
 // ownership of a CallState, so that either may release it first. After the user
 // has cancelled the call, the callbacks return the value that makes h2o close
 // the connection.
+//
+// h2o's client reads a head, interim responses and the frames of chunks for as
+// long as the server sends any, and keeps a head in memory meanwhile. So after
+// each iteration of the loop the heads that are being read are checked, and
+// regularly what a connection has received is compared with what of it was a
+// body. Calls whose server sends too much else are ended.
 
 #include "net/http_client.h"
 
@@ -12,10 +18,12 @@
 #include <limits>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include <arpa/inet.h>
 
 #include "net/h2o.h"
+#include "net/socket_bytes.h"
 
 namespace walnutwing::net {
 namespace {
@@ -26,6 +34,13 @@
 constexpr std::size_t kPoolMaxConnections = 4096;
 constexpr std::string_view kMissingLengthError =
   "the response declares no length";
+constexpr std::string_view kNoResponseError = "bytes that are no response";
+constexpr std::size_t kMaxHeadBytes = std::size_t{ 64 } * 1024;
+constexpr Duration kInputCheckInterval = std::chrono::milliseconds(10);
+// What a response may have beside its body: heads, trailers, and for each byte
+// of the body the frame of a chunk of its own.
+constexpr std::uint64_t kMaxOtherBytes = 256U << 10U;
+constexpr std::uint64_t kMaxFrameFactor = 8;
 
 constexpr std::array<std::string_view, 4> kStageNames = { "not sent",
                                                           "sent",
@@ -109,6 +124,30 @@
 
   bool Cancelled() const { return m_cancelled; }
 
+  // Ends the call if the head that it is reading is too long.
+  void CheckHead()
+  {
+    if (m_client == nullptr || !m_connected || m_headSeen ||
+        m_client->sock->input->size <= kMaxHeadBytes) {
+      return;
+    }
+    EndForWantOfResponse();
+  }
+
+  // Ends the call if its server has sent too much that is no response.
+  void CheckInput()
+  {
+    if (m_client == nullptr || !m_connected || m_paused) {
+      return;
+    }
+    const auto read = BytesRead(h2o_socket_get_fd(m_client->sock));
+    const std::uint64_t mostForBody = m_delivered * (1 + kMaxFrameFactor);
+    if (!read || *read - m_readBefore <= kMaxOtherBytes + mostForBody) {
+      return;
+    }
+    EndForWantOfResponse();
+  }
+
   void Pause()
   {
     m_paused = true;
@@ -147,6 +186,13 @@
     m_insideCallback = false;
   }
 
+  void EndForWantOfResponse()
+  {
+    h2o_http1client_cancel(std::exchange(m_client, nullptr));
+    EndCall(m_headSeen ? CallStage::HeadSeen : CallStage::Sent,
+            std::string(kNoResponseError));
+  }
+
   // Runs the last callback. h2o frees the client when its own callback returns.
   void EndCall(CallStage aStage, std::string aError)
   {
@@ -177,6 +223,9 @@
       state.EndCall(CallStage::NotSent, aError);
       return nullptr;
     }
+    state.m_connected = true;
+    state.m_readBefore =
+      BytesRead(h2o_socket_get_fd(aClient->sock)).value_or(0);
     state.m_buffer =
       h2o_iovec_init(state.m_requestBytes.data(), state.m_requestBytes.size());
     *aBuffers = &state.m_buffer;
@@ -201,6 +250,7 @@
       return nullptr;
     }
     const Headers headers = state.ReadHead(aHeaders, aCount);
+    state.m_headSeen = true;
     state.RunCallback([&] { state.m_callbacks.m_onHead(aStatus, headers); });
     if (state.m_cancelled) {
       state.ReleaseClient();
@@ -220,6 +270,7 @@
     const bool ended = aError == h2o_http1client_error_is_eos;
     if ((aError == nullptr || ended) && input->size != 0) {
       const std::string_view piece(input->bytes, input->size);
+      state.m_delivered += piece.size();
       state.RunCallback([&] { state.m_callbacks.m_onBody(piece); });
       h2o_buffer_consume(&aClient->sock->input, piece.size());
     }
@@ -264,8 +315,12 @@
   h2o_http1client_t* m_client = nullptr;
   h2o_socket_cb m_readCallback = nullptr;
   std::shared_ptr<CallState> m_self; // the reference that h2o holds
+  std::uint64_t m_readBefore = 0;    // on the connection, before this call
+  std::uint64_t m_delivered = 0;     // of the body
   bool m_insideCallback = false;
   bool m_cancelled = false;
+  bool m_connected = false;
+  bool m_headSeen = false;
   bool m_paused = false;
   bool m_hasLength = false;
 };
@@ -305,12 +360,18 @@
     h2o_timeout_init(m_loop.Raw(), &m_ioTimeout, kIoTimeoutMs);
     m_context.loop = m_loop.Raw();
     m_context.io_timeout = &m_ioTimeout;
+    m_loop.AfterEachIteration([this] { CheckHeads(); });
   }
 
   std::unique_ptr<Call> Start(CallRequest aRequest, CallCallbacks aCallbacks)
   {
     auto state =
       std::make_shared<CallState>(std::move(aRequest), std::move(aCallbacks));
+    m_calls.push_back(state);
+    if (m_inputCheck == 0) {
+      m_inputCheck =
+        m_loop.Every(kInputCheckInterval, [this] { CheckInputs(); });
+    }
     m_loop.After(Duration::zero(), [this, state] {
       if (state->Cancelled()) {
         return;
@@ -326,6 +387,32 @@
   }
 
 private:
+  void CheckHeads()
+  {
+    ForEachCall([](CallState& aCall) { aCall.CheckHead(); });
+  }
+
+  void CheckInputs()
+  {
+    std::erase_if(m_calls, [](const auto& aCall) { return aCall.expired(); });
+    if (m_calls.empty()) {
+      m_loop.Cancel(std::exchange(m_inputCheck, 0));
+      return;
+    }
+    ForEachCall([](CallState& aCall) { aCall.CheckInput(); });
+  }
+
+  // By index, as callbacks may start further calls.
+  template<typename Function>
+  void ForEachCall(Function aFunction)
+  {
+    for (std::size_t i = 0; i < m_calls.size(); ++i) {
+      if (const std::shared_ptr<CallState> call = m_calls[i].lock()) {
+        aFunction(*call);
+      }
+    }
+  }
+
   h2o_socketpool_t* GetOrCreatePool(const Endpoint& aEndpoint)
   {
     std::unique_ptr<h2o_socketpool_t>& pool = m_pools[aEndpoint];
@@ -346,6 +433,8 @@
   }
 
   EventLoop& m_loop;
+  std::vector<std::weak_ptr<CallState>> m_calls;
+  TimerId m_inputCheck = 0; // runs while there are calls
   h2o_timeout_t m_ioTimeout{};
   h2o_http1client_ctx_t m_context{};
   std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> m_pools;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -3,7 +3,8 @@
 
 // An HTTP/1.1 client on top of h2o's. A response body is delivered in pieces.
 // Reading can be paused, which applies backpressure from a slow caller to its
-// upstream.
+// upstream. A server that sends heads, trailers or frames of chunks without end
+// ends its call.
 
 #include <functional>
 #include <map>
--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -2,8 +2,12 @@
 #include "net/http_server.h"
 
 #include <algorithm>
+#include <chrono>
+#include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <ostream>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -268,11 +272,41 @@
     close(connection);
   }
 
+  // Sends aBegin, and then aPiece again and again until the client closes.
+  void AnswerEndlessly(const std::string& aBegin,
+                       const std::string& aPiece) const
+  {
+    constexpr std::size_t kWriteBytes = 64U << 10U;
+    std::string pieces;
+    while (pieces.size() < kWriteBytes) {
+      pieces += aPiece;
+    }
+    const int connection = accept(m_listener, nullptr, nullptr);
+    char request[4096];
+    EXPECT_LT(0, read(connection, request, sizeof(request)));
+    for (std::string bytes = aBegin + pieces;
+         send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+         bytes = pieces) {
+    }
+    close(connection);
+  }
+
 private:
   int m_listener;
   std::uint16_t m_port = 0;
 };
 
+// The memory of this process, in bytes.
+std::size_t
+ResidentMemory()
+{
+  std::ifstream file("/proc/self/statm");
+  std::size_t pages = 0;
+  std::size_t resident = 0;
+  file >> pages >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 // Guards against a response that is cut short and looks complete: h2o reports
 // the end of a body without a length alike after an end and after a reset, and
 // only chunked encoding gives it another end, not any Transfer-Encoding.
@@ -293,6 +327,77 @@
   }
 }
 
+struct EndlessResponse
+{
+  const char* m_name;
+  std::string m_begin;
+  std::string m_piece; // repeated without end
+};
+
+// Without it GoogleTest prints the bytes of the object.
+void
+PrintTo(const EndlessResponse& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.m_name;
+}
+
+class BytesThatAreNoResponse : public testing::TestWithParam<EndlessResponse>
+{};
+
+// Guards against a report, LOST: a faulty server sends bytes without end, which
+// the client keeps until the system ends its process.
+TEST_P(BytesThatAreNoResponse, EndTheCallAtOnce)
+{
+  constexpr std::size_t kMaxMemoryGrowth = 8U << 20U;
+  const RawServer server;
+  ClientAndServer pair([](const std::shared_ptr<Exchange>&) {});
+  CallRequest request;
+  request.m_endpoint = Loopback(server.Port());
+  std::thread answering(
+    [&] { server.AnswerEndlessly(GetParam().m_begin, GetParam().m_piece); });
+  const std::size_t before = ResidentMemory();
+  std::optional<CallEnd> end;
+  std::unique_ptr<Call> call =
+    pair.m_client.Start(request,
+                        { [](int, const Headers&) {},
+                          [](std::string_view) {},
+                          [&](const CallEnd& aEnd) { end = aEnd; } });
+  std::size_t most = before;
+  const auto deadline =
+    std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (!end && std::chrono::steady_clock::now() < deadline) {
+    pair.m_loop.RunOnce(std::chrono::milliseconds(1));
+    most = std::max(most, ResidentMemory());
+  }
+  EXPECT_TRUE(end);
+  EXPECT_LT(most - before, kMaxMemoryGrowth);
+  call.reset();
+  RunUntil(pair.m_loop,
+           [iterations = 0]() mutable { return ++iterations > 5; });
+  answering.join();
+}
+
+const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
+const std::string kChunkedHead = kOkLine + "Transfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Http,
+  BytesThatAreNoResponse,
+  testing::Values(
+    EndlessResponse{ "StatusLine", "HTTP/1.1 200 ", "x" },
+    EndlessResponse{ "FieldName", kOkLine, "x" },
+    EndlessResponse{ "FieldValue", kOkLine + "X-Long: ", "x" },
+    EndlessResponse{ "Fields", kOkLine, "X-Field: 1\r\n" },
+    EndlessResponse{ "InterimResponses",
+                     "",
+                     "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    EndlessResponse{ "ChunkSize", kChunkedHead, "0" },
+    EndlessResponse{ "ChunkExtension", kChunkedHead + "4;", "x" },
+    EndlessResponse{ "TrailerValue", kChunkedHead + "0\r\nX-Long: ", "x" },
+    EndlessResponse{ "Trailers", kChunkedHead + "0\r\n", "X-Field: 1\r\n" },
+    EndlessResponse{ "NoHttp", "", std::string(16, '\0') }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against a report, MIXED: a part of the answer to a long upload that
 // looks complete, as its server closed with bytes unread.
 TEST(Http, EarlyAnswerToALongUploadIsNotComplete)
