--- a/router/event_log.cc
+++ b/router/event_log.cc
@@ -65,6 +65,7 @@
   { CallerRejected, "caller_rejected", DropPolicy::DropLast, "the caller's request is invalid, too large or did not arrive in time" },
   { AnswerUnsent, "answer_unsent", DropPolicy::DropLast, "the process ends with bytes of an answer that the caller has not taken" },
   { StreamTakenUp, "stream_taken_up", DropPolicy::DropLast, "a caller takes up a stream that has broken off" },
+  { AttemptKept, "attempt_kept", DropPolicy::DropLast, "an attempt that was silent goes on, in place of a later one" },
 });
 // clang-format on
 
--- a/router/event_log.h
+++ b/router/event_log.h
@@ -72,6 +72,7 @@
   CallerRejected = 308,
   AnswerUnsent = 309,
   StreamTakenUp = 310,
+  AttemptKept = 311,
 };
 
 // Which lines are dropped when there are too many.
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -1,16 +1,13 @@
 // An attempt is one request sent to one upstream. It ends in OnEnd, or is
-// canceled because of the deadline, a disconnect of the caller, the progress
-// timeout or a stop of the process. Then either the next attempt starts or the
-// caller gets its final response at once.
+// canceled because of the deadline, a disconnect of the caller, another attempt
+// that has come first or a stop of the process. Then either the next attempt
+// starts, a silent one goes on, or the caller gets its final response at once.
 
 #include "router/request_flow.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "router/response_check.h"
-#include "router/upstream_statements.h"
-#include "walnutwing/relay/event_splitter.h"
 #include "walnutwing/routing/request_fingerprint.h"
 
 namespace walnutwing::router {
@@ -25,9 +22,6 @@
 // Permits that a request asks for until it is sent only to upstreams that state
 // no request limit.
 constexpr std::uint32_t kMaxPermitsAsked = 3;
-// The connection of a response that is not forwarded is closed after that much,
-// as reading on would cost more than a new connection.
-constexpr std::uint64_t kMaxDiscardedBytes = 256U << 10U;
 // Retry-After of refused requests; a random part of up to the same time is
 // added so that callers do not all return at the same time.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(400);
@@ -50,8 +44,6 @@
 // Why an attempt ends whose upstream was silent, in the log.
 constexpr const char* kSilentCause = "silent";
 
-constexpr int kFirstServerErrorStatus = 500;
-
 } // namespace
 
 RequestFlow::RequestFlow(Context& aContext,
@@ -319,7 +311,7 @@
     if (*maySend) {
       ++m_tries;
       SendTo(aChoice);
-      if (m_evidence.InFlight()) {
+      if (m_attempt.InFlight()) {
         return;
       }
       unsent.insert(aChoice.m_upstream);
@@ -381,6 +373,9 @@
 RequestFlow::OnPermitAnswer(bool aGranted)
 {
   const auto self = shared_from_this();
+  if (!m_permitChoice) {
+    return; // the silent attempt has gone on meanwhile
+  }
   const Choice choice = *std::exchange(m_permitChoice, std::nullopt);
   if (!aGranted || TimeLeft() < kMinAttemptTime) {
     SendNext();
@@ -396,14 +391,16 @@
 {
   m_relay.OnAttempt();
   const Duration timeLeft = TimeLeft();
-  auto connection = m_context.m_pool.Send(
+  Attempt attempt;
+  attempt.m_receiver = std::make_unique<Receiver>(*this);
+  attempt.m_connection = m_context.m_pool.Send(
     aChoice.m_address,
     m_request.MakeUpstreamRequest(
       aChoice.m_upstream, timeLeft, m_relay.LastEventId()),
     UseOfConnections(aChoice),
     m_request.MaxConnections(m_context.m_daemons),
-    *this);
-  if (connection == nullptr) {
+    *attempt.m_receiver);
+  if (!attempt.InFlight()) {
     return;
   }
   const Time now = Now();
@@ -414,32 +411,26 @@
                               aChoice.m_upstream,
                               m_request.Facts().m_sharedPrefixHash,
                               now);
-  m_attempt = {};
-  m_attempt.m_choice = aChoice;
-  m_attempt.m_sentAt = now;
-  m_attempt.m_reusedConnection = connection->IsReused();
-  m_attempt.m_resumedAfter = m_relay.ForwardsEvents()
-                               ? std::optional(m_relay.LastEventId())
-                               : std::nullopt;
+  attempt.m_choice = aChoice;
+  attempt.m_sentAt = now;
+  attempt.m_reusedConnection = attempt.m_connection->IsReused();
+  attempt.m_resumedAfter = m_relay.ForwardsEvents()
+                             ? std::optional(m_relay.LastEventId())
+                             : std::nullopt;
+  m_attempt = std::move(attempt);
   m_evidence.OnAttempt();
-  m_attempt.m_connection = std::move(connection);
   m_traitProbe.OnAttemptStarted();
   m_self = shared_from_this();
-  if (m_request.IsRepeatable() &&
-      m_evidence.Runs() < m_request.GetRoute().m_maxAttempts) {
-    m_progressTimer.Start(m_request.GetRoute(), [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self != nullptr && !self->m_ended && self->m_evidence.InFlight()) {
-        self->OnProgressTimeout();
-      }
-    });
-  }
+  StartProgressTimer();
   m_record.LogSent(aChoice, timeLeft);
 }
 
 void
 RequestFlow::OnNoUpstream(const Choice& aChoice)
 {
+  if (GoBack("no upstream")) {
+    return;
+  }
   switch (aChoice.m_failure) {
     case SelectionFailure::Unreachable:
       Refuse(ResultCode::UpstreamUnreachable, kRetryAfter, aChoice);
@@ -462,8 +453,8 @@
   }
 }
 
-// A silent upstream may still answer, so the attempt is canceled only once it
-// is certain that the request can be sent elsewhere.
+// A silent upstream may still answer, so its attempt goes on beside the new
+// one. Of two that are silent the older one is kept, as it has come further.
 void
 RequestFlow::OnProgressTimeout()
 {
@@ -482,9 +473,15 @@
     return; // the timer calls again
   }
   m_cause = kSilentCause;
-  CancelAttempt(SendOutcome::Failed);
   m_silent.insert(m_attempt.m_choice.m_upstream);
-  m_relay.DropPartialEvent();
+  const bool mayGoOn =
+    !m_silentAttempt && !m_attempt.Discards() && m_traitProbe.MayRunTwice();
+  if (mayGoOn) {
+    SetAttemptAside();
+  } else {
+    CancelAttempt(m_attempt, SendOutcome::Failed);
+    m_relay.DropPartialEvent();
+  }
   SendRepeat(kSilentCause, choice);
 }
 
@@ -493,8 +490,8 @@
 {
   const auto self = shared_from_this();
   const bool mayHaveRun = m_evidence.Runs() != 0;
-  if (m_evidence.InFlight()) {
-    CancelAttempt(SendOutcome::Abandoned);
+  if (m_attempt.InFlight()) {
+    CancelAttempt(m_attempt, SendOutcome::Abandoned);
   }
   if (mayHaveRun) {
     Fail(ResultCode::DeadlinePassed);
@@ -503,206 +500,6 @@
   }
 }
 
-void
-RequestFlow::OnHead(const platform::HttpResponseHead& aHead,
-                    const platform::ResponseFacts& aFacts)
-{
-  const Time now = Now();
-  m_progressTimer.OnHead(m_request.GetRoute());
-  m_attempt.m_notExecuted = aFacts.m_notExecuted;
-  m_attempt.m_choice.m_tracker->OnBytesReceived(now);
-  NoteUpstreamStatements(
-    m_context, m_record, m_attempt.m_choice, m_attempt.m_sentAt, aFacts);
-  const ResponseCheck check = CheckResponse(
-    aHead.result_int(), aFacts, m_request.GetRoute().m_kind, m_relay.State());
-  m_attempt.m_isEventStream = check.m_isEventStream;
-  m_attempt.m_discardReason = check.m_discardReason;
-  if (m_attempt.Discards() && m_attempt.m_isEventStream &&
-      !m_attempt.m_notExecuted) {
-    // It may go on for long, and nothing of it is of use.
-    const auto self = shared_from_this();
-    CancelAttempt(SendOutcome::Failed);
-    OnAttemptFailed(std::string(m_attempt.m_discardReason));
-    return;
-  }
-  if (m_attempt.Discards()) {
-    return;
-  }
-  m_relay.OnHead(aHead,
-                 m_request.GetRoute().m_kind == RouteKind::Stream,
-                 m_attempt.m_isEventStream,
-                 now);
-  if (m_relay.ForwardsEvents()) {
-    m_resumption.SetVersion(m_attempt.m_choice.m_version);
-  }
-}
-
-// Any byte of a body is progress, but of a stream only a complete event is: an
-// upstream that has stalled may still send a byte now and then.
-void
-RequestFlow::OnBody(std::string_view aPiece)
-{
-  const Time now = Now();
-  m_attempt.m_choice.m_tracker->OnBytesReceived(now);
-  if (m_attempt.Discards()) {
-    DiscardBody(aPiece.size());
-    return;
-  }
-  if (!m_relay.HasCaller()) {
-    return; // an order that runs to its end
-  }
-  const std::optional<std::string_view> complete = m_relay.Split(aPiece);
-  if (!complete) {
-    const auto self = shared_from_this();
-    CancelAttempt(SendOutcome::Failed);
-    OnAttemptFailed("event too large");
-    return;
-  }
-  if (!complete->empty()) {
-    m_progressTimer.OnProgress();
-    m_attempt.m_events +=
-      m_attempt.m_isEventStream ? CountEvents(*complete) : 0;
-    m_attempt.m_firstByteAt = m_attempt.m_firstByteAt.value_or(now);
-    m_traitProbe.OnEvent(now);
-    m_resumption.OnEvent();
-  }
-  m_relay.Forward(*complete);
-  if (m_relay.IsBehind() && m_attempt.m_connection != nullptr) {
-    m_attempt.m_connection->Pause();
-  }
-}
-
-// A response that says "not executed" without an end does not count as such:
-// its upstream is out of order, and the caller must not be told so wrongly.
-void
-RequestFlow::DiscardBody(std::size_t aBytes)
-{
-  m_attempt.m_discardedBytes += aBytes;
-  if (m_attempt.m_discardedBytes <= kMaxDiscardedBytes) {
-    return;
-  }
-  const auto self = shared_from_this();
-  CancelAttempt(SendOutcome::Failed);
-  OnAttemptFailed("response too large to discard");
-}
-
-void
-RequestFlow::OnDrained()
-{
-  if (m_evidence.InFlight()) {
-    m_attempt.m_connection->Resume();
-  }
-}
-
-void
-RequestFlow::OnEnd(const UpstreamResult& aResult)
-{
-  const auto self = shared_from_this();
-  m_attempt.m_bodyEnd = { aResult.m_framing,
-                          aResult.m_bodyBytes,
-                          m_relay.PartialEventBytes(),
-                          m_attempt.m_resumedAfter == m_relay.LastEventId(),
-                          aResult.m_requestTaken };
-  if (aResult.m_stage == SendStage::NotConnected) {
-    EndAttempt(SendOutcome::Unreachable);
-    m_avoid.insert(m_attempt.m_choice.m_upstream);
-    SendNext();
-    return;
-  }
-  std::string error = aResult.m_error;
-  if (aResult.m_stage == SendStage::Complete) {
-    const BodyVerdict verdict =
-      m_attempt.Discards()
-        ? BodyVerdict::Complete
-        : JudgeBody(m_attempt.m_bodyEnd, m_attempt.m_isEventStream);
-    if (verdict == BodyVerdict::Complete) {
-      OnResponseComplete();
-      return;
-    }
-    error = NameOf(verdict);
-  }
-  m_traitProbe.OnBroken(m_attempt.m_choice);
-  EndAttempt(SendOutcome::Failed);
-  OnAttemptFailed(error);
-}
-
-void
-RequestFlow::OnResponseComplete()
-{
-  if (m_attempt.m_notExecuted) {
-    EndAttempt(SendOutcome::Refused);
-    OnNotExecuted();
-    return;
-  }
-  const bool failure =
-    m_attempt.Discards() ||
-    static_cast<int>(m_relay.Status()) >= kFirstServerErrorStatus;
-  EndAttempt(failure ? SendOutcome::Failed : SendOutcome::Answered);
-  if (!failure && IsSuccess(m_relay.Status())) {
-    m_traitProbe.OnComplete(m_attempt.m_bodyEnd.m_framing);
-  }
-  if (m_attempt.Discards()) {
-    OnAttemptFailed(std::string(m_attempt.m_discardReason));
-    return;
-  }
-  if (!m_relay.HasCaller()) {
-    Finish();
-    return;
-  }
-  if (!m_relay.HasBegun() && failure && MayRunAgain() &&
-      TryRepeat("failure") == RepeatResult::Allowed) {
-    return;
-  }
-  m_relay.ForwardRest();
-  m_record.LogAnswered(m_attempt.m_choice,
-                       m_relay.Status(),
-                       m_tries,
-                       *m_relay.FirstByteAt(),
-                       m_attempt.m_bodyEnd);
-  m_resumption.OnComplete(m_attempt.m_bodyEnd.m_framing);
-  Finish();
-  m_relay.TakeCaller()->End();
-}
-
-// The upstream reports that it did not run the request, so another one may run
-// it whatever the kind of route. The new attempt still counts as a repeat.
-void
-RequestFlow::OnNotExecuted()
-{
-  m_avoid.insert(m_attempt.m_choice.m_upstream);
-  m_refusedByUpstream = true;
-  if (!m_relay.HasCaller()) {
-    Finish();
-    return;
-  }
-  if (!CheckTraits()) {
-    return; // a part was blocked meanwhile
-  }
-  const RepeatResult result = TryRepeat("not executed");
-  if (result != RepeatResult::Allowed) {
-    Refuse(result == RepeatResult::NoBudget ? ResultCode::RetryBudgetSpent
-                                            : ResultCode::QueueFull,
-           kRetryAfter);
-  }
-}
-
-void
-RequestFlow::OnAttemptFailed(const std::string& aWhy)
-{
-  m_cause = aWhy;
-  m_avoid.insert(m_attempt.m_choice.m_upstream);
-  m_relay.DropPartialEvent();
-  if (!m_relay.HasCaller()) {
-    Finish();
-    return;
-  }
-  if (MayRunAgain() && TryRepeat(aWhy.c_str()) == RepeatResult::Allowed) {
-    return;
-  }
-  Fail(m_relay.HasBegun() ? ResultCode::StreamBroken
-                          : ResultCode::UpstreamFailed);
-}
-
 // Whether the request may run once more, at another upstream.
 bool
 RequestFlow::MayRunAgain() const
@@ -766,70 +563,6 @@
   SendNext(aChoice);
 }
 
-void
-RequestFlow::EndAttempt(SendOutcome aOutcome)
-{
-  m_evidence.OnEnded(aOutcome);
-  m_attempt.m_connection.reset();
-  m_progressTimer.Stop();
-  m_record.AddAttemptEnd(
-    m_attempt.m_choice.m_upstream, aOutcome, m_attempt.m_reusedConnection);
-  const Time now = Now();
-  m_attempt.m_choice.m_tracker->OnEnded(aOutcome, now);
-  AdmissionControl& admission = m_context.AdmissionOf(m_request.Service());
-  admission.OnEnded(m_request.Customer());
-  if (aOutcome == SendOutcome::Answered) {
-    admission.OnServed(m_relay.FirstByteAt().value_or(now) - m_attempt.m_sentAt,
-                       now - m_attempt.m_sentAt,
-                       m_attempt.m_choice.m_load,
-                       m_attempt.m_choice.m_slots);
-  }
-  ReportToRollout(aOutcome, now);
-  m_self.reset();
-}
-
-// An attempt whose caller has left, or whose deadline has passed, counts as a
-// failure: callers leave slow versions. What did not run says nothing of one.
-void
-RequestFlow::ReportToRollout(SendOutcome aOutcome, Time aNow)
-{
-  const bool ran = aOutcome == SendOutcome::Answered ||
-                   aOutcome == SendOutcome::Failed ||
-                   aOutcome == SendOutcome::Abandoned;
-  if (!ran || m_context.m_stop.IsStopping()) {
-    return;
-  }
-  RolloutAnswer answer;
-  answer.m_service = m_request.Service();
-  answer.m_route = m_request.GetRoute().m_name;
-  answer.m_promptClass = PromptClassOf(m_request.Facts().m_promptTokens);
-  answer.m_upstream = m_attempt.m_choice.m_upstream;
-  answer.m_version = m_attempt.m_choice.m_version;
-  answer.m_affinity = m_request.Facts().m_sharedPrefixHash;
-  answer.m_failed = aOutcome != SendOutcome::Answered;
-  answer.m_cold = m_attempt.m_choice.m_cold;
-  if (m_attempt.m_firstByteAt) {
-    answer.m_firstByte = *m_attempt.m_firstByteAt - m_attempt.m_sentAt;
-  }
-  answer.m_total = aNow - m_attempt.m_sentAt;
-  answer.m_events = m_attempt.m_events;
-  m_context.m_rollouts.OnAnswer(answer, aNow);
-}
-
-// Closes the connection, so that the upstream stops working on the request. The
-// attempt counts as one that may have run.
-void
-RequestFlow::CancelAttempt(SendOutcome aOutcome)
-{
-  m_attempt.m_connection->Cancel();
-  if (m_attempt.m_choice.m_tracker->Silent(Now())) {
-    // Its idle connections may be dead too. A new one shows at once whether the
-    // upstream can be reached.
-    m_context.m_pool.CloseIdleConnections(m_attempt.m_choice.m_address);
-  }
-  EndAttempt(aOutcome);
-}
-
 void
 RequestFlow::OnCallerGone()
 {
@@ -843,8 +576,8 @@
       m_request.GetRoute().m_kind == RouteKind::Order) {
     return; // an order runs to its end; its response is discarded
   }
-  if (m_evidence.InFlight()) {
-    CancelAttempt(SendOutcome::Abandoned);
+  if (m_attempt.InFlight()) {
+    CancelAttempt(m_attempt, SendOutcome::Abandoned);
   }
   Finish();
 }
@@ -860,8 +593,8 @@
     Refuse(ResultCode::Stopping, kStoppingRetryAfter);
     return;
   }
-  if (m_evidence.InFlight()) {
-    CancelAttempt(SendOutcome::Abandoned);
+  if (m_attempt.InFlight()) {
+    CancelAttempt(m_attempt, SendOutcome::Abandoned);
   }
   Fail(ResultCode::StopCutRequests);
 }
@@ -874,8 +607,8 @@
 {
   const std::optional<NotRun> notRun = m_evidence.Prove();
   if (!notRun) {
-    if (m_evidence.InFlight()) {
-      CancelAttempt(SendOutcome::Failed);
+    if (m_attempt.InFlight()) {
+      CancelAttempt(m_attempt, SendOutcome::Failed);
     }
     Fail(m_relay.HasBegun() ? ResultCode::StreamBroken
                             : ResultCode::UpstreamFailed);
@@ -928,7 +661,9 @@
 void
 RequestFlow::Finish()
 {
+  const auto self = shared_from_this();
   m_ended = true;
+  DropSilentAttempt(SendOutcome::Abandoned);
   m_traitProbe.End();
   m_deadlineTimer.Cancel();
   m_progressTimer.Stop();
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -9,6 +9,12 @@
 // attempt that may have run. Any other request is sent again only if it is
 // certain that no attempt has run. A refusal is given only in that case too
 // (see run_evidence.h).
+//
+// An attempt whose upstream is silent is not given up for a new one: it is set
+// aside and goes on, until one of the two has brought the beginning of a
+// response that may be forwarded, or the next event of a stream. The other one
+// is canceled then. If the new one is refused or fails first, the silent one
+// goes on as if nothing had happened. There are never more than two.
 
 #include <cstdint>
 #include <memory>
@@ -16,6 +22,7 @@
 #include <string>
 #include <string_view>
 
+#include "router/attempt.h"
 #include "router/context.h"
 #include "router/limit_timer.h"
 #include "router/progress_timer.h"
@@ -31,9 +38,7 @@
 
 namespace walnutwing::router {
 
-class RequestFlow
-  : public ResponseReceiver
-  , public std::enable_shared_from_this<RequestFlow>
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
 {
 public:
   // aRequest: without its body, which is aBody and is shared with the attempts.
@@ -43,7 +48,7 @@
               std::shared_ptr<const std::string> aBody,
               std::uint32_t aNumber,
               ResponseWriter& aWriter);
-  ~RequestFlow() override;
+  ~RequestFlow();
   RequestFlow(const RequestFlow&) = delete;
   RequestFlow& operator=(const RequestFlow&) = delete;
 
@@ -61,35 +66,51 @@
 
   const std::string& AttemptId() const { return m_request.Facts().m_attemptId; }
 
-  void OnHead(const platform::HttpResponseHead& aHead,
-              const platform::ResponseFacts& aFacts) override;
-  void OnBody(std::string_view aPiece) override;
-  void OnEnd(const UpstreamResult& aResult) override;
-
 private:
-  // One attempt: a request at one upstream, and what has been received of its
-  // response.
-  struct Attempt
+  // Receives for one attempt.
+  class Receiver : public ResponseReceiver
   {
-    std::shared_ptr<UpstreamConnection> m_connection;
-    Choice m_choice;
-    Time m_sentAt;
-    bool m_reusedConnection = false;
-    bool m_notExecuted = false; // the upstream reported that it did not run it
-    // Why its response is not forwarded; "" if it is.
-    std::string_view m_discardReason{};
-    std::uint64_t m_discardedBytes = 0;
-    bool m_isEventStream = false; // its response is a stream of events
-    // If it goes on with a stream: the id of the last event before it.
-    std::optional<std::string> m_resumedAfter{};
-    BodyEnd m_bodyEnd;
-    // When its response began; that of a stream, with its first event.
-    std::optional<Time> m_firstByteAt{};
-    std::uint32_t m_events = 0; // of a stream
-
-    bool Discards() const { return !m_discardReason.empty(); }
+  public:
+    explicit Receiver(RequestFlow& aFlow)
+      : m_flow(aFlow)
+    {
+    }
+    void OnHead(const platform::HttpResponseHead& aHead,
+                const platform::ResponseFacts& aFacts) override
+    {
+      m_flow.OnHead(*this, aHead, aFacts);
+    }
+    void OnBody(std::string_view aPiece) override
+    {
+      m_flow.OnBody(*this, aPiece);
+    }
+    void OnEnd(const UpstreamResult& aResult) override
+    {
+      m_flow.OnEnd(*this, aResult);
+    }
+
+  private:
+    RequestFlow& m_flow;
   };
 
+  void OnHead(const ResponseReceiver& aOf,
+              const platform::HttpResponseHead& aHead,
+              const platform::ResponseFacts& aFacts);
+  void OnBody(const ResponseReceiver& aOf, std::string_view aPiece);
+  void OnEnd(const ResponseReceiver& aOf, const UpstreamResult& aResult);
+
+  // The silent attempt, set aside while a new one is tried.
+  bool IsSilentAttempt(const ResponseReceiver& aOf) const;
+  void SetAttemptAside();
+  void OnSilentHead(const platform::HttpResponseHead& aHead,
+                    const platform::ResponseFacts& aFacts);
+  void OnSilentBody(std::string_view aPiece);
+  void OnSilentEnd(const UpstreamResult& aResult);
+  void DropSilentAttempt(SendOutcome aOutcome);
+  // Goes on with the silent attempt in place of the new one. Returns false if
+  // there is none.
+  bool GoBack(std::string_view aWhy);
+
   // These return false if they have ended the request with a refusal.
   bool FindRoute();
   bool CheckTraits();
@@ -115,6 +136,8 @@
   void OnProgressTimeout();
   void OnDeadline();
 
+  void StartProgressTimer();
+  void OnCompletePart(std::string_view aPart, Time aNow);
   void DiscardBody(std::size_t aBytes);
   void OnResponseComplete();
   void OnNotExecuted();
@@ -124,9 +147,11 @@
   RepeatResult PrepareRepeat(const SelectionRequest& aSelection,
                              Choice& aChoice);
   void SendRepeat(const char* aWhy, const Choice& aChoice);
-  void EndAttempt(SendOutcome aOutcome);
-  void ReportToRollout(SendOutcome aOutcome, Time aNow);
-  void CancelAttempt(SendOutcome aOutcome);
+  void EndAttempt(Attempt& aAttempt, SendOutcome aOutcome);
+  void ReportToRollout(const Attempt& aAttempt,
+                       SendOutcome aOutcome,
+                       Time aNow);
+  void CancelAttempt(Attempt& aAttempt, SendOutcome aOutcome);
 
   // aChoice: the selector's result, if it is the reason for the refusal.
   void Refuse(ResultCode aCode,
@@ -146,7 +171,8 @@
   LimitTimer m_deadlineTimer;
   ProgressTimer m_progressTimer;
 
-  Attempt m_attempt; // in progress, or the last one
+  Attempt m_attempt;                      // in progress, or the last one
+  std::optional<Attempt> m_silentAttempt; // goes on beside m_attempt
   RunEvidence m_evidence;
 
   std::set<UpstreamId> m_avoid;     // upstreams whose attempt failed
@@ -164,7 +190,7 @@
 
   ResponseRelay m_relay;
   bool m_ended = false;
-  std::shared_ptr<RequestFlow> m_self; // keeps this alive during an attempt
+  std::shared_ptr<RequestFlow> m_self; // keeps this alive during attempts
 };
 
 } // namespace walnutwing::router
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -103,6 +103,16 @@
                                 FormatLabel("service", m_service.Value()));
 }
 
+void
+RequestRecord::LogKept(const Choice& aKept, std::string_view aWhy)
+{
+  StartLine(Event::AttemptKept)
+    .Add("upstream", aKept.m_upstream.Value())
+    .Add("why", aWhy);
+  ++m_context.m_metrics.Counter("attempts_kept_total",
+                                FormatLabel("service", m_service.Value()));
+}
+
 void
 RequestRecord::LogUpstreamBackoff(const Choice& aChoice,
                                   std::string_view aRetryAfter,
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -85,6 +85,9 @@
                           std::optional<double> aPerSecond);
   void LogTakenUp(const std::string& aFirstAttemptId,
                   const VersionFinding& aFinding);
+  // The silent attempt goes on. aWhy: what it has brought first, or why the new
+  // one did not go on.
+  void LogKept(const Choice& aKept, std::string_view aWhy);
   // The outcome of the last attempt to send the request again.
   void SetRepeatResult(RepeatResult aResult) { m_repeatResult = aResult; }
   // Counts a repeat that the budget did not allow.
--- a/router/response_relay.cc
+++ b/router/response_relay.cc
@@ -86,12 +86,53 @@
   return m_begun && m_caller->PendingBytes() > m_caller->MaxKeptBytes();
 }
 
+void
+ResponseRelay::SetAside()
+{
+  m_aside = Kept{
+    m_head, std::exchange(m_body, {}), m_isEventStream, m_events, m_firstByteAt
+  };
+  m_events.DropPartialEvent();
+  NoteKept();
+}
+
+std::optional<std::string_view>
+ResponseRelay::SplitAside(std::string_view aPiece)
+{
+  const std::string_view events = m_aside->m_events.Feed(aPiece);
+  NoteKept();
+  return m_aside->m_events.PartialEvent().size() > kMaxEventBytes
+           ? std::nullopt
+           : std::optional(events);
+}
+
+// The caller has got nothing since, so the head that it has is unchanged.
+void
+ResponseRelay::TakeBack()
+{
+  Kept kept = *std::exchange(m_aside, std::nullopt);
+  m_events = std::move(kept.m_events);
+  if (!m_begun) {
+    m_head = std::move(kept.m_head);
+    m_body = std::move(kept.m_body);
+    m_isEventStream = kept.m_isEventStream;
+    m_firstByteAt = kept.m_firstByteAt;
+  }
+  NoteKept();
+}
+
 void
 ResponseRelay::NoteKept()
 {
-  if (HasCaller()) {
-    m_caller->OnKept(m_body.capacity() + m_events.PartialEvent().size());
+  if (!HasCaller()) {
+    return;
+  }
+  std::uint64_t kept = m_body.capacity() + m_events.PartialEvent().size();
+  if (m_aside) {
+    kept +=
+      m_aside->m_body.capacity() + m_aside->m_events.PartialEvent().size();
   }
+  m_caller->OnKept(kept);
 }
 
 Forwarded
--- a/router/response_relay.h
+++ b/router/response_relay.h
@@ -83,7 +83,27 @@
   }
   void DropPartialEvent() { m_events.DropPartialEvent(); }
 
+  // Puts aside what is kept of the response of an attempt that goes on beside a
+  // new one: the partial event of a stream, or all of another response.
+  void SetAside();
+  // Adds to the partial event that is aside. Returns the events that this
+  // completes, valid until the next call; nothing if one is too large.
+  std::optional<std::string_view> SplitAside(std::string_view aPiece);
+  // Takes back what is aside, in place of what the other attempt has brought.
+  void TakeBack();
+  void DropAside() { m_aside.reset(); }
+
 private:
+  // What is kept of an attempt's response until it may be forwarded.
+  struct Kept
+  {
+    std::optional<platform::HttpResponseHead> m_head;
+    std::string m_body;
+    bool m_isEventStream = false;
+    EventSplitter m_events;
+    std::optional<Time> m_firstByteAt;
+  };
+
   void Begin();
   void NoteKept();
 
@@ -94,6 +114,7 @@
   bool m_isEventStream = false;
   EventSplitter m_events;
   std::optional<Time> m_firstByteAt;
+  std::optional<Kept> m_aside;
 };
 
 } // namespace walnutwing::router
--- a/router/response_relay_test.cc
+++ b/router/response_relay_test.cc
@@ -58,6 +58,41 @@
   EXPECT_EQ(201U, m_relay.Status());
 }
 
+// Guards against a body that lacks what came before another attempt was tried,
+// or has what that one has brought.
+TEST_F(ResponseRelayTest, TakesBackTheBodyOfAnAttemptThatGoesOn)
+{
+  ReceiveHead(200, false);
+  Receive("first ");
+  m_relay.SetAside();
+  ReceiveHead(201, false);
+  Receive("second");
+  m_relay.TakeBack();
+  Receive("attempt");
+  m_relay.ForwardRest();
+  EXPECT_EQ("first attempt", m_caller.m_body);
+  EXPECT_EQ(200U, m_relay.Status());
+}
+
+// Guards against an event that is torn for the same reason.
+TEST_F(ResponseRelayTest, TakesBackTheEventOfAnAttemptThatGoesOn)
+{
+  ReceiveHead(200, true);
+  Receive("id: 1\ndata: a\n\nid: 2\nda");
+  m_relay.SetAside();
+  EXPECT_EQ(0U, m_relay.PartialEventBytes());
+  ReceiveHead(200, true);
+  EXPECT_EQ("", m_relay.Split("id: 2\n").value_or("too large"));
+  EXPECT_EQ("", m_relay.SplitAside("ta: b\n").value_or("too large"));
+  const std::string event(m_relay.SplitAside("\n").value_or(""));
+  EXPECT_EQ("id: 2\ndata: b\n\n", event);
+  m_relay.TakeBack();
+  m_relay.Forward(event);
+  EXPECT_EQ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", m_caller.m_body);
+  EXPECT_EQ("2", m_relay.LastEventId());
+  EXPECT_EQ(0U, m_relay.PartialEventBytes());
+}
+
 TEST_F(ResponseRelayTest, ForwardsABodyThatExceedsTheBuffer)
 {
   const std::string large(300U << 10U, 'x');
--- a/router/trait_probe.h
+++ b/router/trait_probe.h
@@ -61,6 +61,26 @@
   // Whether the attempt has received an event.
   bool HasBegun() const { return m_firstEventAt.has_value(); }
 
+  // What the attempt has shown so far, to go on with it after another one.
+  struct Progress
+  {
+    std::optional<Time> m_firstEventAt;
+    bool m_proven = false;
+  };
+  Progress GetProgress() const { return { m_firstEventAt, m_proven }; }
+  void SetProgress(const Progress& aProgress)
+  {
+    m_firstEventAt = aProgress.m_firstEventAt;
+    m_proven = aProgress.m_proven;
+  }
+
+  // Whether the request may run at two upstreams at the same time: nothing
+  // speaks against it.
+  bool MayRunTwice() const
+  {
+    return m_triedTrait.Empty() && m_suspectTrait.Empty();
+  }
+
   // The request has ended.
   void End();
 
--- a/walnutwing/routing/run_evidence.h
+++ b/walnutwing/routing/run_evidence.h
@@ -31,25 +31,25 @@
 class RunEvidence
 {
 public:
-  // An attempt starts. From now on it may run.
-  void OnAttempt() { m_inFlight = true; }
+  // An attempt starts, perhaps beside another one. From now on it may run.
+  void OnAttempt() { ++m_inFlight; }
 
-  // The attempt has ended. Without a connection nothing was sent, and an
+  // An attempt has ended. Without a connection nothing was sent, and an
   // upstream that refuses reports that it did not run it; after any other
   // outcome it may have run.
   void OnEnded(SendOutcome aOutcome)
   {
-    m_inFlight = false;
+    m_inFlight -= m_inFlight == 0 ? 0 : 1;
     const bool notRun =
       aOutcome == SendOutcome::Unreachable || aOutcome == SendOutcome::Refused;
     m_endedRuns += notRun ? 0 : 1;
   }
 
   // Whether an attempt has no end yet.
-  bool InFlight() const { return m_inFlight; }
+  bool InFlight() const { return m_inFlight != 0; }
 
-  // Attempts that may have run, with the one that has no end yet.
-  std::uint32_t Runs() const { return m_endedRuns + (m_inFlight ? 1 : 0); }
+  // Attempts that may have run, with those that have no end yet.
+  std::uint32_t Runs() const { return m_endedRuns + m_inFlight; }
 
   // Nothing if the request may have run or may still run.
   std::optional<NotRun> Prove() const
@@ -58,7 +58,7 @@
   }
 
 private:
-  bool m_inFlight = false;
+  std::uint32_t m_inFlight = 0;
   std::uint32_t m_endedRuns = 0;
 };
 
--- a/walnutwing/routing/run_evidence_test.cc
+++ b/walnutwing/routing/run_evidence_test.cc
@@ -24,6 +24,23 @@
   EXPECT_EQ(1U, evidence.Runs());
 }
 
+// Guards against a refusal after the end of one of two attempts, while the
+// other one may be running the request.
+TEST(RunEvidence, ProvesNothingWhileOneOfTwoAttemptsIsInFlight)
+{
+  RunEvidence evidence;
+  evidence.OnAttempt();
+  evidence.OnAttempt();
+  EXPECT_EQ(2U, evidence.Runs());
+  evidence.OnEnded(SendOutcome::Refused);
+  EXPECT_TRUE(evidence.InFlight());
+  EXPECT_EQ(1U, evidence.Runs());
+  EXPECT_FALSE(evidence.Prove());
+  evidence.OnEnded(SendOutcome::Refused);
+  EXPECT_FALSE(evidence.InFlight());
+  EXPECT_TRUE(evidence.Prove());
+}
+
 struct EndCase
 {
   SendOutcome m_outcome;
