--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
 
 #include "net/h2o.h"
 #include "net/socket_bytes.h"
@@ -35,6 +36,8 @@
 constexpr std::string_view kMissingLengthError =
   "the response declares no length";
 constexpr std::string_view kNoResponseError = "bytes that are no response";
+// What the kernel may hold for a connection, and so what one read brings.
+constexpr int kReceiveBufferBytes = 256 * 1024;
 constexpr std::size_t kMaxHeadBytes = std::size_t{ 64 } * 1024;
 constexpr Duration kInputCheckInterval = std::chrono::milliseconds(10);
 // What a response may have beside its body: heads, trailers, and for each byte
@@ -224,8 +227,13 @@
       return nullptr;
     }
     state.m_connected = true;
-    state.m_readBefore =
-      BytesRead(h2o_socket_get_fd(aClient->sock)).value_or(0);
+    const int descriptor = h2o_socket_get_fd(aClient->sock);
+    setsockopt(descriptor,
+               SOL_SOCKET,
+               SO_RCVBUF,
+               &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
+    state.m_readBefore = BytesRead(descriptor).value_or(0);
     state.m_buffer =
       h2o_iovec_init(state.m_requestBytes.data(), state.m_requestBytes.size());
     *aBuffers = &state.m_buffer;
