--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -422,7 +422,7 @@
   const struct
   {
     std::string m_text;
-    int m_status; // 0: none may be handed on, or just that
+    int m_status; // 0: none, or that one
   } rows[] = { { "000", 0 },   { "001", 1 },   { "099", 99 }, { "204", 204 },
                { "600", 600 }, { "999", 999 }, { "20", 0 },   { "2000", 0 },
                { "+20", 0 },   { "-20", 0 },   { "0x2", 0 },  { "2e2", 0 } };
--- a/standin/two_attempts_test.cc
+++ b/standin/two_attempts_test.cc
@@ -124,6 +124,7 @@
   EXPECT_TRUE(Contains(m_harness.LogText(), "attempt_kept"));
 }
 
+// The same, as the second upstream fails.
 TEST_F(TwoAttempts, StreamGoesOnAfterTheSecondFails)
 {
   BeginStream();
@@ -133,6 +134,7 @@
   ExpectWholeStream();
 }
 
+// The same, as the second connection is reset.
 TEST_F(TwoAttempts, StreamGoesOnAfterTheSecondIsReset)
 {
   BeginStream();
