--- a/review/standin-3/fleet.cc
+++ b/review/standin-3/fleet.cc
@@ -113,6 +113,20 @@
 Fleet::AddEngine(const std::string& aService,
                  const std::string& aZone,
                  const std::string& aVersion)
+{
+  auto server = std::make_unique<standin::UpstreamStandin>(m_loop, m_ip);
+  server->SetRecordsExchanges(false);
+  const std::size_t index =
+    AddEngineAt(aService, aZone, aVersion, server->Address());
+  m_engines[index].m_server = std::move(server);
+  return index;
+}
+
+std::size_t
+Fleet::AddEngineAt(const std::string& aService,
+                   const std::string& aZone,
+                   const std::string& aVersion,
+                   const std::string& aAddress)
 {
   Engine engine;
   engine.m_service = aService;
@@ -120,8 +134,7 @@
   engine.m_version = aVersion;
   engine.m_id = "i-" + aService + "-" + std::to_string(m_engines.size());
   engine.m_born = SteadyClock().WallNow().time_since_epoch().count();
-  engine.m_server = std::make_unique<standin::UpstreamStandin>(m_loop, m_ip);
-  engine.m_server->SetRecordsExchanges(false);
+  engine.m_address = aAddress;
   m_engines.push_back(std::move(engine));
   Register(m_engines.back());
   return m_engines.size() - 1;
@@ -136,7 +149,7 @@
   m_store.Put("keyed.servers",
               aEngine.m_id,
               R"({"service":")" + aEngine.m_service + R"(","address":")" +
-                aEngine.m_server->Address() + R"(","zone":")" + aEngine.m_zone +
+                aEngine.m_address + R"(","zone":")" + aEngine.m_zone +
                 R"(","version":")" + aEngine.m_version +
                 R"(","slots":8,"state":"ready","coldRemainingMs":0,"born":)" +
                 std::to_string(aEngine.m_born) + R"(,"sequence":)" +
--- a/review/standin-3/fleet.h
+++ b/review/standin-3/fleet.h
@@ -48,7 +48,8 @@
   bool m_listed = false;
   Time m_nextBeat;
   Time m_lastBeat;
-  std::unique_ptr<standin::UpstreamStandin> m_server;
+  std::string m_address;
+  std::unique_ptr<standin::UpstreamStandin> m_server; // null: elsewhere
 };
 
 class Fleet
@@ -69,6 +70,12 @@
   std::size_t AddEngine(const std::string& aService,
                         const std::string& aZone,
                         const std::string& aVersion);
+  // The same for one whose server is elsewhere, at aAddress.
+  std::size_t AddEngineAt(const std::string& aService,
+                          const std::string& aZone,
+                          const std::string& aVersion,
+                          const std::string& aAddress);
+  const std::string& Ip() const { return m_ip; } // of the stand-ins
   std::size_t Engines() const { return m_engines.size(); }
   Engine& EngineAt(std::size_t aIndex) { return m_engines.at(aIndex); }
   standin::UpstreamStandin& Server(std::size_t aIndex)
