--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -422,7 +422,7 @@
   m_traitProbe.OnAttemptStarted();
   m_self = shared_from_this();
   StartProgressTimer();
-  m_record.LogSent(aChoice, timeLeft);
+  m_record.LogSent(aChoice, timeLeft, m_attempt.m_reusedConnection);
 }
 
 void
@@ -571,7 +571,9 @@
   if (m_ended) {
     return;
   }
-  m_record.LogCallerGone(m_evidence.InFlight());
+  const bool sent =
+    m_attempt.InFlight() && m_attempt.m_connection->HasSent();
+  m_record.LogCallerGone(m_evidence.InFlight(), sent);
   if (m_evidence.InFlight() &&
       m_request.GetRoute().m_kind == RouteKind::Order) {
     return; // an order runs to its end; its response is discarded
--- a/router/request_record.cc
+++ b/router/request_record.cc
@@ -71,7 +71,9 @@
 }
 
 void
-RequestRecord::LogSent(const Choice& aChoice, Duration aTimeLeft)
+RequestRecord::LogSent(const Choice& aChoice,
+                       Duration aTimeLeft,
+                       bool aReusedConnection)
 {
   StartLine(Event::RequestSent)
     .Add("upstream", aChoice.m_upstream.Value())
@@ -81,6 +83,7 @@
     .Add("load_age_ms", ToMilliseconds(aChoice.m_loadAge))
     .Add("pace", aChoice.m_pace)
     .Add("cold", static_cast<std::int64_t>(aChoice.m_cold))
+    .Add("reused", static_cast<std::int64_t>(aReusedConnection))
     .Add("left_ms", ToMilliseconds(aTimeLeft));
   ++m_context.m_metrics.Counter("attempts_total",
                                 FormatLabel("service", m_service.Value()) +
@@ -276,11 +279,12 @@
 }
 
 void
-RequestRecord::LogCallerGone(bool aAttemptInFlight)
+RequestRecord::LogCallerGone(bool aAttemptInFlight, bool aSent)
 {
   StartLine(Event::CallerGone)
     .Add("code", static_cast<std::int64_t>(ResultCode::CallerGone))
     .Add("sending", static_cast<std::int64_t>(aAttemptInFlight))
+    .Add("sent", static_cast<std::int64_t>(aSent))
     .Add("ms", ElapsedMs());
   CountOutcome(ResultCode::CallerGone, "");
 }
--- a/router/request_record.h
+++ b/router/request_record.h
@@ -64,8 +64,11 @@
   // line of the refusal.
   void SetBlockedTrait(TraitId aPart) { m_blockedTrait = std::move(aPart); }
 
-  // aTimeLeft: time left for the upstream.
-  void LogSent(const Choice& aChoice, Duration aTimeLeft);
+  // aTimeLeft: time left for the upstream. aReusedConnection: it is sent on a
+  // kept connection, and otherwise as soon as there is one.
+  void LogSent(const Choice& aChoice,
+               Duration aTimeLeft,
+               bool aReusedConnection);
   struct Repetition
   {
     bool m_resumed = false;        // the caller's response had already begun
@@ -132,8 +135,8 @@
   };
   void LogFailed(const Choice& aLast, const Failure& aFailure);
 
-  // aAttemptInFlight: an upstream was working on the request.
-  void LogCallerGone(bool aAttemptInFlight);
+  // aAttemptInFlight: an attempt had no end yet. aSent: bytes of it have left.
+  void LogCallerGone(bool aAttemptInFlight, bool aSent);
 
   Time ArrivedAt() const { return m_arrivedAt; }
 
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -121,6 +121,10 @@
   // Whether a response to an earlier request was completed on it.
   bool IsReused() const { return m_reused; }
 
+  // Whether bytes of the request have been sent, so that it may run. Until then
+  // it waits for the connection.
+  bool HasSent() const { return m_stage != SendStage::NotConnected; }
+
 private:
   using Parser = boost::beast::http::response_parser<PieceBody>;
 
