--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -11,6 +11,7 @@
 
 #include "platform/field_text.h"
 #include "router/input_guard.h"
+#include "router/peer_state.h"
 #include "router/socket_options.h"
 #include "walnutwing/relay/response_status.h"
 
@@ -22,6 +23,8 @@
 constexpr std::size_t kReadBufferBytes = 4U << 10U;
 // How long a caller may take to close the connection after the final response.
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+// Between two queries of a connection that is not read during a response.
+constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(100);
 // A caller connects in order to send a request, which arrives soon after.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 // A caller that sends more than this meanwhile does not read the response.
@@ -92,15 +95,22 @@
   Read();
 }
 
+// A full buffer holds requests that the caller has sent ahead of responses.
+bool
+CallerConnection::MayRead()
+{
+  return !m_waitsForMemory && !m_input.IsFull() &&
+         (m_state == State::Lingering || MayGrow());
+}
+
 void
 CallerConnection::Read()
 {
-  // A full buffer holds requests that the caller has sent ahead of responses.
-  if (m_reading || m_waitsForMemory || m_state == State::Closed ||
-      m_input.IsFull()) {
+  if (m_reading || m_state == State::Closed) {
     return;
   }
-  if (m_state != State::Lingering && !MayGrow()) {
+  if (!MayRead()) {
+    WatchForClose();
     return;
   }
   m_reading = true;
@@ -446,6 +456,27 @@
     Reject(ResultCode::RequestTimeout);
   } else if (m_state != State::Responding) {
     Close();
+  } else if (!m_reading) {
+    CheckCaller();
+    WatchForClose();
+  }
+}
+
+// Finds out that the caller has left while its connection is not read.
+void
+CallerConnection::WatchForClose()
+{
+  if (m_state == State::Responding) {
+    SetTimer(kCloseCheckInterval);
+  }
+}
+
+void
+CallerConnection::CheckCaller()
+{
+  if (m_state == State::Responding &&
+      PeerStateOf(m_socket) == PeerState::Closed) {
+    OnConnectionLost();
   }
 }
 
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -3,7 +3,9 @@
 
 // One caller's HTTP/1.x connection. Requests are parsed by Boost.Beast and
 // served one at a time. The socket is also read while a response is in
-// progress, so that a disconnect is detected at once.
+// progress, so that a disconnect is detected at once. If it may not be read
+// then, as the buffer is full or memory is short, its state is queried instead.
+// A caller that ends its sending side counts as one that has left.
 //
 // All that it holds is charged to the process's MemoryGuard, which may have it
 // read no further, or give up its request. Of a request these are the buffers,
@@ -58,6 +60,7 @@
   void End() override;
   void Abort() override;
   std::size_t PendingBytes() const override;
+  void CheckCaller() override;
   std::size_t MaxKeptBytes() const override;
   void OnKept(std::size_t aBytes) override;
 
@@ -94,6 +97,8 @@
 
   void Close();
   void Read();
+  bool MayRead();
+  void WatchForClose();
   void OnRead(const error_code& aError, std::size_t aBytes);
   void Parse();
   bool ParseGuarded();
--- a/router/request_attempts.cc
+++ b/router/request_attempts.cc
@@ -345,8 +345,7 @@
 {
   m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_refusedByUpstream = true;
-  if (!m_relay.HasCaller()) {
-    Finish();
+  if (EndIfCallerLeft()) {
     return;
   }
   if (GoBack("not executed")) {
@@ -369,8 +368,7 @@
   m_cause = aWhy;
   m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_relay.DropPartialEvent();
-  if (!m_relay.HasCaller()) {
-    Finish();
+  if (EndIfCallerLeft()) {
     return;
   }
   if (GoBack(aWhy)) {
@@ -440,17 +438,19 @@
 }
 
 // Closes the connection, so that the upstream stops working on the request. The
-// attempt counts as one that may have run.
+// attempt counts as one that may have run, unless nothing of it was sent.
 void
 RequestFlow::CancelAttempt(Attempt& aAttempt, SendOutcome aOutcome)
 {
+  const SendOutcome outcome =
+    aAttempt.m_connection->HasSent() ? aOutcome : SendOutcome::Unsent;
   aAttempt.m_connection->Cancel();
   if (aAttempt.m_choice.m_tracker->Silent(Now())) {
     // Its idle connections may be dead too. A new one shows at once whether the
     // upstream can be reached.
     m_context.m_pool.CloseIdleConnections(aAttempt.m_choice.m_address);
   }
-  EndAttempt(aAttempt, aOutcome);
+  EndAttempt(aAttempt, outcome);
 }
 
 } // namespace walnutwing::router
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -72,6 +72,7 @@
 void
 RequestFlow::Start()
 {
+  const auto self = shared_from_this(); // its caller may prove to have left
   if (!FindRoute()) {
     return;
   }
@@ -292,9 +293,23 @@
   SendNext(m_context.m_selector.Choose(selection, Now()));
 }
 
+bool
+RequestFlow::EndIfCallerLeft()
+{
+  const auto self = shared_from_this();
+  m_relay.CheckCaller();
+  if (!m_ended && !m_relay.HasCaller()) {
+    Finish();
+  }
+  return m_ended;
+}
+
 void
 RequestFlow::SendNext(Choice aChoice)
 {
+  if (EndIfCallerLeft()) {
+    return;
+  }
   std::set<UpstreamId> unsent; // the pool provides no connection to them
   while (m_tries < kMaxTries) {
     if (aChoice.m_failure != SelectionFailure::None) {
@@ -489,14 +504,13 @@
 RequestFlow::OnDeadline()
 {
   const auto self = shared_from_this();
-  const bool mayHaveRun = m_evidence.Runs() != 0;
   if (m_attempt.InFlight()) {
     CancelAttempt(m_attempt, SendOutcome::Abandoned);
   }
-  if (mayHaveRun) {
-    Fail(ResultCode::DeadlinePassed);
-  } else {
+  if (m_evidence.Prove()) {
     Refuse(ResultCode::DeadlineTooShort, std::nullopt);
+  } else {
+    Fail(ResultCode::DeadlinePassed);
   }
 }
 
@@ -571,12 +585,10 @@
   if (m_ended) {
     return;
   }
-  const bool sent =
-    m_attempt.InFlight() && m_attempt.m_connection->HasSent();
+  const bool sent = m_attempt.InFlight() && m_attempt.m_connection->HasSent();
   m_record.LogCallerGone(m_evidence.InFlight(), sent);
-  if (m_evidence.InFlight() &&
-      m_request.GetRoute().m_kind == RouteKind::Order) {
-    return; // an order runs to its end; its response is discarded
+  if (sent && m_request.GetRoute().m_kind == RouteKind::Order) {
+    return; // it runs to its end; its response is discarded
   }
   if (m_attempt.InFlight()) {
     CancelAttempt(m_attempt, SendOutcome::Abandoned);
@@ -591,14 +603,14 @@
   if (m_ended) {
     return;
   }
-  if (m_evidence.Prove()) {
-    Refuse(ResultCode::Stopping, kStoppingRetryAfter);
-    return;
-  }
   if (m_attempt.InFlight()) {
     CancelAttempt(m_attempt, SendOutcome::Abandoned);
   }
-  Fail(ResultCode::StopCutRequests);
+  if (m_evidence.Prove()) {
+    Refuse(ResultCode::Stopping, kStoppingRetryAfter);
+  } else {
+    Fail(ResultCode::StopCutRequests);
+  }
 }
 
 // A request that may have run fails instead.
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -5,6 +5,11 @@
 // final response: finds the route, checks the API key, chooses an upstream,
 // sends the request and forwards the response.
 //
+// Nothing is sent for a caller who has left: each attempt asks its connection
+// before it begins, and again once it has waited for one. What was sent of a
+// lookup or a stream is canceled; an order of which bytes have left runs to its
+// end, and is not sent again.
+//
 // A lookup, and a request whose route is resumable, may be sent again after an
 // attempt that may have run. Any other request is sent again only if it is
 // certain that no attempt has run. A refusal is given only in that case too
@@ -75,6 +80,7 @@
       : m_flow(aFlow)
     {
     }
+    void OnConnected() override { m_flow.EndIfCallerLeft(); }
     void OnHead(const platform::HttpResponseHead& aHead,
                 const platform::ResponseFacts& aFacts) override
     {
@@ -123,6 +129,8 @@
   SelectionRequest MakeSelection() const;
   SelectionRequest MakeFallbackSelection() const;
   ConnectionUse UseOfConnections(const Choice& aChoice) const;
+  // Returns whether the request has ended, because its caller has left.
+  bool EndIfCallerLeft();
   void SendNext();
   void SendNext(Choice aChoice); // tries aChoice first
   // Returns false if the request would wait too long and was therefore refused.
--- a/router/response_relay.h
+++ b/router/response_relay.h
@@ -36,6 +36,13 @@
   // Whether the caller still waits for a response.
   bool HasCaller() const { return m_caller != nullptr; }
   void OnCallerGone() { m_caller = nullptr; }
+  // See ResponseWriter::CheckCaller.
+  void CheckCaller()
+  {
+    if (m_caller != nullptr) {
+      m_caller->CheckCaller();
+    }
+  }
   // For the last response, after which nothing is written here; null if the
   // caller has gone.
   ResponseWriter* TakeCaller() { return std::exchange(m_caller, nullptr); }
--- a/router/response_writer.h
+++ b/router/response_writer.h
@@ -32,6 +32,10 @@
   // Bytes that are not yet written to the caller's socket.
   virtual std::size_t PendingBytes() const = 0;
 
+  // Ends the caller's request now if its connection shows that it has left,
+  // rather than when that is read.
+  virtual void CheckCaller() {}
+
   // How many bytes of a response may be kept for the caller.
   virtual std::size_t MaxKeptBytes() const { return kMaxKeptBytes; }
   // aBytes of the response are kept until they are written.
--- a/router/upstream_connection.cc
+++ b/router/upstream_connection.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
-#include <sys/socket.h>
 
 #include "router/socket_options.h"
 #include "walnutwing/relay/response_status.h"
@@ -107,7 +106,10 @@
       self->m_connected = true;
       self->m_timer.cancel();
       SetLivenessOptions(self->m_socket);
-      self->Write();
+      self->m_receiver->OnConnected();
+      if (generation == self->m_generation) {
+        self->Write();
+      }
     });
 }
 
@@ -390,15 +392,6 @@
   m_socket.async_wait(Socket::wait_read, close);
 }
 
-bool
-UpstreamConnection::IsIdleAndOpen()
-{
-  char byte = 0;
-  const ssize_t received = recv(
-    m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 void
 UpstreamConnection::Close()
 {
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -27,6 +27,7 @@
 #include "platform/answer_codec.h"
 #include "router/asio.h"
 #include "router/input_buffer.h"
+#include "router/peer_state.h"
 #include "router/piece_body.h"
 #include "walnutwing/relay/body_end.h"
 
@@ -66,6 +67,9 @@
 {
 public:
   virtual ~ResponseReceiver() = default;
+  // The request has waited for its connection, which is made now; no byte of it
+  // was sent yet. To have nothing sent, the receiver cancels the attempt.
+  virtual void OnConnected() = 0;
   virtual void OnHead(const platform::HttpResponseHead& aHead,
                       const platform::ResponseFacts& aFacts) = 0;
   virtual void OnBody(std::string_view aPiece) = 0;
@@ -110,7 +114,7 @@
 
   // Whether an idle connection is still open and has no unread bytes. Queries
   // the socket.
-  bool IsIdleAndOpen();
+  bool IsIdleAndOpen() { return PeerStateOf(m_socket) == PeerState::Open; }
 
   void Close();
   bool IsOpen() const { return !m_closed; }
--- a/router/upstream_connection_test.cc
+++ b/router/upstream_connection_test.cc
@@ -11,6 +11,7 @@
 class ThrowingReceiver : public ResponseReceiver
 {
 public:
+  void OnConnected() override {}
   void OnHead(const platform::HttpResponseHead& /*aHead*/,
               const platform::ResponseFacts& /*aFacts*/) override
   {
--- a/standin/caller_standin.cc
+++ b/standin/caller_standin.cc
@@ -58,4 +58,19 @@
   m_state->m_socket.close(ignored);
 }
 
+void
+CallerStandin::HalfClose()
+{
+  error_code ignored; // the router may have closed it
+  m_state->m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+void
+CallerStandin::Reset()
+{
+  error_code ignored; // the test is done with it
+  m_state->m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  m_state->m_socket.close(ignored);
+}
+
 } // namespace walnutwing::standin
--- a/standin/caller_standin.h
+++ b/standin/caller_standin.h
@@ -24,6 +24,10 @@
   // Sends aPiece again and again until the router closes the connection.
   void SendEndlessly(const std::string& aPiece);
   void Close();
+  // Closes its sending side only.
+  void HalfClose();
+  // Ends the connection with a reset.
+  void Reset();
 
   const std::string& Received() const { return m_state->m_received; }
   // Whether the router has ended the connection.
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -69,6 +69,7 @@
 
   void SetHandler(Handler aHandler) { m_handler = std::move(aHandler); }
   std::string Address() const;
+  const Tcp::endpoint& Endpoint() const { return m_endpoint; }
 
   // Ends all connections in an orderly way and accepts no more, like a process
   // that has crashed, until Restart.
--- a/walnutwing/routing/run_evidence.h
+++ b/walnutwing/routing/run_evidence.h
@@ -40,8 +40,9 @@
   void OnEnded(SendOutcome aOutcome)
   {
     m_inFlight -= m_inFlight == 0 ? 0 : 1;
-    const bool notRun =
-      aOutcome == SendOutcome::Unreachable || aOutcome == SendOutcome::Refused;
+    const bool notRun = aOutcome == SendOutcome::Unreachable ||
+                        aOutcome == SendOutcome::Unsent ||
+                        aOutcome == SendOutcome::Refused;
     m_endedRuns += notRun ? 0 : 1;
   }
 
--- a/walnutwing/routing/run_evidence_test.cc
+++ b/walnutwing/routing/run_evidence_test.cc
@@ -55,6 +55,7 @@
                               EndCase{ SendOutcome::Failed, true },
                               EndCase{ SendOutcome::Abandoned, true },
                               EndCase{ SendOutcome::Refused, false },
+                              EndCase{ SendOutcome::Unsent, false },
                               EndCase{ SendOutcome::Unreachable, false } }) {
     RunEvidence evidence;
     evidence.OnAttempt();
--- a/walnutwing/routing/upstream_tracker.cc
+++ b/walnutwing/routing/upstream_tracker.cc
@@ -37,11 +37,12 @@
   std::string_view m_name;
 };
 
-constexpr std::array<SendOutcomeName, 5> kSendOutcomes{ {
+constexpr std::array<SendOutcomeName, 6> kSendOutcomes{ {
   { SendOutcome::Answered, "answered" },
   { SendOutcome::Refused, "refused" },
   { SendOutcome::Failed, "failed" },
   { SendOutcome::Unreachable, "unreachable" },
+  { SendOutcome::Unsent, "unsent" },
   { SendOutcome::Abandoned, "abandoned" },
 } };
 
@@ -98,6 +99,7 @@
     case SendOutcome::Refused:
       OnRefused(aNow);
       return;
+    case SendOutcome::Unsent:
     case SendOutcome::Abandoned:
       return;
   }
--- a/walnutwing/routing/upstream_tracker.h
+++ b/walnutwing/routing/upstream_tracker.h
@@ -36,6 +36,7 @@
   Refused,     // the upstream reports that it did not run it: full or draining
   Failed,      // an error of the upstream, a broken response or a timeout
   Unreachable, // no connection
+  Unsent,      // given up while it waited for its connection: nothing was sent
   Abandoned,   // the caller left, which says nothing about the upstream
 };
 
