--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -4,7 +4,9 @@
 // An order's answer is not streamed: it is first recorded in the log as the
 // outcome that repeats receive. If the caller of a sent order disconnects or
 // its deadline passes, the flow is detached: it continues without a caller so
-// that the outcome is recorded.
+// that the outcome is recorded. An order of which nothing was sent is withdrawn
+// instead. Each attempt asks whether the caller is there, when it has its
+// permit and again when it has its connection.
 
 #include "daemon/request_flow.h"
 
@@ -213,7 +215,10 @@
   }
   m_permit = aResult;
   m_permitHeld = true;
-  StartAttempt();
+  CheckCaller();
+  if (!m_ended) {
+    StartAttempt();
+  }
 }
 
 void
@@ -221,6 +226,7 @@
 {
   m_permit = aResult;
   if (IsOrder()) {
+    m_mayBeSent = false;
     m_context.m_orders->Call([&](OrderCoordinator& aOrders) {
       aOrders.OnUpstreamNotSent(*m_order, aResult.m_code, aResult.m_retryAfter);
     });
@@ -278,6 +284,11 @@
         if (const Self self = weak.lock()) {
           self->OnCallEnd(attempt, aEnd);
         }
+      },
+      [weak] {
+        if (const Self self = weak.lock()) {
+          self->CheckCaller();
+        }
       } });
 }
 
@@ -392,8 +403,11 @@
     m_deadlineTimer.After(kOverdueDelay, [this] { OnOrderOverdue(); });
     return;
   }
-  RespondWithError(
-    *m_exchange, ResultCode::DeadlinePassed, std::chrono::seconds(1));
+  const bool sent = m_call != nullptr && m_call->HasSent();
+  RespondWithError(*m_exchange,
+                   sent ? ResultCode::DeadlinePassed
+                        : ResultCode::DeadlineTooShort,
+                   std::chrono::seconds(1));
   OnCallerGone();
 }
 
@@ -403,7 +417,6 @@
   const Self keepAlive = shared_from_this();
   if (m_mayBeSent && m_attempts == 0) {
     OnNoPermit({ ResultCode::PermitTimeout, std::chrono::seconds(1), {}, {} });
-    m_mayBeSent = false;
     m_deadlineTimer.After(kOverdueDelay, [this] { OnOrderOverdue(); });
     return;
   }
@@ -431,11 +444,25 @@
     m_context.m_orders->Call(
       [&](OrderCoordinator& aOrders) { aOrders.Abandon(*m_order); });
   }
-  if (m_attempts == 0) {
-    End(ResultCode::CallerGone);
+  if (m_call != nullptr && m_call->HasSent()) {
+    m_deadlineTimer.After(kMaxDetachedTime, [this] { OnDeadline(); });
     return;
   }
-  m_deadlineTimer.After(kMaxDetachedTime, [this] { OnDeadline(); });
+  WithdrawOrder();
+}
+
+// Nothing of the order was sent, and its key is free for a repeat; or its
+// outcome is recorded.
+void
+RequestFlow::WithdrawOrder()
+{
+  if (std::exchange(m_mayBeSent, false)) {
+    m_context.m_orders->Call([&](OrderCoordinator& aOrders) {
+      aOrders.OnUpstreamNotSent(
+        *m_order, ResultCode::OrderVoided, Duration::zero());
+    });
+  }
+  End(ResultCode::CallerGone);
 }
 
 void
@@ -601,6 +628,7 @@
 {
   EndPermit(aCode != ResultCode::Ok);
   m_call.reset();
+  m_mayBeSent = false;
   m_context.m_orders->Call([&](OrderCoordinator& aOrders) {
     if (aCode != ResultCode::Ok) {
       aOrders.OnUpstreamUnknown(*m_order,
--- a/daemon/request_flow.h
+++ b/daemon/request_flow.h
@@ -77,6 +77,7 @@
   void OnOrderDeadline();
   void OnOrderOverdue();
   void OnCallerGone();
+  void WithdrawOrder();
 
   void CarryOut(const AnswerActions& aActions);
   void ForwardHeadToCaller(const ForwardHead& aHead);
@@ -100,7 +101,8 @@
   net::OwnedTimer m_deadlineTimer;
 
   std::optional<RequestId> m_order;
-  bool m_mayBeSent = false; // OrderBook has allowed the order to be sent
+  // OrderBook has allowed the order to be sent, and waits for its outcome.
+  bool m_mayBeSent = false;
   std::optional<RequestId>
     m_search; // id of the search for a permit, and of the permit found
   bool m_permitHeld = false;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -126,6 +126,7 @@
   }
 
   bool Cancelled() const { return m_cancelled; }
+  bool Connected() const { return m_connected; }
 
   // Ends the call if the head that it is reading is too long.
   void CheckHead()
@@ -226,6 +227,13 @@
       state.EndCall(CallStage::NotSent, aError);
       return nullptr;
     }
+    if (state.m_callbacks.m_onConnected) {
+      state.RunCallback([&] { state.m_callbacks.m_onConnected(); });
+    }
+    if (state.m_cancelled) {
+      state.ReleaseClient();
+      return nullptr;
+    }
     state.m_connected = true;
     const int descriptor = h2o_socket_get_fd(aClient->sock);
     setsockopt(descriptor,
@@ -346,6 +354,7 @@
 
   void Pause() override { m_state->Pause(); }
   void Resume() override { m_state->Resume(); }
+  bool HasSent() const override { return m_state->Connected(); }
 
 private:
   std::shared_ptr<CallState> m_state;
@@ -503,6 +512,7 @@
 
   void Pause() override { m_call->Pause(); }
   void Resume() override { m_call->Resume(); }
+  bool HasSent() const override { return m_call->HasSent(); }
 
 private:
   void OnBody(std::string_view aPiece)
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -43,6 +43,8 @@
   std::function<void(int aStatus, const Headers& aHeaders)> m_onHead;
   std::function<void(std::string_view aPiece)> m_onBody;
   std::function<void(const CallEnd& aEnd)> m_onEnd;
+  // Optional: the connection is made, and no byte of the request was sent yet.
+  std::function<void()> m_onConnected{};
 };
 
 struct CallRequest
@@ -68,6 +70,8 @@
   // read may still be delivered.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
+  // Whether bytes of the request may have been sent.
+  virtual bool HasSent() const = 0;
 };
 
 class HttpClient
--- a/standin/fleet_fixture.h
+++ b/standin/fleet_fixture.h
@@ -86,6 +86,9 @@
   // is ready. Throws std::runtime_error if it does not become ready.
   void RestartDaemon(std::size_t aIndex);
   void RestartEngine(std::size_t aIndex);
+  // Kills the plain service, or starts it again.
+  void KillService() { m_service.reset(); }
+  void StartService();
 
   net::Endpoint Platform() const { return EndpointAt(0); }
   net::Endpoint DaemonAddress(std::size_t aIndex) const;
@@ -140,7 +143,6 @@
   std::string WriteSettings(std::size_t aIndex) const;
   void StartDaemon(std::size_t aIndex);
   void StartEngine(std::size_t aIndex);
-  void StartService();
   bool IsDaemonReady(std::size_t aIndex);
   std::unique_ptr<OpenCall> StartCall(net::CallRequest aRequest);
   std::unique_ptr<ChildProcess> StartStandin(
--- a/standin/fleet_test.cc
+++ b/standin/fleet_test.cc
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include "standin/dark_address.h"
+
 namespace walnutwing::standin {
 namespace {
 
@@ -329,6 +331,51 @@
   }));
 }
 
+// Guards against review/15, GONE, at walnutwing daemon: an order went on after
+// its caller had left, though no connection to the service could be made yet.
+TEST(Fleet, OrderThatWasNotSentEndsWithItsCaller)
+{
+  constexpr Duration kPatience(300);
+  constexpr Duration kSettleTime(3000); // in which the order would run
+  const auto fleet = StartFleet();
+  const std::string key = fleet->NewOrderKey();
+  const net::Endpoint service = fleet->ServiceAddress();
+  asio::io_context loop;
+  fleet->KillService();
+  auto dark = std::make_unique<DarkAddress>(
+    loop,
+    Tcp::endpoint(asio::ip::make_address_v4(service.m_ip), service.m_port));
+  const auto order = fleet->StartOrder(1, key);
+  fleet->RunLoopFor(kPatience);
+  order->m_call.reset();
+  fleet->RunLoopFor(kPatience);
+  dark.reset();
+  fleet->StartService();
+  fleet->RunLoopFor(kSettleTime);
+  EXPECT_EQ(0U, fleet->CountRuns(key));
+}
+
+// Guards against a key that stays taken: the order whose caller left before it
+// was sent counted as running, and repeats got 409 until the key expired.
+TEST(Fleet, KeyOfAnOrderThatWasNotSentCanBeUsedAgain)
+{
+  constexpr std::uint64_t kOrderRunMs = 3000;
+  constexpr std::uint32_t kSlots = 1;
+  constexpr Duration kPatience(300);
+  const auto fleet = StartFleet({ "", kOrderRunMs, 2, kSlots, kSlots });
+  const std::string firstKey = fleet->NewOrderKey();
+  const auto first = fleet->StartOrder(1, firstKey);
+  ASSERT_TRUE(
+    fleet->WaitUntil([&] { return fleet->CountRuns(firstKey) == 1; }));
+  const std::string key = fleet->NewOrderKey();
+  const auto waiting = fleet->StartOrder(1, key);
+  fleet->RunLoopFor(kPatience);
+  waiting->m_call.reset();
+  fleet->RunLoopFor(kPatience);
+  EXPECT_EQ(200, SendOrderUntilFinal(*fleet, 1, key));
+  EXPECT_EQ(1U, fleet->CountRuns(key));
+}
+
 TEST(Fleet, ExitsWithStatus2WhenSettingsAreInvalid)
 {
   const std::string directory = testing::TempDir();
