--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -260,6 +260,8 @@
   }
   selection.m_excludeRefusing = m_refusedByUpstream;
   selection.m_excludeLimited = m_permitsAsked >= kMaxPermitsAsked;
+  // A new connection shows whether it is lost or only at work on slow requests.
+  selection.m_allowSilent = true;
   return selection;
 }
 
@@ -271,7 +273,6 @@
   SelectionRequest selection = MakeSelection();
   selection.m_avoid = m_avoid;
   selection.m_excludeRefusing = false;
-  selection.m_allowSilent = true;
   return selection;
 }
 
@@ -288,8 +289,6 @@
     selection.m_versionRule = m_context.m_rollouts.RuleFor(
       MakeRolloutRequest(), m_context.m_daemons, Now());
   }
-  // Once: what can't be connected to is refused soon.
-  selection.m_allowSilent = m_tries == 0;
   SendNext(m_context.m_selector.Choose(selection, Now()));
 }
 
@@ -479,6 +478,9 @@
   }
   SelectionRequest selection = MakeSelection();
   selection.m_avoid.insert(m_attempt.m_choice.m_upstream);
+  // Another silent one is no better, and where all are silent the service is
+  // slow rather than lost.
+  selection.m_allowSilent = false;
   // A permit may be refused.
   selection.m_excludeLimited = selection.m_excludeLimited || m_relay.HasBegun();
   Choice choice;
--- a/standin/silent_upstream_test.cc
+++ b/standin/silent_upstream_test.cc
@@ -180,6 +180,69 @@
   EXPECT_TRUE(Contains(test.m_caller->Received(), "HTTP/1.1 200"));
 }
 
+// An upstream at work on a slow order, which makes it seem lost, and another
+// one that comes later. Both are sound.
+class SlowOrder : public SilentUpstream
+{
+public:
+  SlowOrder()
+    : SilentUpstream({ .m_extraBounds = kManyRepeats })
+  {
+    m_harness.RegisterUpstream(1, "draining");
+    m_harness.RunLoopFor(kNewsTime);
+    m_slow = m_harness.Connect();
+    m_slow->Send(Request("/order/", "slow"));
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return m_exchange != nullptr; }));
+    m_harness.RunLoopFor(kPause);
+    m_harness.RegisterUpstream(1, "ready", 1);
+    m_harness.RunLoopFor(kNewsTime);
+  }
+
+  // The order "a1" is answered by the upstream with the slow order.
+  void ExpectAnswerOfTheSlowOne()
+  {
+    EXPECT_TRUE(m_harness.WaitUntil([&] { return m_caller->Ended(); }));
+    EXPECT_TRUE(Contains(m_caller->Received(), "HTTP/1.1 200"))
+      << m_caller->Received();
+  }
+
+  // Until the router knows of a change of a registration.
+  static constexpr Duration kNewsTime{ 800 };
+  std::unique_ptr<CallerStandin> m_slow;
+};
+
+void
+AnswerOrder(const Exchange& aExchange)
+{
+  if (aExchange->Request()["X-Attempt-Id"] == "a1") {
+    aExchange->Write(MakeUpstreamResponse(aExchange->Request(), 200, "done"));
+  }
+}
+
+// Guards against issue 61, point 1: an order is refused because the only
+// upstream that is left has sent nothing for a while.
+TEST(SilentUpstream, GetsTheOrderThatAnotherOneRefuses)
+{
+  SlowOrder test;
+  test.m_harness.Upstream(0).SetHandler(AnswerOrder);
+  test.m_harness.Upstream(1).SetHandler(
+    [](const Exchange& aExchange) { aExchange->Write(kRefusal); });
+  test.m_caller = test.m_harness.Connect();
+  test.m_caller->Send(Request("/order/"));
+  test.ExpectAnswerOfTheSlowOne();
+}
+
+// The same, as no connection to the other one can be made.
+TEST(SilentUpstream, GetsTheOrderThatAnotherOneDoesNotTake)
+{
+  SlowOrder test;
+  test.m_harness.Upstream(0).SetHandler(AnswerOrder);
+  test.m_harness.Upstream(1).Crash();
+  test.m_caller = test.m_harness.Connect();
+  test.m_caller->Send(Request("/order/"));
+  test.ExpectAnswerOfTheSlowOne();
+}
+
 // Two upstreams that serve other streams meanwhile, so that neither of them
 // seems to be lost.
 class BusyUpstreams
