--- a/walnutwing/routing/route_table.cc
+++ b/walnutwing/routing/route_table.cc
@@ -6,27 +6,15 @@
 
 #include <utility>
 
-namespace walnutwing {
-namespace {
-
-std::string
-LowerHost(std::string_view aHost)
-{
-  const std::size_t colon = aHost.rfind(':');
-  std::string host(aHost.substr(0, colon));
-  for (char& c : host) {
-    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  }
-  return host;
-}
+#include "walnutwing/http/request_head.h"
 
-} // namespace
+namespace walnutwing {
 
 RouteTable::RouteTable(RoutingConfig aConfig)
   : m_config(std::move(aConfig))
 {
   for (const Route& route : m_config.m_routes) {
-    m_routes.emplace(route.m_host + route.m_pathPrefix, &route);
+    m_routes[route.m_host].emplace(route.m_pathPrefix, &route);
   }
   for (const RoutingCustomer& customer : m_config.m_customers) {
     for (const std::string& key : customer.m_keys) {
@@ -41,21 +29,19 @@
 const Route*
 RouteTable::Find(std::string_view aHost, std::string_view aPath) const
 {
-  std::string key = LowerHost(aHost);
-  const std::size_t hostSize = key.size();
-  key += aPath;
-  std::size_t end = key.rfind('/');
-  while (end != std::string::npos && end >= hostSize) {
-    const auto found = m_routes.find(std::string_view(key).substr(0, end + 1));
-    if (found != m_routes.end()) {
+  const auto host = m_routes.find(HostOf(aHost));
+  if (host == m_routes.end() || !aPath.starts_with('/')) {
+    return nullptr;
+  }
+  for (std::size_t end = aPath.rfind('/');; end = aPath.rfind('/', end - 1)) {
+    const auto found = host->second.find(aPath.substr(0, end + 1));
+    if (found != host->second.end()) {
       return found->second;
     }
     if (end == 0) {
-      break;
+      return nullptr;
     }
-    end = key.rfind('/', end - 1);
   }
-  return nullptr;
 }
 
 const RoutingCustomer*
--- a/walnutwing/routing/route_table.h
+++ b/walnutwing/routing/route_table.h
@@ -23,8 +23,8 @@
   std::uint64_t Version() const { return m_config.m_version; }
 
   // The route of aHost with the longest path prefix that matches aPath; null if
-  // there is none. The case of aHost and its port are ignored; aPath has no
-  // query.
+  // there is none. aHost is the value of a Host field, whose case and port are
+  // ignored; aPath begins with a slash and has no query.
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
 
   // The customer that has this key; null for an unknown key.
@@ -52,7 +52,8 @@
     std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
   RoutingConfig m_config;
-  TextMap<const Route*> m_routes; // by the host followed by the prefix
+  // By host, and then by prefix: no text of one can be read as the other.
+  TextMap<TextMap<const Route*>> m_routes;
   TextMap<const RoutingCustomer*> m_customers;
   std::unordered_map<ServiceId, const ServiceConfig*> m_services;
 };
--- a/walnutwing/routing/route_table_test.cc
+++ b/walnutwing/routing/route_table_test.cc
@@ -46,6 +46,11 @@
     { "", "", "" },
     { "a.example", "", "" },
     { "a.example", "*", "" },
+    // review/12, ROUTE: a part of the path in the host.
+    { "a.example/x", "/y/z", "" },
+    { "a.example/x/", "/", "" },
+    { "a.example:80/x", "/", "" },
+    { "a.example", "x/", "" },
   };
   for (const auto& testCase : cases) {
     const Route* route = table.Find(testCase.m_host, testCase.m_path);
