--- a/daemon/request_flow.cc
+++ b/daemon/request_flow.cc
@@ -451,8 +451,8 @@
   WithdrawOrder();
 }
 
-// Nothing of the order was sent, and its key is free for a repeat; or its
-// outcome is recorded.
+// Ends an order without a caller. If its outcome is not known to the OrderBook
+// yet, nothing of it was sent, and its key can be used for a repeat.
 void
 RequestFlow::WithdrawOrder()
 {
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -85,16 +85,16 @@
                                        : text.substr(0, end + kHeadEnd.size());
 }
 
-// Refuses the request if its head is not sound, and closes its connection.
+// Refuses the request if its head is not valid, and closes its connection.
 bool
-RefuseUnsoundHead(h2o_req_t* aRequest)
+RefuseInvalidHead(h2o_req_t* aRequest)
 {
-  const auto judged = JudgeRequestHead(HeadTextOf(*aRequest));
-  const auto* fault = std::get_if<HeadFault>(&judged);
-  if (fault == nullptr) {
+  const auto result = ParseRequestHead(HeadTextOf(*aRequest));
+  const auto* error = std::get_if<HeadError>(&result);
+  if (error == nullptr) {
     return false;
   }
-  const ResultCodeRow& row = RowOf(RowOf(*fault).m_code);
+  const ResultCodeRow& row = RowOf(RowOf(*error).m_code);
   h2o_send_error_generic(aRequest,
                          row.m_httpStatus,
                          row.m_name.data(),
@@ -433,7 +433,7 @@
       reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
     handler->m_requestHandler = &m_handler;
     handler->m_super.on_req = [](h2o_handler_t* aSelf, h2o_req_t* aRequest) {
-      if (RefuseUnsoundHead(aRequest)) {
+      if (RefuseInvalidHead(aRequest)) {
         return 0;
       }
       (*reinterpret_cast<Handler*>(aSelf)->m_requestHandler)(
--- a/router/caller_connection.cc
+++ b/router/caller_connection.cc
@@ -175,7 +175,7 @@
   m_heldBody = std::make_shared<HeldBody>(m_context.m_memory.Ledger(), m_owner);
   m_heldBody->m_charge.SetUse(MemoryUse::Receiving, m_receivingSince);
   m_parser.emplace();
-  m_parser->eager(false); // the head alone, at first
+  m_parser->eager(false); // stop behind the head, which is validated first
   m_parser->header_limit(Limits().m_maxHeaderBytes);
   m_input.AllowHead(Limits().m_maxHeaderBytes);
   m_parser->body_limit(Limits().m_maxBodyBytes);
@@ -190,15 +190,7 @@
       BeginRequest();
     }
     error_code error;
-    const std::size_t used = m_parser->put(m_input.data(), error);
-    if (!m_headParsed) {
-      m_headText.append(static_cast<const char*>(m_input.data().data()), used);
-    }
-    m_input.consume(used);
-    m_wireBytes += used;
-    if (error == http::error::need_more) {
-      error = {};
-    }
+    const std::size_t used = FeedParser(error);
     if (m_parser->is_header_done() && !m_headParsed && !OnRequestHead()) {
       return;
     }
@@ -224,34 +216,40 @@
   }
 }
 
+// Gives the parser what has been read; returns the bytes that it has taken.
+std::size_t
+CallerConnection::FeedParser(error_code& aError)
+{
+  const std::size_t used = m_parser->put(m_input.data(), aError);
+  if (!m_headParsed) {
+    m_headText.append(static_cast<const char*>(m_input.data().data()), used);
+  }
+  m_input.consume(used);
+  m_wireBytes += used;
+  if (aError == http::error::need_more) {
+    aError = {};
+  }
+  return used;
+}
+
 bool
 CallerConnection::OnRequestHead()
 {
   m_headParsed = true;
   m_parser->eager(true);
-  const std::string text = std::exchange(m_headText, {});
-  const auto judged = JudgeRequestHead(text);
-  if (const auto* fault = std::get_if<HeadFault>(&judged)) {
-    Reject(RowOf(*fault).m_code, RowOf(*fault).m_name);
+  if (!ValidateHead()) {
     return false;
   }
-  const RequestHead& judgedHead = std::get<RequestHead>(judged);
-  if (!AgreesWith(judgedHead)) {
-    Reject(ResultCode::BadRequest, "parser");
-    return false;
-  }
-  if (platform::View(m_parser->get().target()) != judgedHead.m_target) {
-    m_parser->get().target(judgedHead.m_target);
-  }
-  if (judgedHead.m_framing == RequestFraming::Chunked) {
-    m_headOfChunks = m_parser->get().base();
-  }
   SetTimer(Limits().m_idleTimeout); // for the body
   const auto& head = m_parser->get();
   for (const auto& field : head) {
     m_headCost +=
       kFieldCost + field.name_string().size() + field.value().size();
   }
+  if (m_parser->chunked()) {
+    m_headBeforeTrailers = head.base();
+    m_headCost *= 2;
+  }
   if (!m_parser->is_done() &&
       boost::beast::iequals(head[http::field::expect], "100-continue")) {
     m_pending += kContinueResponse;
@@ -260,9 +258,31 @@
   return true;
 }
 
-// Two readings of one head are what smuggled requests need.
+// Rejects the request and returns false if its head is invalid.
+bool
+CallerConnection::ValidateHead()
+{
+  const std::string text = std::exchange(m_headText, {});
+  const auto result = ParseRequestHead(text);
+  if (const auto* error = std::get_if<HeadError>(&result)) {
+    Reject(RowOf(*error).m_code, RowOf(*error).m_name);
+    return false;
+  }
+  const RequestHead& head = std::get<RequestHead>(result);
+  if (!HasSameFraming(head)) {
+    Reject(ResultCode::BadRequest, "parser");
+    return false;
+  }
+  if (platform::View(m_parser->get().target()) != head.m_target) {
+    m_parser->get().target(head.m_target);
+  }
+  return true;
+}
+
+// Whether the parser finds the end of the body in the same way. If it did not,
+// a part of the body could be run as another request.
 bool
-CallerConnection::AgreesWith(const RequestHead& aHead) const
+CallerConnection::HasSameFraming(const RequestHead& aHead) const
 {
   const bool isChunked = aHead.m_framing == RequestFraming::Chunked;
   const bool hasLength = aHead.m_framing == RequestFraming::Length;
@@ -280,8 +300,8 @@
   m_parser.reset();
   std::shared_ptr<const std::string> body =
     TakeBody(std::move(received.body()));
-  if (m_headOfChunks) {
-    received.base() = *std::exchange(m_headOfChunks, std::nullopt);
+  if (m_headBeforeTrailers) {
+    received.base() = *std::exchange(m_headBeforeTrailers, std::nullopt);
   }
   CallerRequest request(std::move(received.base()));
   m_keepAlive = request.keep_alive();
@@ -443,12 +463,12 @@
 // Responds to an invalid or incomplete request with an error. The start of a
 // next request could not be found after it, so the connection is closed.
 void
-CallerConnection::Reject(ResultCode aCode, std::string_view aFault)
+CallerConnection::Reject(ResultCode aCode, std::string_view aHeadError)
 {
   EventLog::Line(m_context.m_log, Event::CallerRejected, Now())
     .Add("code", static_cast<std::int64_t>(aCode))
     .Add("why", RowOf(aCode).m_name)
-    .Add("fault", aFault);
+    .Add("head_error", aHeadError);
   ++m_context.m_metrics.Counter(
     "callers_rejected_total",
     "code=\"" + std::to_string(static_cast<int>(aCode)) + "\"");
@@ -457,7 +477,7 @@
   m_parser.reset();
   m_heldBody.reset();
   m_headText = std::string();
-  m_headOfChunks.reset();
+  m_headBeforeTrailers.reset();
   m_keepAlive = false;
   m_headRequest = false; // not known; the connection is closed
   m_responseEnded = false;
@@ -514,7 +534,7 @@
 CallerConnection::CheckCaller()
 {
   if (m_state == State::Responding &&
-      PeerStateOf(m_socket) == PeerState::Closed) {
+      PeerStateOf(m_socket.native_handle()) == PeerState::Closed) {
     OnConnectionLost();
   }
 }
--- a/router/caller_connection.h
+++ b/router/caller_connection.h
@@ -7,8 +7,8 @@
 // then, as the buffer is full or memory is short, its state is queried instead.
 // A caller that ends its sending side counts as one that has left.
 //
-// The bytes of each head are judged (request_head.h) before anything is taken
-// from it, and the parser must agree on where its request ends.
+// The bytes of each head are validated (request_head.h) before anything is
+// taken from it, and the parser must find the same end of the body.
 //
 // All that it holds is charged to the process's MemoryGuard, which may have it
 // read no further, or give up its request. Of a request these are the buffers,
@@ -111,13 +111,15 @@
   Duration RetryAfterMemory();
   void ResetOnClose();
   void BeginRequest();
-  // Returns false if the head is refused.
+  std::size_t FeedParser(error_code& aError);
+  // Returns false if the head was rejected.
   bool OnRequestHead();
-  bool AgreesWith(const RequestHead& aHead) const;
+  bool ValidateHead();
+  bool HasSameFraming(const RequestHead& aHead) const;
   void OnRequest();
   void OnParseError(const error_code& aError);
-  // aFault: of the head; "" if it is another one.
-  void Reject(ResultCode aCode, std::string_view aFault = "");
+  // aHeadError: what is invalid in the head; "" if it is something else.
+  void Reject(ResultCode aCode, std::string_view aHeadError = "");
   void SetTimer(Duration aTime);
   void OnTimer();
   void Flush();
@@ -144,7 +146,7 @@
   std::string m_headText; // of the request that is received
   // Of a request in chunks: its head, without the trailers that the parser
   // adds.
-  std::optional<boost::beast::http::request_header<>> m_headOfChunks;
+  std::optional<boost::beast::http::request_header<>> m_headBeforeTrailers;
   MemoryLedger::OwnerId m_owner;
   MemoryCharge m_charge;                // of all but the request
   std::shared_ptr<HeldBody> m_heldBody; // of the request that is received
--- a/router/peer_state.cc
+++ b/router/peer_state.cc
@@ -9,15 +9,16 @@
 namespace walnutwing::router {
 namespace {
 
-// The end of the peer's side is behind the unread bytes, where a read does not
-// see it; the connection's state shows it.
+// Whether the peer has ended its side. A read does not see that while there are
+// unread bytes before it, but the connection's state does. An unknown state
+// counts as open, as the next read decides.
 bool
-HasEndArrived(int aDescriptor)
+HasEndArrived(int aSocket)
 {
   tcp_info info{};
   socklen_t size = sizeof(info);
   const bool known =
-    getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
   return known &&
          (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
 }
@@ -25,14 +26,13 @@
 } // namespace
 
 PeerState
-PeerStateOf(Socket& aSocket)
+PeerStateOf(int aSocket)
 {
-  const int descriptor = aSocket.native_handle();
   char byte = 0;
   const ssize_t received =
-    recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
   if (received > 0) {
-    return HasEndArrived(descriptor) ? PeerState::Closed : PeerState::Unread;
+    return HasEndArrived(aSocket) ? PeerState::Closed : PeerState::Unread;
   }
   const bool open =
     received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
--- a/router/request_attempts.cc
+++ b/router/request_attempts.cc
@@ -345,7 +345,7 @@
 {
   m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_refusedByUpstream = true;
-  if (EndIfCallerLeft()) {
+  if (EndIfCallerGone()) {
     return;
   }
   if (GoBack("not executed")) {
@@ -368,7 +368,7 @@
   m_cause = aWhy;
   m_avoid.insert(m_attempt.m_choice.m_upstream);
   m_relay.DropPartialEvent();
-  if (EndIfCallerLeft()) {
+  if (EndIfCallerGone()) {
     return;
   }
   if (GoBack(aWhy)) {
--- a/router/request_flow.cc
+++ b/router/request_flow.cc
@@ -72,7 +72,7 @@
 void
 RequestFlow::Start()
 {
-  const auto self = shared_from_this(); // its caller may prove to have left
+  const auto self = shared_from_this(); // EndIfCallerGone may drop the last one
   if (!FindRoute()) {
     return;
   }
@@ -293,7 +293,7 @@
 }
 
 bool
-RequestFlow::EndIfCallerLeft()
+RequestFlow::EndIfCallerGone()
 {
   const auto self = shared_from_this();
   m_relay.CheckCaller();
@@ -306,7 +306,7 @@
 void
 RequestFlow::SendNext(Choice aChoice)
 {
-  if (EndIfCallerLeft()) {
+  if (EndIfCallerGone()) {
     return;
   }
   std::set<UpstreamId> unsent; // the pool provides no connection to them
--- a/router/request_flow.h
+++ b/router/request_flow.h
@@ -80,7 +80,7 @@
       : m_flow(aFlow)
     {
     }
-    void OnConnected() override { m_flow.EndIfCallerLeft(); }
+    void OnConnected() override { m_flow.EndIfCallerGone(); }
     void OnHead(const platform::HttpResponseHead& aHead,
                 const platform::ResponseFacts& aFacts) override
     {
@@ -130,7 +130,7 @@
   SelectionRequest MakeFallbackSelection() const;
   ConnectionUse UseOfConnections(const Choice& aChoice) const;
   // Returns whether the request has ended, because its caller has left.
-  bool EndIfCallerLeft();
+  bool EndIfCallerGone();
   void SendNext();
   void SendNext(Choice aChoice); // tries aChoice first
   // Returns false if the request would wait too long and was therefore refused.
--- a/router/upstream_connection.h
+++ b/router/upstream_connection.h
@@ -114,7 +114,10 @@
 
   // Whether an idle connection is still open and has no unread bytes. Queries
   // the socket.
-  bool IsIdleAndOpen() { return PeerStateOf(m_socket) == PeerState::Open; }
+  bool IsIdleAndOpen()
+  {
+    return PeerStateOf(m_socket.native_handle()) == PeerState::Open;
+  }
 
   void Close();
   bool IsOpen() const { return !m_closed; }
--- a/standin/dark_address.cc
+++ b/standin/blackhole_address.cc
@@ -1,4 +1,4 @@
-#include "standin/dark_address.h"
+#include "standin/blackhole_address.h"
 
 #include <sys/socket.h>
 
@@ -10,8 +10,8 @@
 
 } // namespace
 
-DarkAddress::DarkAddress(asio::io_context& aLoop,
-                         const Tcp::endpoint& aEndpoint)
+BlackholeAddress::BlackholeAddress(asio::io_context& aLoop,
+                                   const Tcp::endpoint& aEndpoint)
   : m_acceptor(aLoop)
 {
   m_acceptor.open(aEndpoint.protocol());
--- a/standin/dark_address.h
+++ b/standin/blackhole_address.h
@@ -1,7 +1,8 @@
-#ifndef WALNUTWING_STANDIN_DARK_ADDRESS_H_
-#define WALNUTWING_STANDIN_DARK_ADDRESS_H_
+#ifndef WALNUTWING_STANDIN_BLACKHOLE_ADDRESS_H_
+#define WALNUTWING_STANDIN_BLACKHOLE_ADDRESS_H_
 
-// The address of a machine without power: whoever connects to it gets no reply.
+// An address that drops connections: whoever connects to it gets no reply, as
+// from a VM without power.
 // The address is held by a socket whose queue of new connections is full, so
 // that the kernel drops the packets that would open further ones.
 
@@ -12,14 +13,14 @@
 
 namespace walnutwing::standin {
 
-class DarkAddress
+class BlackholeAddress
 {
 public:
   // aEndpoint: nothing listens there. Throws boost::system::system_error if it
   // is in use.
-  DarkAddress(asio::io_context& aLoop, const Tcp::endpoint& aEndpoint);
-  DarkAddress(const DarkAddress&) = delete;
-  DarkAddress& operator=(const DarkAddress&) = delete;
+  BlackholeAddress(asio::io_context& aLoop, const Tcp::endpoint& aEndpoint);
+  BlackholeAddress(const BlackholeAddress&) = delete;
+  BlackholeAddress& operator=(const BlackholeAddress&) = delete;
 
 private:
   Tcp::acceptor m_acceptor;
@@ -28,4 +29,4 @@
 
 } // namespace walnutwing::standin
 
-#endif // WALNUTWING_STANDIN_DARK_ADDRESS_H_
+#endif // WALNUTWING_STANDIN_BLACKHOLE_ADDRESS_H_
--- a/walnutwing/http/request_head.cc
+++ b/walnutwing/http/request_head.cc
@@ -1,5 +1,5 @@
-// The head is read line by line; each step below returns a fault, and the first
-// one decides.
+// The head is read line by line. Each step returns its error, if any, which
+// ends the parsing.
 
 #include "walnutwing/http/request_head.h"
 
@@ -12,15 +12,15 @@
 namespace walnutwing {
 namespace {
 
-constexpr std::array<HeadFaultRow, 8> kHeadFaults{ {
-  { HeadFault::RequestLine, "request_line", ResultCode::BadRequest },
-  { HeadFault::Target, "target", ResultCode::BadRequest },
-  { HeadFault::Authority, "authority", ResultCode::BadRequest },
-  { HeadFault::FieldLine, "field_line", ResultCode::BadRequest },
-  { HeadFault::Host, "host", ResultCode::BadRequest },
-  { HeadFault::Length, "length", ResultCode::BadRequest },
-  { HeadFault::Framing, "framing", ResultCode::BadRequest },
-  { HeadFault::TransferCoding,
+constexpr std::array<HeadErrorRow, 8> kHeadErrors{ {
+  { HeadError::RequestLine, "request_line", ResultCode::BadRequest },
+  { HeadError::Target, "target", ResultCode::BadRequest },
+  { HeadError::Authority, "authority", ResultCode::BadRequest },
+  { HeadError::FieldLine, "field_line", ResultCode::BadRequest },
+  { HeadError::Host, "host", ResultCode::BadRequest },
+  { HeadError::Length, "length", ResultCode::BadRequest },
+  { HeadError::Framing, "framing", ResultCode::BadRequest },
+  { HeadError::TransferCoding,
     "transfer_coding",
     ResultCode::TransferCodingUnsupported },
 } };
@@ -66,7 +66,7 @@
   return (byte < kFirstPrintable && aChar != '\t') || byte == kDelete;
 }
 
-// Visible ASCII without the start of a fragment.
+// Visible ASCII; a "#" would start a fragment, which is not sent to servers.
 bool
 IsTargetChar(char aChar)
 {
@@ -143,36 +143,35 @@
          digits.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
-// Reads one head.
-class Judge
+// Parses one head.
+class HeadParser
 {
 public:
-  explicit Judge(std::string_view aText)
+  explicit HeadParser(std::string_view aText)
     : m_rest(aText)
   {
   }
 
-  std::variant<RequestHead, HeadFault> Run()
+  std::variant<RequestHead, HeadError> Parse()
   {
-    std::optional<HeadFault> fault = ReadRequestLine();
-    if (!fault) {
-      fault = ReadFields();
+    std::optional<HeadError> error = ReadRequestLine();
+    if (!error) {
+      error = ReadFields();
     }
-    if (!fault) {
-      fault = DecideHost();
+    if (!error) {
+      error = CheckHost();
     }
-    if (!fault) {
-      fault = DecideFraming();
+    if (!error) {
+      error = ReadFraming();
     }
-    if (fault) {
-      return *fault;
+    if (error) {
+      return *error;
     }
     return std::move(m_head);
   }
 
 private:
-  // Nothing if no line end is left, or if the line has one without the other of
-  // its two characters.
+  // The next line without its line end; nothing if no line end is left.
   std::optional<std::string_view> NextLine()
   {
     const std::size_t end = m_rest.find(kLineEnd);
@@ -184,31 +183,31 @@
     return line;
   }
 
-  std::optional<HeadFault> ReadRequestLine()
+  std::optional<HeadError> ReadRequestLine()
   {
     const std::optional<std::string_view> line = NextLine();
     if (!line) {
-      return HeadFault::RequestLine;
+      return HeadError::RequestLine;
     }
     const std::size_t first = line->find(' ');
     const std::size_t last = line->rfind(' ');
     if (first == std::string_view::npos || first == last) {
-      return HeadFault::RequestLine;
+      return HeadError::RequestLine;
     }
-    m_head.m_method = line->substr(0, first);
+    const std::string_view method = line->substr(0, first);
     const std::string_view version = line->substr(last + 1);
     m_isHttp10 = version == kHttp10;
-    if (!IsToken(m_head.m_method) || (!m_isHttp10 && version != kHttp11)) {
-      return HeadFault::RequestLine;
+    if (!IsToken(method) || (!m_isHttp10 && version != kHttp11)) {
+      return HeadError::RequestLine;
     }
     return ReadTarget(line->substr(first + 1, last - first - 1));
   }
 
-  std::optional<HeadFault> ReadTarget(std::string_view aTarget)
+  std::optional<HeadError> ReadTarget(std::string_view aTarget)
   {
     if (aTarget.empty() ||
         !std::all_of(aTarget.begin(), aTarget.end(), IsTargetChar)) {
-      return HeadFault::Target;
+      return HeadError::Target;
     }
     if (aTarget.front() == '/') {
       m_head.m_target = aTarget;
@@ -219,27 +218,27 @@
         return ReadAbsoluteForm(aTarget.substr(scheme.size()));
       }
     }
-    return HeadFault::Target; // "*", "host:port" or another scheme
+    return HeadError::Target; // "*", "host:port" or another scheme
   }
 
   // aRest: what follows the scheme.
-  std::optional<HeadFault> ReadAbsoluteForm(std::string_view aRest)
+  std::optional<HeadError> ReadAbsoluteForm(std::string_view aRest)
   {
     const std::size_t end = std::min(aRest.find_first_of("/?"), aRest.size());
     m_authority = aRest.substr(0, end);
     const std::string_view path = aRest.substr(end);
     m_head.m_target = path.starts_with('/') ? "" : "/";
     m_head.m_target += path;
-    return HostOf(*m_authority).empty() ? std::optional(HeadFault::Target)
+    return HostOf(*m_authority).empty() ? std::optional(HeadError::Target)
                                         : std::nullopt;
   }
 
-  std::optional<HeadFault> ReadFields()
+  std::optional<HeadError> ReadFields()
   {
     while (true) {
       const std::optional<std::string_view> line = NextLine();
       if (!line) {
-        return HeadFault::FieldLine;
+        return HeadError::FieldLine;
       }
       if (line->empty()) {
         return std::nullopt;
@@ -247,7 +246,7 @@
       const std::size_t colon = line->find(':');
       if (colon == std::string_view::npos || !IsToken(line->substr(0, colon)) ||
           std::any_of(line->begin(), line->end(), IsControl)) {
-        return HeadFault::FieldLine;
+        return HeadError::FieldLine;
       }
       NoteField(line->substr(0, colon), Trim(line->substr(colon + 1)));
     }
@@ -264,31 +263,29 @@
     }
   }
 
-  std::optional<HeadFault> DecideHost()
+  std::optional<HeadError> CheckHost()
   {
     if (m_hosts.m_count == 0 && m_isHttp10) {
-      m_head.m_host = HostOf(m_authority.value_or(""));
       return std::nullopt;
     }
-    m_head.m_host = HostOf(m_hosts.m_last);
-    if (m_hosts.m_count != 1 || m_head.m_host.empty()) {
-      return HeadFault::Host;
+    if (m_hosts.m_count != 1 || HostOf(m_hosts.m_last).empty()) {
+      return HeadError::Host;
     }
     if (m_authority && !EqualIgnoringCase(*m_authority, m_hosts.m_last)) {
-      return HeadFault::Authority;
+      return HeadError::Authority;
     }
     return std::nullopt;
   }
 
-  std::optional<HeadFault> DecideFraming()
+  std::optional<HeadError> ReadFraming()
   {
     if (m_codings.m_count != 0) {
       if (m_lengths.m_count != 0 || m_isHttp10) {
-        return HeadFault::Framing;
+        return HeadError::Framing;
       }
       if (m_codings.m_count != 1 ||
           !EqualIgnoringCase(m_codings.m_last, "chunked")) {
-        return HeadFault::TransferCoding;
+        return HeadError::TransferCoding;
       }
       m_head.m_framing = RequestFraming::Chunked;
       return std::nullopt;
@@ -301,14 +298,14 @@
     const auto [stop, error] =
       std::from_chars(text.data(), end, m_head.m_length);
     if (m_lengths.m_count != 1 || error != std::errc() || stop != end) {
-      return HeadFault::Length;
+      return HeadError::Length;
     }
     m_head.m_framing = RequestFraming::Length;
     return std::nullopt;
   }
 
-  // The fields of one name.
-  struct Values
+  // The fields with one name.
+  struct FieldGroup
   {
     void Add(std::string_view aValue)
     {
@@ -323,28 +320,28 @@
   RequestHead m_head;
   bool m_isHttp10 = false;
   std::optional<std::string_view> m_authority; // of a target in absolute form
-  Values m_hosts;
-  Values m_lengths;
-  Values m_codings;
+  FieldGroup m_hosts;
+  FieldGroup m_lengths;
+  FieldGroup m_codings;
 };
 
 } // namespace
 
-std::span<const HeadFaultRow>
-HeadFaultTable()
+std::span<const HeadErrorRow>
+HeadErrorTable()
 {
-  return kHeadFaults;
+  return kHeadErrors;
 }
 
-const HeadFaultRow&
-RowOf(HeadFault aFault)
+const HeadErrorRow&
+RowOf(HeadError aHeadError)
 {
-  for (const HeadFaultRow& row : kHeadFaults) {
-    if (row.m_fault == aFault) {
+  for (const HeadErrorRow& row : kHeadErrors) {
+    if (row.m_error == aHeadError) {
       return row;
     }
   }
-  throw std::out_of_range("no such fault of a head");
+  throw std::out_of_range("unknown HeadError");
 }
 
 std::string
@@ -364,10 +361,10 @@
            : "";
 }
 
-std::variant<RequestHead, HeadFault>
-JudgeRequestHead(std::string_view aText)
+std::variant<RequestHead, HeadError>
+ParseRequestHead(std::string_view aText)
 {
-  return Judge(aText).Run();
+  return HeadParser(aText).Parse();
 }
 
 } // namespace walnutwing
--- a/walnutwing/http/request_head.h
+++ b/walnutwing/http/request_head.h
@@ -1,12 +1,13 @@
 #ifndef WALNUTWING_HTTP_REQUEST_HEAD_H_
 #define WALNUTWING_HTTP_REQUEST_HEAD_H_
 
-// Decides whether the head of an HTTP/1.x request is sound, from its bytes and
-// before anything else is taken from it (RFC 9110, RFC 9112, RFC 3986).
+// Validates the head of an HTTP/1.x request (RFC 9110, RFC 9112, RFC 3986).
 //
-// Lenient parsers disagree about unusual heads: where a request ends, and to
-// whom it goes. A head that leaves either open is not repaired but refused. A
-// RequestHead holds only what was accepted.
+// Parsers differ in how they read unusual heads, for example those with two
+// lengths or two hosts. A client can use the difference to hide a request in
+// the body of another one (request smuggling), or to have it routed to a host
+// that was not checked. So a head that can be read in two ways is rejected
+// rather than repaired.
 
 #include <cstdint>
 #include <span>
@@ -18,7 +19,7 @@
 
 namespace walnutwing {
 
-// How the end of a request's body is found.
+// How the end of a request's body is found (RFC 9112, 6).
 enum class RequestFraming
 {
   None,
@@ -28,15 +29,13 @@
 
 struct RequestHead
 {
-  std::string_view m_method; // points into the text
   // In origin form: a path that begins with a slash, and perhaps a query.
   std::string m_target;
-  std::string m_host; // in lower case, without its port; "" in HTTP/1.0 only
   RequestFraming m_framing = RequestFraming::None;
   std::uint64_t m_length = 0; // of the body, if its framing is Length
 };
 
-enum class HeadFault
+enum class HeadError
 {
   RequestLine,    // not "METHOD TARGET HTTP/1.x"
   Target,         // neither an origin form nor an absolute form
@@ -48,22 +47,23 @@
   TransferCoding, // chunked is not the only transfer coding
 };
 
-struct HeadFaultRow
+struct HeadErrorRow
 {
-  HeadFault m_fault;
+  HeadError m_error;
   std::string_view m_name; // for logs
-  ResultCode m_code;       // of the refusal, after which the connection closes
+  ResultCode m_code;       // of the response, which closes the connection
 };
 
-std::span<const HeadFaultRow>
-HeadFaultTable();
+std::span<const HeadErrorRow>
+HeadErrorTable();
 
-const HeadFaultRow&
-RowOf(HeadFault aFault);
+const HeadErrorRow&
+RowOf(HeadError aHeadError);
 
-// aText: the head including its empty line. The cost is linear in its size.
-std::variant<RequestHead, HeadFault>
-JudgeRequestHead(std::string_view aText);
+// Returns the first error if the head is invalid. aText: the head including its
+// empty line. The cost is linear in its size.
+std::variant<RequestHead, HeadError>
+ParseRequestHead(std::string_view aText);
 
 // The host of a Host field's value in lower case, without the port; "" if the
 // value is no host.
