--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -19,6 +19,7 @@
 #include <unistd.h>
 
 #include "net/h2o.h"
+#include "router/peer_state.h"
 #include "walnutwing/http/request_head.h"
 
 namespace walnutwing::net {
@@ -232,11 +233,8 @@
     }
     h2o_socket_t* socket =
       m_request->conn->callbacks->get_socket(m_request->conn);
-    char byte = 0;
-    const ssize_t peekedBytes =
-      recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peekedBytes == 0 ||
-           (peekedBytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const int descriptor = h2o_socket_get_fd(socket);
+    return router::PeerStateOf(descriptor) == router::PeerState::Closed;
   }
 
 private:
--- a/net/http_test.cc
+++ b/net/http_test.cc
@@ -481,7 +481,7 @@
   }
 }
 
-// A connection that sends raw bytes.
+// A connection that sends raw bytes, whose sending side can be closed alone.
 class RawCaller
 {
 public:
@@ -507,6 +507,8 @@
               send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL));
   }
 
+  void HalfClose() { EXPECT_EQ(0, shutdown(m_socket, SHUT_WR)); }
+
   // Reads what has come. Returns whether the server has ended the connection.
   bool Ended()
   {
@@ -594,6 +596,24 @@
   }
 }
 
+// Guards against issue 67, GONE, at walnutwing daemon: a caller that had sent
+// more bytes before it disconnected was never found to have gone, and its
+// upstream worked on.
+TEST(Http, CallerClosedIsSeenBehindUnreadBytes)
+{
+  std::shared_ptr<Exchange> exchange;
+  ClientAndServer pair(
+    [&](const std::shared_ptr<Exchange>& aExchange) { exchange = aExchange; });
+  RawCaller caller(pair.m_server.Port());
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  caller.Send(request);
+  ASSERT_TRUE(RunUntil(pair.m_loop, [&] { return exchange != nullptr; }));
+  caller.Send(request);
+  EXPECT_FALSE(exchange->CallerClosed());
+  caller.HalfClose();
+  EXPECT_TRUE(RunUntil(pair.m_loop, [&] { return exchange->CallerClosed(); }));
+}
+
 TEST(Http, CancelledCallClosesConnectionToServer)
 {
   std::shared_ptr<Exchange> exchange;
